--- /dev/null
+++ b/include/figridge/host_core.hpp
@@ -0,0 +1,106 @@
+// The decisions of one entry host.
+//
+// Feed a `host_core` with inputs, each with the present time; it calls the
+// ports with what has to be done. It reads no clock, opens no socket and
+// starts no thread, so a test can run several of them in one process, in
+// virtual time, and replay any run from its seed:
+//
+//     host_core host(settings, ports);
+//     host.start(now);
+//     host.submit(now, token, id, job);   // the answer comes by caller_port
+//     host.tick(now);                     // every few milliseconds
+//
+// Not thread-safe: all calls come from one thread. `now` never goes back.
+#ifndef FIGRIDGE_HOST_CORE_HPP
+#define FIGRIDGE_HOST_CORE_HPP
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "figridge/catalogue.hpp"
+#include "figridge/job.hpp"
+#include "figridge/ports.hpp"
+#include "figridge/settings.hpp"
+
+namespace figridge {
+
+class host_core {
+public:
+    host_core(const core_settings& settings, const core_ports& ports);
+    ~host_core();
+    host_core(const host_core&) = delete;
+    host_core& operator=(const host_core&) = delete;
+
+    // Precondition: called once, before any other input.
+    void start(timestamp now);
+
+    // Lets timers run. Call at least every 20 ms.
+    void tick(timestamp now);
+
+    // --- callers ---
+
+    // Mints ids. Empty if the host takes no new work.
+    std::vector<submission_id> draw_ids(timestamp now, std::uint32_t count);
+
+    // Submits under an id, at whichever host it was drawn.
+    // Precondition: `check_job(job)` is ok. The token is answered once.
+    void submit(timestamp now, caller_token token, const submission_id& id,
+                const job_request& job);
+    void fetch(timestamp now, caller_token token, const submission_id& id);
+    void cancel(timestamp now, caller_token token, const submission_id& id);
+
+    // The caller has gone: its token is not answered any more. The job it
+    // waits for goes on.
+    void drop_caller(timestamp now, caller_token token);
+
+    // --- operators ---
+
+    void edit_catalogue(timestamp now, caller_token token,
+                        const catalogue_edit& edit);
+    // Returns false if no such endpoint is known.
+    bool set_endpoint_leaving(timestamp now, const std::string& endpoint,
+                              bool leaving);
+    // Starts a planned stop.
+    void drain(timestamp now);
+    // Ends what still runs, as failed.
+    void stop_now(timestamp now);
+    // True when a planned stop has nothing left to do.
+    [[nodiscard]] bool is_drained() const;
+    // True if new work is taken: the balancer's health check.
+    [[nodiscard]] bool is_serving() const;
+
+    [[nodiscard]] const catalogue& current_catalogue() const;
+    [[nodiscard]] bool has_catalogue() const;
+    // Everything an operator may want to see.
+    [[nodiscard]] nlohmann::json dump_state() const;
+    [[nodiscard]] nlohmann::json list_hosts() const;
+    [[nodiscard]] nlohmann::json list_endpoints() const;
+    [[nodiscard]] nlohmann::json list_jobs() const;
+    [[nodiscard]] nlohmann::json message_counts() const;
+
+    // --- replies of the ports ---
+
+    void handle_envelope(timestamp now, const envelope& message);
+    // A connection begun at `begun` was refused: nothing listens there.
+    void handle_link_refused(timestamp now, const std::string& host,
+                             timestamp begun);
+    void handle_link_restored(timestamp now, const std::string& host);
+    void handle_start_reply(timestamp now, const start_reply& reply);
+    void handle_probe_reply(timestamp now, const probe_reply& reply);
+    void handle_table_reply(timestamp now, std::uint64_t request,
+                            const table_reply& reply);
+    void handle_endpoint_list(timestamp now, std::uint64_t request, bool ok,
+                              const std::vector<endpoint_info>& endpoints);
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace figridge
+
+#endif
--- /dev/null
+++ b/src/adapters/http_client.cpp
@@ -0,0 +1,173 @@
+#include "http_client.hpp"
+
+#include <algorithm>
+#include <cstring>
+
+namespace figridge {
+namespace {
+
+constexpr std::size_t max_idle_handles = 512;
+constexpr long max_idle_connections = 4096;
+
+} // namespace
+
+http_client::http_client(event_loop& loop)
+    : loop_(loop), multi_(curl_multi_init()),
+      timer_(loop, [this] { act(CURL_SOCKET_TIMEOUT, 0); }) {
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &on_socket);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &on_timer);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, max_idle_connections);
+}
+
+http_client::~http_client() {
+    for (auto& [easy, open] : open_) {
+        curl_multi_remove_handle(multi_, easy);
+        curl_slist_free_all(open->headers);
+        curl_easy_cleanup(easy);
+    }
+    for (auto* easy : idle_) {
+        curl_easy_cleanup(easy);
+    }
+    curl_multi_cleanup(multi_);
+}
+
+CURL* http_client::take_handle() {
+    if (idle_.empty()) {
+        return curl_easy_init();
+    }
+    auto* easy = idle_.back();
+    idle_.pop_back();
+    curl_easy_reset(easy);
+    return easy;
+}
+
+void http_client::send(http_call call, handler done) {
+    auto* easy = take_handle();
+    auto open = std::make_unique<transfer>();
+    open->call = std::move(call);
+    open->done = std::move(done);
+    const auto& sent = open->call;
+    curl_easy_setopt(easy, CURLOPT_URL, sent.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(to_ms(sent.timeout)));
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_answer);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, open.get());
+    if (sent.method != "GET") {
+        // A body read through a callback that can't seek keeps the library
+        // from repeating the request when a kept connection breaks.
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, sent.method.c_str());
+        curl_easy_setopt(easy, CURLOPT_READFUNCTION, &on_body);
+        curl_easy_setopt(easy, CURLOPT_READDATA, open.get());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(sent.body.size()));
+        open->headers =
+            curl_slist_append(open->headers, "Content-Type: application/json");
+        open->headers = curl_slist_append(open->headers, "Expect:");
+    }
+    if (!sent.idempotency_key.empty()) {
+        const auto header = "Idempotency-Key: " + sent.idempotency_key;
+        open->headers = curl_slist_append(open->headers, header.c_str());
+    }
+    if (open->headers != nullptr) {
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, open->headers);
+    }
+    open_[easy] = std::move(open);
+    curl_multi_add_handle(multi_, easy);
+}
+
+std::size_t http_client::on_answer(char* data, std::size_t size,
+                                   std::size_t count, void* target) {
+    static_cast<transfer*>(target)->answer.append(data, size * count);
+    return size * count;
+}
+
+std::size_t http_client::on_body(char* data, std::size_t size,
+                                 std::size_t count, void* source) {
+    auto& open = *static_cast<transfer*>(source);
+    const auto left = open.call.body.size() - open.body_offset;
+    const auto part = std::min(left, size * count);
+    std::memcpy(data, open.call.body.data() + open.body_offset, part);
+    open.body_offset += part;
+    return part;
+}
+
+int http_client::on_socket(CURL* /*easy*/, curl_socket_t socket, int what,
+                           void* self, void* /*socket_data*/) {
+    auto& client = *static_cast<http_client*>(self);
+    if (what == CURL_POLL_REMOVE) {
+        client.sockets_.erase(socket);
+        return 0;
+    }
+    const int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) |
+                       ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
+    auto& watcher = client.sockets_[socket];
+    if (watcher) {
+        watcher->set_events(events);
+        return 0;
+    }
+    watcher = std::make_unique<io_watcher>(
+        client.loop_, socket, events, [&client, socket](int happened) {
+            const int flags =
+                ((happened & EV_READ) != 0 ? CURL_CSELECT_IN : 0) |
+                ((happened & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
+            client.act(socket, flags);
+        });
+    return 0;
+}
+
+int http_client::on_timer(CURLM* /*multi*/, long timeout_ms, void* self) {
+    auto& client = *static_cast<http_client*>(self);
+    if (timeout_ms < 0) {
+        client.timer_.stop();
+    } else {
+        client.timer_.start_once(std::chrono::milliseconds(timeout_ms));
+    }
+    return 0;
+}
+
+void http_client::act(curl_socket_t socket, int events) {
+    int running = 0;
+    curl_multi_socket_action(multi_, socket, events, &running);
+    finish_transfers();
+}
+
+void http_client::finish_transfers() {
+    int left = 0;
+    while (auto* message = curl_multi_info_read(multi_, &left)) {
+        if (message->msg == CURLMSG_DONE) {
+            finish(message->easy_handle, message->data.result);
+        }
+    }
+}
+
+void http_client::finish(CURL* easy, CURLcode code) {
+    http_result result;
+    if (code == CURLE_OK) {
+        long status = 0;
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+        result.outcome = http_outcome::answered;
+        result.status = static_cast<int>(status);
+    } else {
+        result.outcome = code == CURLE_COULDNT_CONNECT ? http_outcome::not_sent
+                                                       : http_outcome::lost;
+        result.error = curl_easy_strerror(code);
+    }
+    const auto ended = std::move(open_.extract(easy).mapped());
+    result.body = std::move(ended->answer);
+    curl_multi_remove_handle(multi_, easy);
+    curl_slist_free_all(ended->headers);
+    if (idle_.size() < max_idle_handles) {
+        idle_.push_back(easy);
+    } else {
+        curl_easy_cleanup(easy);
+    }
+    ended->done(result);
+}
+
+} // namespace figridge
--- /dev/null
+++ b/src/adapters/http_client.hpp
@@ -0,0 +1,86 @@
+// An HTTP client on the event loop, by libcurl's multi interface.
+//
+// A request that may have reached the server is never sent a second time, not
+// even by the library when a kept connection breaks.
+#ifndef FIGRIDGE_ADAPTERS_HTTP_CLIENT_HPP
+#define FIGRIDGE_ADAPTERS_HTTP_CLIENT_HPP
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <curl/curl.h>
+
+#include "event_loop.hpp"
+
+namespace figridge {
+
+struct http_call {
+    std::string method = "GET";
+    std::string url;
+    std::string body;
+    duration timeout = 5s;
+    std::string idempotency_key;
+};
+
+enum class http_outcome {
+    answered,
+    not_sent, // no connection could be made
+    lost,     // the request may have been received
+};
+
+struct http_result {
+    http_outcome outcome = http_outcome::lost;
+    int status = 0;
+    std::string body;
+    std::string error;
+};
+
+// Not thread-safe. Calls that are open at destruction are dropped silently.
+class http_client {
+public:
+    using handler = std::function<void(const http_result&)>;
+
+    explicit http_client(event_loop& loop);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    void send(http_call call, handler done);
+
+    [[nodiscard]] std::size_t open_calls() const { return open_.size(); }
+
+private:
+    struct transfer {
+        http_call call;
+        handler done;
+        std::string answer;
+        std::size_t body_offset = 0;
+        curl_slist* headers = nullptr;
+    };
+
+    static int on_socket(CURL* easy, curl_socket_t socket, int what, void* self,
+                         void* socket_data);
+    static int on_timer(CURLM* multi, long timeout_ms, void* self);
+    static std::size_t on_answer(char* data, std::size_t size,
+                                 std::size_t count, void* target);
+    static std::size_t on_body(char* data, std::size_t size, std::size_t count,
+                               void* source);
+    void act(curl_socket_t socket, int events);
+    void finish_transfers();
+    void finish(CURL* easy, CURLcode code);
+    CURL* take_handle();
+
+    event_loop& loop_;
+    CURLM* multi_;
+    timer_watcher timer_;
+    std::map<curl_socket_t, std::unique_ptr<io_watcher>> sockets_;
+    std::map<CURL*, std::unique_ptr<transfer>> open_;
+    std::vector<CURL*> idle_;
+};
+
+} // namespace figridge
+
+#endif
--- /dev/null
+++ b/src/adapters/http_server.cpp
@@ -0,0 +1,215 @@
+#include "http_server.hpp"
+
+#include <unistd.h>
+
+#include <absl/strings/str_cat.h>
+
+#include "socket_address.hpp"
+
+namespace figridge {
+namespace {
+
+constexpr unsigned max_connections = 8192;
+constexpr duration housekeeping_interval = 250ms;
+constexpr std::uint32_t ms_per_second = 1000;
+
+MHD_Result add_query(void* target, MHD_ValueKind /*kind*/, const char* key,
+                     const char* value) {
+    auto* query = static_cast<std::map<std::string, std::string>*>(target);
+    (*query)[key] = value == nullptr ? "" : value;
+    return MHD_YES;
+}
+
+} // namespace
+
+http_server::http_server(event_loop& loop, std::size_t max_body_bytes,
+                         request_handler handle, gone_handler gone)
+    : loop_(loop), max_body_bytes_(max_body_bytes), handle_(std::move(handle)),
+      gone_(std::move(gone)) {}
+
+http_server::~http_server() {
+    if (daemon_ == nullptr) {
+        return;
+    }
+    watcher_.reset();
+    timer_.reset();
+    // Held connections have to be resumed before the daemon may stop.
+    for (auto& [token, held] : held_) {
+        if (held->suspended) {
+            held->suspended = false;
+            held->aborted = true;
+            MHD_resume_connection(held->connection);
+        }
+    }
+    gone_ = {};
+    MHD_run(daemon_);
+    MHD_stop_daemon(daemon_);
+}
+
+absl::Status http_server::start(const std::string& address) {
+    const auto parsed = parse_socket_address(address);
+    if (!parsed.ok()) {
+        return parsed.status();
+    }
+    const auto listener = listen_on(*parsed);
+    if (!listener.ok()) {
+        return listener.status();
+    }
+    daemon_ = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_TURBO, 0, nullptr,
+        nullptr, &http_server::on_access, this, MHD_OPTION_LISTEN_SOCKET,
+        *listener, MHD_OPTION_NOTIFY_COMPLETED, &http_server::on_completed,
+        this, MHD_OPTION_CONNECTION_LIMIT, max_connections, MHD_OPTION_END);
+    if (daemon_ == nullptr) {
+        close(*listener);
+        return absl::InternalError(
+            absl::StrCat("can't start an HTTP server on ", address));
+    }
+    const auto* info = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD);
+    watcher_ = std::make_unique<io_watcher>(loop_, info->epoll_fd, EV_READ,
+                                            [this](int) { run_daemon(); });
+    timer_ = std::make_unique<timer_watcher>(loop_, [this] { run_daemon(); });
+    timer_->start_repeating(housekeeping_interval);
+    return absl::OkStatus();
+}
+
+void http_server::run_soon() {
+    if (watcher_ && !running_) {
+        watcher_->trigger();
+    }
+}
+
+void http_server::run_daemon() {
+    running_ = true;
+    MHD_run(daemon_);
+    running_ = false;
+    MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
+    if (MHD_get_timeout(daemon_, &timeout_ms) == MHD_YES && timeout_ms == 0) {
+        run_soon();
+    }
+}
+
+MHD_Result http_server::on_access(void* self, MHD_Connection* connection,
+                                  const char* url, const char* method,
+                                  const char* /*version*/, const char* data,
+                                  std::size_t* size, void** state) {
+    return static_cast<http_server*>(self)->access(connection, url, method,
+                                                   data, size, state);
+}
+
+MHD_Result http_server::access(MHD_Connection* connection, const char* url,
+                               const char* method, const char* data,
+                               std::size_t* size, void** state) {
+    if (*state == nullptr) {
+        auto* fresh = new exchange;
+        fresh->connection = connection;
+        fresh->request.token = next_token_++;
+        fresh->request.method = method;
+        fresh->request.path = url;
+        *state = fresh;
+        return MHD_YES;
+    }
+    auto& held = *static_cast<exchange*>(*state);
+    if (*size > 0) {
+        auto& request = held.request;
+        if (request.body.size() + *size > max_body_bytes_) {
+            request.too_large = true;
+            request.body.clear();
+        } else if (!request.too_large) {
+            request.body.append(data, *size);
+        }
+        *size = 0;
+        return MHD_YES;
+    }
+    if (held.aborted) {
+        return MHD_NO;
+    }
+    if (!held.handed_over) {
+        held.handed_over = true;
+        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &add_query,
+                                  &held.request.query);
+        if (const auto* key = MHD_lookup_connection_value(
+                connection, MHD_HEADER_KIND, "Idempotency-Key")) {
+            held.request.idempotency_key = key;
+        }
+        held_[held.request.token] = &held;
+        handle_(held.request);
+    }
+    if (held.aborted) {
+        return MHD_NO;
+    }
+    if (held.answered) {
+        return queue_response(held);
+    }
+    held.suspended = true;
+    MHD_suspend_connection(connection);
+    return MHD_YES;
+}
+
+MHD_Result http_server::queue_response(exchange& held) {
+    auto& answer = held.response;
+    auto* response = MHD_create_response_from_buffer(
+        answer.body.size(), answer.body.data(), MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(response, "Content-Type",
+                            answer.content_type.c_str());
+    if (answer.retry_after_ms > 0) {
+        const auto seconds =
+            (answer.retry_after_ms + ms_per_second - 1) / ms_per_second;
+        MHD_add_response_header(response, "Retry-After",
+                                std::to_string(seconds).c_str());
+    }
+    const auto result = MHD_queue_response(
+        held.connection, static_cast<unsigned>(answer.status), response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+void http_server::respond(http_token token, http_response response) {
+    const auto found = held_.find(token);
+    if (found == held_.end()) {
+        return;
+    }
+    auto& held = *found->second;
+    held_.erase(found);
+    held.response = std::move(response);
+    held.answered = true;
+    if (held.suspended) {
+        held.suspended = false;
+        MHD_resume_connection(held.connection);
+        run_soon();
+    }
+}
+
+void http_server::abort(http_token token) {
+    const auto found = held_.find(token);
+    if (found == held_.end()) {
+        return;
+    }
+    auto& held = *found->second;
+    held_.erase(found);
+    held.aborted = true;
+    if (held.suspended) {
+        held.suspended = false;
+        MHD_resume_connection(held.connection);
+        run_soon();
+    }
+}
+
+void http_server::on_completed(void* self, MHD_Connection* /*connection*/,
+                               void** state,
+                               MHD_RequestTerminationCode /*code*/) {
+    auto* server = static_cast<http_server*>(self);
+    auto* ended = static_cast<exchange*>(*state);
+    if (ended == nullptr) {
+        return;
+    }
+    *state = nullptr;
+    const auto token = ended->request.token;
+    const bool unanswered = server->held_.erase(token) > 0;
+    if (unanswered && server->gone_) {
+        server->gone_(token);
+    }
+    delete ended;
+}
+
+} // namespace figridge
--- /dev/null
+++ b/src/adapters/log_observer.cpp
@@ -0,0 +1,120 @@
+#include "log_observer.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace figridge {
+namespace {
+
+constexpr unsigned bucket_count = 24;
+constexpr double shortest_s = 0.0005;
+constexpr double longest_s = 64.0;
+constexpr std::array<const char*, 3> series_names{"figridge_response_seconds",
+                                                  "figridge_queue_seconds",
+                                                  "figridge_task_seconds"};
+
+spdlog::level::level_enum to_spdlog(log_level level) {
+    switch (level) {
+    case log_level::debug:
+        return spdlog::level::debug;
+    case log_level::info:
+        return spdlog::level::info;
+    case log_level::warning:
+        return spdlog::level::warn;
+    case log_level::error:
+        return spdlog::level::err;
+    }
+    return spdlog::level::info;
+}
+
+// A value that needs quotes gets them, so that a line can be taken apart.
+std::string quote(const std::string& value) {
+    const bool plain =
+        !value.empty() && value.find_first_of(" \t\n\"=") == std::string::npos;
+    return plain
+               ? value
+               : nlohmann::json(value).dump(
+                     -1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+void start_log(const std::string& level) {
+    auto logger = spdlog::stderr_logger_st("figridge");
+    logger->set_pattern("ts=%Y-%m-%dT%H:%M:%S.%e level=%l %v");
+    logger->set_level(spdlog::level::from_str(level));
+    logger->flush_on(spdlog::level::info);
+    spdlog::set_default_logger(logger);
+}
+
+void log_event(log_level level, std::string_view event,
+               const log_fields& fields) {
+    if (!spdlog::default_logger_raw()->should_log(to_spdlog(level))) {
+        return;
+    }
+    std::string line("event=");
+    line.append(event);
+    for (const auto& [key, value] : fields) {
+        line.push_back(' ');
+        line.append(key);
+        line.push_back('=');
+        line.append(quote(value));
+    }
+    spdlog::default_logger_raw()->log(to_spdlog(level), "{}", line);
+}
+
+log_observer::log_observer() {
+    for (auto& item : series_) {
+        item.values = time_histogram(axis(bucket_count, shortest_s, longest_s));
+    }
+}
+
+void log_observer::log(log_level level, std::string_view event,
+                       const log_fields& fields) {
+    log_event(level, event, fields);
+}
+
+void log_observer::record(measure what, duration value) {
+    auto& item = series_[static_cast<std::size_t>(what)];
+    const auto seconds = to_seconds(value);
+    item.values(seconds);
+    item.sum_s += seconds;
+    ++item.count;
+}
+
+std::string log_observer::metrics_text(const nlohmann::json& message_counts,
+                                       const nlohmann::json& gauges) const {
+    std::string text;
+    for (std::size_t index = 0; index < series_.size(); ++index) {
+        const auto& item = series_[index];
+        const auto* name = series_names[index];
+        absl::StrAppend(&text, "# TYPE ", name, " histogram\n");
+        double below = item.values.at(-1);
+        for (int bucket = 0; bucket < item.values.axis().size(); ++bucket) {
+            below += item.values.at(bucket);
+            absl::StrAppend(&text, name, "_bucket{le=\"",
+                            item.values.axis().bin(bucket).upper(), "\"} ",
+                            below, "\n");
+        }
+        absl::StrAppend(&text, name, "_bucket{le=\"+Inf\"} ", item.count, "\n",
+                        name, "_sum ", item.sum_s, "\n", name, "_count ",
+                        item.count, "\n");
+    }
+    text += "# TYPE figridge_messages_total counter\n";
+    for (const auto& [kind, counts] : message_counts.items()) {
+        for (const auto* use : {"sent", "wasted"}) {
+            absl::StrAppend(&text, "figridge_messages_total{kind=\"", kind,
+                            "\",use=\"", use, "\"} ",
+                            counts.at(use).get<std::uint64_t>(), "\n");
+        }
+    }
+    for (const auto& [name, value] : gauges.items()) {
+        absl::StrAppend(&text, "# TYPE figridge_", name, " gauge\nfigridge_",
+                        name, " ", value.get<double>(), "\n");
+    }
+    return text;
+}
+
+} // namespace figridge
--- /dev/null
+++ b/src/adapters/log_observer.hpp
@@ -0,0 +1,51 @@
+// Log lines and measured times of one process.
+#ifndef FIGRIDGE_ADAPTERS_LOG_OBSERVER_HPP
+#define FIGRIDGE_ADAPTERS_LOG_OBSERVER_HPP
+
+#include <array>
+#include <string>
+
+#include <boost/histogram.hpp>
+#include <nlohmann/json_fwd.hpp>
+
+#include "figridge/ports.hpp"
+
+namespace figridge {
+
+// Sets up the process's log: one line of key=value pairs for each event, to
+// the standard error stream. `level` is one of debug, info, warning, error.
+void start_log(const std::string& level);
+
+// Writes one event. Thread-safe after `start_log`.
+void log_event(log_level level, std::string_view event,
+               const log_fields& fields);
+
+// Writes events to the log and keeps histograms. Not thread-safe.
+class log_observer final : public observer_port {
+public:
+    log_observer();
+
+    void log(log_level level, std::string_view event,
+             const log_fields& fields) override;
+    void record(measure what, duration value) override;
+
+    // The histograms and message counts as Prometheus text.
+    [[nodiscard]] std::string metrics_text(const nlohmann::json& message_counts,
+                                           const nlohmann::json& gauges) const;
+
+private:
+    using axis =
+        boost::histogram::axis::regular<double,
+                                        boost::histogram::axis::transform::log>;
+    using time_histogram = boost::histogram::histogram<std::tuple<axis>>;
+    struct series {
+        time_histogram values;
+        double sum_s = 0;
+        std::uint64_t count = 0;
+    };
+    std::array<series, 3> series_;
+};
+
+} // namespace figridge
+
+#endif
--- /dev/null
+++ b/src/adapters/peer_transport.cpp
@@ -0,0 +1,335 @@
+#include "peer_transport.hpp"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <absl/strings/str_cat.h>
+#include <msgpack.hpp>
+
+#include "http2_connection.hpp"
+#include "socket_address.hpp"
+
+namespace figridge {
+namespace {
+
+constexpr duration first_reconnect = 50ms;
+constexpr duration longest_reconnect = 1s;
+constexpr duration connect_timeout = 2s;
+constexpr std::size_t max_buffered_bytes = 32U << 20;
+constexpr std::size_t max_unread_bytes = 64U << 20;
+
+nghttp2_nv header(std::string_view name, std::string_view value) {
+    auto* raw_name =
+        reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data()));
+    auto* raw_value =
+        reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data()));
+    return {raw_name, raw_value, name.size(), value.size(),
+            NGHTTP2_NV_FLAG_NONE};
+}
+
+void set_no_delay(int socket) {
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+} // namespace
+
+// The outgoing connection to one peer. Owned by `peer_transport`.
+class peer_link {
+public:
+    peer_link(peer_transport& transport, std::string host)
+        : transport_(transport), host_(std::move(host)),
+          timer_(transport.loop_, [this] { timer_due(); }) {
+        connect();
+    }
+
+    ~peer_link() {
+        if (socket_ >= 0) {
+            ::close(socket_);
+        }
+    }
+
+    peer_link(const peer_link&) = delete;
+    peer_link& operator=(const peer_link&) = delete;
+
+    void send(const envelope& message) {
+        if (!connection_ || buffer_.size() > max_buffered_bytes) {
+            return;
+        }
+        msgpack::sbuffer packed;
+        msgpack::pack(packed, message);
+        buffer_.append(packed.data(), packed.size());
+        transport_.bytes_sent_ += packed.size();
+        if (!flush_pending_) {
+            nghttp2_session_resume_data(connection_->session(), stream_);
+            flush_pending_ = true;
+            timer_.start_once(duration{0});
+        }
+    }
+
+private:
+    enum class state { waiting, connecting, connected };
+
+    void connect() {
+        const auto address = parse_socket_address(host_);
+        socket_ =
+            socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        set_no_delay(socket_);
+        begun_ = event_loop::now();
+        state_ = state::connecting;
+        const auto* raw = reinterpret_cast<const sockaddr*>(&*address);
+        if (::connect(socket_, raw, sizeof(*address)) != 0 &&
+            errno != EINPROGRESS) {
+            connect_failed(errno);
+            return;
+        }
+        watcher_ = std::make_unique<io_watcher>(
+            transport_.loop_, socket_, EV_WRITE,
+            [this](int) { timer_.start_once(duration{0}); });
+        timer_.start_once(connect_timeout);
+    }
+
+    void timer_due() {
+        if (state_ == state::connected) {
+            flush_pending_ = false;
+            if (broken_) {
+                connection_.reset();
+                broken_ = false;
+                wait_to_reconnect();
+            } else {
+                connection_->write();
+            }
+        } else if (state_ == state::connecting) {
+            finish_connect();
+        } else {
+            connect();
+        }
+    }
+
+    void finish_connect() {
+        watcher_.reset();
+        int error = 0;
+        socklen_t size = sizeof(error);
+        getsockopt(socket_, SOL_SOCKET, SO_ERROR, &error, &size);
+        sockaddr_in peer{};
+        socklen_t peer_size = sizeof(peer);
+        const bool is_up =
+            error == 0 &&
+            getpeername(socket_, reinterpret_cast<sockaddr*>(&peer),
+                        &peer_size) == 0;
+        if (!is_up) {
+            connect_failed(error == 0 ? ETIMEDOUT : error);
+            return;
+        }
+        start_session();
+        transport_.events_.on_link_restored(host_);
+    }
+
+    void connect_failed(int error) {
+        ::close(socket_);
+        socket_ = -1;
+        wait_to_reconnect();
+        if (error == ECONNREFUSED && !transport_.cut_.contains(host_)) {
+            transport_.events_.on_link_refused(host_, begun_);
+        }
+    }
+
+    void wait_to_reconnect() {
+        state_ = state::waiting;
+        pause_ = pause_ == duration{0}
+                     ? first_reconnect
+                     : std::min(pause_ * 2, longest_reconnect);
+        std::uniform_int_distribution<std::int64_t> jitter(pause_.count() / 2,
+                                                           pause_.count());
+        timer_.start_once(duration{jitter(transport_.random_)});
+    }
+
+    void start_session() {
+        state_ = state::connected;
+        pause_ = duration{0};
+        buffer_.clear();
+        offset_ = 0;
+        timer_.stop();
+        connection_ = std::make_unique<http2_connection>(
+            transport_.loop_, std::exchange(socket_, -1), [this] {
+                broken_ = true;
+                timer_.start_once(duration{0});
+            });
+        nghttp2_session_callbacks* callbacks = nullptr;
+        nghttp2_session_callbacks_new(&callbacks);
+        nghttp2_session* session = nullptr;
+        nghttp2_session_client_new(&session, callbacks, this);
+        nghttp2_session_callbacks_del(callbacks);
+        submit_large_windows(session);
+        const nghttp2_nv headers[] = {
+            header(":method", "POST"),
+            header(":scheme", "http"),
+            header(":authority", host_),
+            header(":path", "/peer"),
+        };
+        nghttp2_data_provider provider{};
+        provider.source.ptr = this;
+        provider.read_callback = &peer_link::read_body;
+        stream_ = nghttp2_submit_request(session, nullptr, headers,
+                                         std::size(headers), &provider, this);
+        connection_->start(session);
+    }
+
+    static ssize_t read_body(nghttp2_session* /*session*/,
+                             std::int32_t /*stream*/, std::uint8_t* target,
+                             std::size_t length, std::uint32_t* /*flags*/,
+                             nghttp2_data_source* source, void* /*user*/) {
+        auto& link = *static_cast<peer_link*>(source->ptr);
+        const auto left = link.buffer_.size() - link.offset_;
+        if (left == 0) {
+            return NGHTTP2_ERR_DEFERRED;
+        }
+        const auto part = std::min(left, length);
+        std::memcpy(target, link.buffer_.data() + link.offset_, part);
+        link.offset_ += part;
+        if (link.offset_ == link.buffer_.size()) {
+            link.buffer_.clear();
+            link.offset_ = 0;
+        }
+        return static_cast<ssize_t>(part);
+    }
+
+    peer_transport& transport_;
+    std::string host_;
+    timer_watcher timer_;
+    state state_ = state::waiting;
+    int socket_ = -1;
+    std::unique_ptr<io_watcher> watcher_;
+    std::unique_ptr<http2_connection> connection_;
+    std::string buffer_;
+    std::size_t offset_ = 0;
+    std::int32_t stream_ = -1;
+    timestamp begun_{0};
+    duration pause_{0};
+    bool flush_pending_ = false;
+    bool broken_ = false;
+};
+
+// An accepted connection. Owned by `peer_transport`.
+class peer_reader {
+public:
+    peer_reader(peer_transport& transport, int socket)
+        : transport_(transport),
+          connection_(transport.loop_, socket, [this] { closed_ = true; }) {
+        nghttp2_session_callbacks* callbacks = nullptr;
+        nghttp2_session_callbacks_new(&callbacks);
+        nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
+            callbacks, &peer_reader::on_data);
+        nghttp2_session* session = nullptr;
+        nghttp2_session_server_new(&session, callbacks, this);
+        nghttp2_session_callbacks_del(callbacks);
+        submit_large_windows(session);
+        connection_.start(session);
+    }
+
+    [[nodiscard]] bool is_closed() const { return closed_; }
+
+private:
+    static int on_data(nghttp2_session* /*session*/, std::uint8_t /*flags*/,
+                       std::int32_t /*stream*/, const std::uint8_t* data,
+                       std::size_t length, void* self) {
+        return static_cast<peer_reader*>(self)->take(data, length);
+    }
+
+    int take(const std::uint8_t* data, std::size_t length) {
+        try {
+            unpacker_.reserve_buffer(length);
+            std::memcpy(unpacker_.buffer(), data, length);
+            unpacker_.buffer_consumed(length);
+            msgpack::object_handle handle;
+            while (unpacker_.next(handle)) {
+                transport_.receive(handle.get().as<envelope>());
+            }
+        } catch (const std::exception&) {
+            return NGHTTP2_ERR_CALLBACK_FAILURE;
+        }
+        const bool too_much = unpacker_.nonparsed_size() > max_unread_bytes;
+        return too_much ? NGHTTP2_ERR_CALLBACK_FAILURE : 0;
+    }
+
+    peer_transport& transport_;
+    msgpack::unpacker unpacker_;
+    bool closed_ = false;
+    http2_connection connection_;
+};
+
+peer_transport::peer_transport(event_loop& loop, std::string self,
+                               std::uint64_t seed, peer_events& events)
+    : loop_(loop), self_(std::move(self)), random_(seed), events_(events) {}
+
+peer_transport::~peer_transport() {
+    accept_watcher_.reset();
+    if (listener_ >= 0) {
+        close(listener_);
+    }
+}
+
+absl::Status peer_transport::listen(const std::string& address) {
+    const auto parsed = parse_socket_address(address);
+    if (!parsed.ok()) {
+        return parsed.status();
+    }
+    const auto listener = listen_on(*parsed);
+    if (!listener.ok()) {
+        return listener.status();
+    }
+    listener_ = *listener;
+    accept_watcher_ = std::make_unique<io_watcher>(
+        loop_, listener_, EV_READ, [this](int) { accept_connections(); });
+    return absl::OkStatus();
+}
+
+void peer_transport::add_peer(const std::string& host) {
+    if (host != self_ && !links_.contains(host)) {
+        links_[host] = std::make_unique<peer_link>(*this, host);
+    }
+}
+
+void peer_transport::send(const std::string& host, envelope message) {
+    if (cut_.contains(host)) {
+        return;
+    }
+    add_peer(host);
+    links_.at(host)->send(message);
+}
+
+void peer_transport::set_cut(std::set<std::string> hosts) {
+    cut_ = std::move(hosts);
+}
+
+void peer_transport::accept_connections() {
+    forget_closed_readers();
+    while (true) {
+        const int socket =
+            accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket < 0) {
+            return;
+        }
+        set_no_delay(socket);
+        readers_.push_back(std::make_unique<peer_reader>(*this, socket));
+    }
+}
+
+void peer_transport::forget_closed_readers() {
+    std::erase_if(readers_, [](const std::unique_ptr<peer_reader>& reader) {
+        return reader->is_closed();
+    });
+}
+
+void peer_transport::receive(const envelope& message) {
+    if (!cut_.contains(message.from)) {
+        events_.on_envelope(message);
+    }
+}
+
+} // namespace figridge
--- /dev/null
+++ b/src/adapters/platform_http.hpp
@@ -0,0 +1,45 @@
+// The platform's table service and endpoint list over HTTP.
+#ifndef FIGRIDGE_ADAPTERS_PLATFORM_HTTP_HPP
+#define FIGRIDGE_ADAPTERS_PLATFORM_HTTP_HPP
+
+#include "figridge/ports.hpp"
+#include "http_client.hpp"
+
+namespace figridge {
+
+// Where replies of the platform go.
+class platform_events {
+public:
+    virtual ~platform_events() = default;
+    virtual void on_table_reply(std::uint64_t request,
+                                const table_reply& reply) = 0;
+    virtual void
+    on_endpoint_list(std::uint64_t request, bool ok,
+                     const std::vector<endpoint_info>& endpoints) = 0;
+};
+
+// Owned by the daemon's main object. Not thread-safe.
+class platform_http final : public platform_port {
+public:
+    platform_http(http_client& client, std::string address, duration timeout,
+                  platform_events& events);
+
+    void transact(std::uint64_t request,
+                  const table_transaction& transaction) override;
+    void read_keys(std::uint64_t request,
+                   const std::vector<std::string>& keys) override;
+    void read_prefix(std::uint64_t request, const std::string& prefix) override;
+    void read_endpoints(std::uint64_t request) override;
+
+private:
+    void post(std::uint64_t request, const std::string& path, std::string body);
+
+    http_client& client_;
+    std::string base_;
+    duration timeout_;
+    platform_events& events_;
+};
+
+} // namespace figridge
+
+#endif
--- /dev/null
+++ b/src/adapters/socket_address.cpp
@@ -0,0 +1,62 @@
+#include "socket_address.hpp"
+
+#include <cerrno>
+#include <cstring>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+namespace figridge {
+namespace {
+
+constexpr int listen_backlog = 1024;
+constexpr int max_port = 65535;
+
+} // namespace
+
+absl::StatusOr<sockaddr_in> parse_socket_address(std::string_view text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return absl::InvalidArgumentError("expected ip:port");
+    }
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    const std::string ip(text.substr(0, colon));
+    if (inet_pton(AF_INET, ip.c_str(), &address.sin_addr) != 1) {
+        return absl::InvalidArgumentError(
+            absl::StrCat("not an IP number: ", ip));
+    }
+    int port = 0;
+    const std::string port_text(text.substr(colon + 1));
+    if (!absl::SimpleAtoi(port_text, &port) || port < 1 || port > max_port) {
+        return absl::InvalidArgumentError(
+            absl::StrCat("not a port: ", port_text));
+    }
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    return address;
+}
+
+absl::StatusOr<int> listen_on(const sockaddr_in& address) {
+    const int descriptor =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return absl::InternalError(strerror(errno));
+    }
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const auto* raw = reinterpret_cast<const sockaddr*>(&address);
+    if (bind(descriptor, raw, sizeof(address)) != 0 ||
+        listen(descriptor, listen_backlog) != 0) {
+        const auto error = absl::UnavailableError(
+            absl::StrCat("can't listen: ", strerror(errno)));
+        close(descriptor);
+        return error;
+    }
+    return descriptor;
+}
+
+} // namespace figridge
--- /dev/null
+++ b/src/adapters/socket_address.hpp
@@ -0,0 +1,22 @@
+// Socket addresses written as `ip:port`; names are not resolved.
+#ifndef FIGRIDGE_ADAPTERS_SOCKET_ADDRESS_HPP
+#define FIGRIDGE_ADAPTERS_SOCKET_ADDRESS_HPP
+
+#include <string>
+#include <string_view>
+
+#include <netinet/in.h>
+
+#include <absl/status/statusor.h>
+
+namespace figridge {
+
+// Parses an IPv4 address and a port. Thread-safe.
+absl::StatusOr<sockaddr_in> parse_socket_address(std::string_view text);
+
+// Opens a non-blocking TCP listener. Thread-safe.
+absl::StatusOr<int> listen_on(const sockaddr_in& address);
+
+} // namespace figridge
+
+#endif
--- /dev/null
+++ b/src/core/coordinator.hpp
@@ -0,0 +1,222 @@
+// The coordinator of jobs: decides what every submission comes to.
+//
+// Only the incarnation that minted an id coordinates its job. The record of a
+// job is made at its first submission; every later one attaches to it. Tasks
+// wait here for permission (limits) and are then sent to holders, one attempt
+// at a time. A task is sent again only when its holder has given the attempt
+// back unstarted, or when the request is marked idempotent.
+#ifndef FIGRIDGE_CORE_COORDINATOR_HPP
+#define FIGRIDGE_CORE_COORDINATOR_HPP
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "core_context.hpp"
+#include "endpoint_directory.hpp"
+#include "id_ledger.hpp"
+#include "limit_book.hpp"
+#include "membership.hpp"
+#include "placement_policy.hpp"
+
+namespace figridge {
+
+// A request passed on by another host.
+struct remote_waiter {
+    std::string host;
+    std::uint64_t incarnation = 0;
+    std::uint64_t request = 0;
+};
+
+using waiter = std::variant<caller_token, remote_waiter>;
+
+// What the coordinator needs to know of the host it runs on.
+class host_view {
+public:
+    virtual ~host_view() = default;
+    [[nodiscard]] virtual const catalogue& current_catalogue() const = 0;
+    [[nodiscard]] virtual host_advert own_advert() const = 0;
+    // Hosts that hold an endpoint that fits the task; all holders if the task
+    // declares no size.
+    [[nodiscard]] virtual std::set<std::string>
+    holders_fitting(const task_spec& spec) const = 0;
+};
+
+struct job_summary {
+    submission_id id;
+    std::string entry;
+    std::string owner;
+    job_state state = job_state::running;
+    std::uint32_t done = 0;
+    std::uint32_t sent = 0;
+    std::uint32_t pending = 0;
+};
+
+// Owned by `host_core`. Not thread-safe.
+class coordinator {
+public:
+    coordinator(core_context& context, membership& members, limit_book& limits,
+                const endpoint_directory& directory, const host_view& host);
+
+    std::vector<submission_id> mint(std::uint32_t count);
+
+    enum class submit_result { accepted, attached, invalid_id };
+
+    // Creates the record, or attaches to it. The waiter is answered when the
+    // job ends. With `hold` the tasks stay here until `release_hold`.
+    // Precondition: `check_job(job)` is ok and the id names this incarnation.
+    submit_result submit(const submission_id& id, const job_request& job,
+                         const waiter& who, bool hold);
+    void release_hold(const submission_id& id);
+
+    // Ends a job that was held, as not run.
+    void reject_held(const submission_id& id, failure_cause cause,
+                     std::string detail);
+
+    // Moves the waiters of a job out of its record.
+    std::vector<waiter> take_waiters(const submission_id& id);
+
+    // Answers when the job ends. Returns false if the id is not known here.
+    bool wait(const submission_id& id, const waiter& who);
+
+    // The present answer, also while the job runs.
+    [[nodiscard]] job_answer answer_of(const submission_id& id) const;
+
+    // Returns false if the id is not known here.
+    bool cancel(const submission_id& id);
+
+    void handle_result(const std::string& from, const task_result& result);
+    void handle_return(const std::string& from, const task_return& returned);
+    void holder_gone(const host_incarnation& gone);
+    void tick();
+    void start_draining() { draining_ = true; }
+    // Ends every job that still runs, as stopped.
+    void stop_all();
+
+    // Sends what may be sent; call after any change of limits or holders.
+    void place_pending();
+
+    void drop_waiter(const submission_id& id, caller_token token);
+
+    // A second answer that a waiter gets: set by `host_core`.
+    std::function<void(const waiter&, const job_answer&)> on_answer;
+
+    [[nodiscard]] bool is_idle() const;
+    [[nodiscard]] std::size_t running_jobs() const { return live_.size(); }
+    [[nodiscard]] std::vector<job_answer> ended_answers() const;
+    [[nodiscard]] std::vector<job_summary> summaries(std::size_t most) const;
+    [[nodiscard]] std::size_t pending_tasks() const { return pending_total_; }
+
+private:
+    enum class task_phase { pending, sent, done, unstarted, settled };
+    struct task_record {
+        task_phase phase = task_phase::pending;
+        std::uint32_t attempt = 0;
+        bool has_queue_room = false;
+        host_incarnation holder;
+    };
+    struct job_record {
+        job_request request;
+        std::string owner;
+        timestamp submitted{0};
+        timestamp deadline{0};
+        timestamp settle_by{0};
+        timestamp ended{0};
+        bool held = false;
+        bool cancels_sent = false;
+        bool may_have_run = false;
+        failure_cause ending = failure_cause::none;
+        std::string detail;
+        std::uint32_t pending = 0;
+        std::uint32_t sent = 0;
+        std::uint32_t done = 0;
+        std::uint32_t task_deadline_ms = 0;
+        std::vector<task_record> tasks;
+        std::vector<waiter> waiters;
+        job_answer answer;
+    };
+    struct entry_queue {
+        std::deque<submission_id> urgent;
+        std::deque<submission_id> normal;
+    };
+    struct sent_mark {
+        timestamp at{0};
+        std::uint32_t count = 0;
+    };
+    struct refusal {
+        failure_cause cause = failure_cause::none;
+        std::string detail;
+        std::uint32_t retry_after_ms = 0;
+    };
+    using job_map =
+        std::unordered_map<submission_id, job_record, submission_id_hash>;
+    using batch_map =
+        std::map<std::pair<std::string, submission_id>, task_batch>;
+
+    [[nodiscard]] refusal check_admission(const job_request& job) const;
+    [[nodiscard]] refusal check_load(const job_request& job) const;
+    void refuse(job_record& record, const refusal& why);
+    void enqueue(const submission_id& id, const job_record& record);
+    void place_queue(std::deque<submission_id>& queue,
+                     std::vector<holder_view>& holders);
+    bool place_job(const submission_id& id, job_record& record,
+                   std::vector<holder_view>& holders);
+    [[nodiscard]] std::vector<holder_view> usable_holders() const;
+    [[nodiscard]] holder_view view_of(const std::string& host) const;
+    holder_view* choose_holder(std::vector<holder_view>& holders,
+                               const task_spec& spec);
+    [[nodiscard]] std::uint32_t in_flight_to(const std::string& host) const;
+    void forget_delivered();
+    void send_task(holder_view& holder, const submission_id& id,
+                   job_record& record, std::uint32_t task,
+                   const start_permit& permit);
+    void send_to_hint(const std::string& hint, const task_ref& ref,
+                      job_record& record);
+    void send_batches();
+    job_record* find_sent(const std::string& from, const task_ref& ref);
+    void leave_sent(job_record& record, std::uint32_t task, task_phase phase);
+    void retry_or_fail(const submission_id& id, job_record& record,
+                       std::uint32_t task, failure_cause cause,
+                       const std::string& detail);
+    void fail(const submission_id& id, job_record& record, failure_cause cause,
+              const std::string& detail);
+    void drop_pending(job_record& record);
+    void send_cancels(const submission_id& id, job_record& record);
+    void settle(const submission_id& id, job_record& record);
+    void finish(const submission_id& id, job_record& record);
+    void answer_waiters(job_record& record);
+    void evict_old_answers();
+    [[nodiscard]] std::size_t answer_bytes(const job_record& record) const;
+
+    core_context& context_;
+    membership& members_;
+    limit_book& limits_;
+    const endpoint_directory& directory_;
+    const host_view& host_;
+    std::unique_ptr<placement_policy> policy_;
+    id_ledger ledger_;
+    job_map jobs_;
+    std::set<submission_id> live_;
+    std::map<std::string, entry_queue> queues_;
+    batch_map batches_;
+    std::set<std::pair<timestamp, submission_id>> deadlines_;
+    std::deque<submission_id> ended_;
+    std::size_t ended_bytes_ = 0;
+    std::size_t pending_total_ = 0;
+    std::size_t sent_total_ = 0;
+    std::map<std::string, std::deque<sent_mark>> in_flight_;
+    std::map<std::string, timestamp> avoid_until_;
+    std::multimap<timestamp, std::string> delayed_releases_;
+    double retry_tokens_ = 0;
+    bool draining_ = false;
+};
+
+} // namespace figridge
+
+#endif
--- /dev/null
+++ b/src/core/endpoint_directory.hpp
@@ -0,0 +1,46 @@
+// What is known of all endpoints: the platform's list and leaving marks.
+#ifndef FIGRIDGE_CORE_ENDPOINT_DIRECTORY_HPP
+#define FIGRIDGE_CORE_ENDPOINT_DIRECTORY_HPP
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "figridge/messages.hpp"
+
+namespace figridge {
+
+// Owned by `host_core`. Not thread-safe.
+class endpoint_directory {
+public:
+    // Takes over a list; returns true if it differs from the one held.
+    bool set_list(const std::vector<endpoint_info>& endpoints);
+
+    // Takes over a mark if it is newer; returns true if it was.
+    bool apply_mark(const leaving_mark& mark);
+
+    // Makes and applies the next mark of an endpoint.
+    leaving_mark make_mark(const std::string& endpoint, leaving_source source);
+
+    [[nodiscard]] bool is_leaving(const std::string& endpoint) const;
+    [[nodiscard]] leaving_source mark_of(const std::string& endpoint) const;
+    [[nodiscard]] bool contains(const std::string& endpoint) const;
+    [[nodiscard]] bool empty() const { return endpoints_.empty(); }
+
+    // True if some endpoint of the list covers the task's declared size.
+    [[nodiscard]] bool any_fits(const task_spec& spec) const;
+
+    [[nodiscard]] std::vector<leaving_mark> marks() const;
+    [[nodiscard]] std::vector<endpoint_info> list() const;
+    [[nodiscard]] const std::map<std::string, endpoint_info>& all() const {
+        return endpoints_;
+    }
+
+private:
+    std::map<std::string, endpoint_info> endpoints_;
+    std::map<std::string, leaving_mark> marks_;
+};
+
+} // namespace figridge
+
+#endif
--- /dev/null
+++ b/src/core/fair_queue.hpp
@@ -0,0 +1,80 @@
+// The queue of tasks that wait for a slot at their holder.
+//
+// Urgent tasks go before normal ones, but after `max_urgent_streak` urgent
+// picks in a row a waiting normal task is picked. Within a class the owner who
+// has used the least task time goes first, then the oldest job.
+#ifndef FIGRIDGE_CORE_FAIR_QUEUE_HPP
+#define FIGRIDGE_CORE_FAIR_QUEUE_HPP
+
+#include <array>
+#include <functional>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "figridge/job.hpp"
+#include "figridge/submission_id.hpp"
+#include "figridge/time.hpp"
+
+namespace figridge {
+
+struct queued_task {
+    task_ref ref;
+    std::string entry;
+    std::string owner;
+    priority_class priority = priority_class::normal;
+    task_spec spec;
+    std::uint32_t task_deadline_ms = 0;
+    timestamp received{0};
+    timestamp submitted{0}; // on this host's clock, by the job's age
+    timestamp start_by{0};
+};
+
+// Owned by `slot_holder`. Not thread-safe.
+class fair_queue {
+public:
+    void push(queued_task task);
+
+    // Removes and returns the next task; nothing if the queue is empty.
+    std::optional<queued_task> pop();
+
+    // Puts a popped task back into its place.
+    void put_back(queued_task task) { push(std::move(task)); }
+
+    // Removes up to `most` tasks from the back: those that would wait longest.
+    std::vector<queued_task> take_from_back(std::size_t most);
+
+    // Removes the tasks for which the predicate holds.
+    std::vector<queued_task>
+    remove_if(const std::function<bool(const queued_task&)>& predicate);
+
+    // Charges task time to an owner.
+    void charge(const std::string& owner, duration used);
+
+    [[nodiscard]] std::size_t size() const { return size_; }
+    [[nodiscard]] bool empty() const { return size_ == 0; }
+
+private:
+    using order_key = std::pair<timestamp, std::uint64_t>;
+    struct owner_queue {
+        std::map<order_key, queued_task> tasks;
+    };
+    using class_queue = std::map<std::string, owner_queue>;
+
+    [[nodiscard]] std::size_t choose_class() const;
+    [[nodiscard]] class_queue::iterator choose_owner(class_queue& queue);
+    [[nodiscard]] duration least_used_of_waiting() const;
+
+    std::array<class_queue, 2> classes_;
+    std::unordered_map<std::string, duration> used_;
+    std::size_t size_ = 0;
+    std::uint64_t next_number_ = 0;
+    std::uint32_t urgent_streak_ = 0;
+};
+
+} // namespace figridge
+
+#endif
--- /dev/null
+++ b/src/core/host_core_impl.cpp
@@ -0,0 +1,471 @@
+#include "host_core_impl.hpp"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+#include "rendezvous.hpp"
+
+namespace figridge {
+namespace {
+
+constexpr auto clean_mark = "clean";
+constexpr duration handover_limit = 2s;
+constexpr std::size_t answers_per_handover = 500;
+
+} // namespace
+
+host_core::impl::impl(const core_settings& settings, const core_ports& ports)
+    : context{settings,
+              ports,
+              timestamp{0},
+              std::mt19937_64(settings.seed),
+              {}},
+      members(context), store(context), limits(context, members),
+      jobs(context, members, limits, directory, *this),
+      holder(context, members), router(context, members),
+      keeper(context, members, store), keys(context, store) {
+    jobs.on_answer = [this](const waiter& who, const job_answer& reply) {
+        answer(who, reply, false);
+    };
+    router.answer = jobs.on_answer;
+    router.answer_invalid = [this](const waiter& who, const submission_id& id) {
+        job_answer invalid;
+        invalid.id = id;
+        answer(who, invalid, true);
+    };
+    router.serve_here = [this](const routed_request& request,
+                               const waiter& who) {
+        return serve(request, who);
+    };
+    keeper.on_change = [this] { limits.set_catalogue(keeper.current()); };
+}
+
+// --- inputs ---------------------------------------------------------------
+
+void host_core::impl::start() {
+    read_start_mark();
+    poll_endpoint_list();
+    keeper.tick();
+    members.send_due_heartbeats(own_advert());
+}
+
+void host_core::impl::tick() {
+    store.tick();
+    poll_endpoint_list();
+    keeper.tick();
+    keys.tick();
+    refresh_topology();
+    introduce_to_new_peers();
+    limits.tick();
+    router.tick();
+    jobs.tick();
+    holder.tick(ejections_of_others());
+    advance_stop();
+    members.send_due_heartbeats(own_advert());
+}
+
+void host_core::impl::settle() {
+    deliver_local();
+    handle_gone_hosts();
+    deliver_local();
+    members.flush(own_advert());
+}
+
+void host_core::impl::deliver_local() {
+    const auto& self = context.settings.self.address;
+    while (true) {
+        const auto payload = members.take_local();
+        if (payload.empty()) {
+            return;
+        }
+        handle_payload(self, payload);
+    }
+}
+
+void host_core::impl::handle_gone_hosts() {
+    for (const auto& gone : members.take_gone()) {
+        context.log(log_level::warning, "host_gone",
+                    {{"host", gone.host},
+                     {"incarnation", std::to_string(gone.incarnation)}});
+        holder.coordinator_gone(gone);
+        jobs.holder_gone(gone);
+        router.host_gone(gone);
+        refresh_topology();
+    }
+}
+
+void host_core::impl::handle_payload(const std::string& from,
+                                     const peer_payload& payload) {
+    for (const auto& mark : payload.marks) {
+        directory_changed_ |= directory.apply_mark(mark);
+    }
+    for (const auto& request : payload.catalogue_requests) {
+        send_snapshot(from, request.have);
+    }
+    for (const auto& snapshot : payload.catalogues) {
+        keeper.offer(snapshot.content);
+        if (directory.empty()) {
+            directory_changed_ |= directory.set_list(snapshot.endpoints);
+        }
+    }
+    if (directory_changed_) {
+        refresh_topology();
+    }
+    for (const auto& batch : payload.batches) {
+        holder.handle_batch(from, batch);
+    }
+    for (const auto& cancel : payload.cancels) {
+        holder.handle_cancel(from, cancel);
+    }
+    for (const auto& pull : payload.pulls) {
+        holder.handle_pull(from, pull);
+    }
+    for (const auto& returned : payload.returns) {
+        jobs.handle_return(from, returned);
+    }
+    for (const auto& result : payload.results) {
+        jobs.handle_result(from, result);
+    }
+    for (const auto& request : payload.forwards) {
+        router.handle_forward(from, request);
+    }
+    for (const auto& reply : payload.replies) {
+        router.handle_reply(from, reply);
+    }
+    for (const auto& request : payload.loan_requests) {
+        limits.handle_request(from, request);
+    }
+    for (const auto& grant : payload.loan_grants) {
+        limits.handle_grant(from, grant);
+        jobs.place_pending();
+    }
+    for (const auto& returned : payload.loan_returns) {
+        limits.handle_return(from, returned);
+    }
+    for (const auto& handover : payload.handovers) {
+        router.adopt(handover.answers);
+    }
+}
+
+// --- callers --------------------------------------------------------------
+
+bool host_core::impl::serve(const routed_request& request, const waiter& who) {
+    const auto& id = request.id;
+    switch (request.kind) {
+    case forward_kind::submit: {
+        const bool has_key = !request.job.idempotency_key.empty();
+        const auto result = jobs.submit(id, request.job, who, has_key);
+        if (result == coordinator::submit_result::accepted && has_key) {
+            claim_key(id, request.job);
+        }
+        jobs.place_pending();
+        return result != coordinator::submit_result::invalid_id;
+    }
+    case forward_kind::cancel:
+        // The waiter gets the answer once the cancellation has settled.
+        return jobs.cancel(id) && jobs.wait(id, who);
+    case forward_kind::fetch:
+    case forward_kind::lookup:
+        return jobs.wait(id, who);
+    }
+    return false;
+}
+
+void host_core::impl::claim_key(const submission_id& id,
+                                const job_request& job) {
+    if (jobs.answer_of(id).state != job_state::running) {
+        return;
+    }
+    const auto settle_claim = [this, id](const claim_result& result) {
+        switch (result.status) {
+        case claim_status::claimed:
+            jobs.release_hold(id);
+            break;
+        case claim_status::taken:
+            redirect_to(id, result.holder);
+            break;
+        case claim_status::store_down:
+            jobs.reject_held(id, failure_cause::not_run_store_down,
+                             "idempotency_key: the table service does not "
+                             "answer");
+            break;
+        }
+    };
+    keys.claim(job.entry, job.idempotency_key, id, settle_claim);
+}
+
+void host_core::impl::redirect_to(const submission_id& id,
+                                  const submission_id& holder_id) {
+    const auto waiters = jobs.take_waiters(id);
+    jobs.reject_held(
+        id, failure_cause::not_run_key_in_use,
+        absl::StrCat("idempotency_key: belongs to ", to_string(holder_id)));
+    for (const auto& who : waiters) {
+        router.route({forward_kind::fetch, holder_id, {}}, who);
+    }
+}
+
+void host_core::impl::answer(const waiter& who, const job_answer& reply,
+                             bool invalid) {
+    if (const auto* token = std::get_if<caller_token>(&who)) {
+        context.ports.callers.answer(*token, reply);
+        return;
+    }
+    const auto& remote = std::get<remote_waiter>(who);
+    if (members.incarnation_of(remote.host) == remote.incarnation) {
+        members.outbox(remote.host)
+            .replies.push_back({remote.request, invalid, reply});
+    }
+}
+
+void host_core::impl::drop_caller(caller_token token) {
+    router.drop(token);
+}
+
+// --- endpoints ------------------------------------------------------------
+
+host_advert host_core::impl::own_advert() const {
+    host_advert advert;
+    advert.free_slots = holder.pool().free_slots();
+    advert.total_slots = holder.pool().total_slots();
+    advert.queued_tasks = static_cast<std::uint32_t>(holder.queued());
+    advert.endpoints_held = holder.pool().held_count();
+    advert.endpoints_ejected = holder.pool().ejected_count();
+    advert.mean_run_ms = holder.mean_run_ms();
+    advert.catalogue_version = keeper.current().version;
+    advert.draining = draining;
+    return advert;
+}
+
+std::set<std::string>
+host_core::impl::holders_fitting(const task_spec& spec) const {
+    std::set<std::string> holders;
+    for (const auto& [address, endpoint] : directory.all()) {
+        const auto found = holder_of.find(address);
+        if (found != holder_of.end() && endpoint_fits(endpoint, spec) &&
+            !directory.is_leaving(address)) {
+            holders.insert(found->second);
+        }
+    }
+    return holders;
+}
+
+void host_core::impl::poll_endpoint_list() {
+    const auto interval = context.settings.host_list_interval;
+    const bool due =
+        listed_at_ < timestamp{0} || context.now - listed_at_ >= interval;
+    if (listing_ || !due) {
+        return;
+    }
+    listing_ = true;
+    listed_at_ = context.now;
+    store.read_endpoints(
+        [this](bool ok, const std::vector<endpoint_info>& endpoints) {
+            listing_ = false;
+            if (ok && directory.set_list(endpoints)) {
+                directory_changed_ = true;
+                refresh_topology();
+            }
+        });
+}
+
+void host_core::impl::refresh_topology() {
+    std::map<std::string, std::vector<std::string>> now_holders;
+    for (const auto& [address, endpoint] : directory.all()) {
+        now_holders.try_emplace(endpoint.failure_domain);
+    }
+    for (auto& [domain, holders] : now_holders) {
+        holders = members.holders_of_domain(domain, draining);
+    }
+    if (directory_changed_ || now_holders != domain_holders_) {
+        domain_holders_ = std::move(now_holders);
+        directory_changed_ = false;
+        assign_endpoints();
+    }
+}
+
+void host_core::impl::assign_endpoints() {
+    std::vector<endpoint_info> mine;
+    std::map<std::string, bool> leaving;
+    holder_of.clear();
+    for (const auto& [address, endpoint] : directory.all()) {
+        const auto& holders = domain_holders_.at(endpoint.failure_domain);
+        const auto chosen = rendezvous_pick(address, holders);
+        if (chosen.empty()) {
+            continue;
+        }
+        holder_of[address] = chosen;
+        leaving[address] = directory.is_leaving(address);
+        if (chosen == context.settings.self.address) {
+            mine.push_back(endpoint);
+        }
+    }
+    holder.assign(mine, leaving);
+}
+
+domain_ejections host_core::impl::ejections_of_others() const {
+    domain_ejections sum;
+    for (const auto& host : members.alive_hosts()) {
+        if (members.domain_of(host) == context.settings.self.failure_domain) {
+            const auto& advert = members.advert_of(host);
+            sum.held += advert.endpoints_held;
+            sum.ejected += advert.endpoints_ejected;
+        }
+    }
+    return sum;
+}
+
+void host_core::impl::spread_mark(const std::string& endpoint,
+                                  leaving_source source) {
+    const auto mark = directory.make_mark(endpoint, source);
+    context.log(
+        log_level::info, "leaving_mark",
+        {{"endpoint", endpoint}, {"source", std::string(to_string(source))}});
+    for (const auto& host : members.known_hosts()) {
+        if (members.can_send(host)) {
+            members.outbox(host).marks.push_back(mark);
+        }
+    }
+    directory_changed_ = true;
+    refresh_topology();
+}
+
+void host_core::impl::note_endpoint_answer(const std::string& endpoint,
+                                           bool leaving) {
+    const auto mark = directory.mark_of(endpoint);
+    if (leaving && mark == leaving_source::none) {
+        spread_mark(endpoint, leaving_source::endpoint_answer);
+    } else if (!leaving && mark == leaving_source::endpoint_answer) {
+        spread_mark(endpoint, leaving_source::none);
+    }
+}
+
+void host_core::impl::introduce_to_new_peers() {
+    const auto marks = directory.marks();
+    for (const auto& host : members.known_hosts()) {
+        const auto incarnation = members.incarnation_of(host);
+        if (incarnation == 0 || introduced_[host] == incarnation) {
+            continue;
+        }
+        introduced_[host] = incarnation;
+        auto& outbox = members.outbox(host).marks;
+        outbox.insert(outbox.end(), marks.begin(), marks.end());
+    }
+}
+
+void host_core::impl::send_snapshot(const std::string& host,
+                                    std::uint64_t have) {
+    const auto& current = keeper.current();
+    const bool is_start = have == 0;
+    if (!keeper.is_ready() || (current.version <= have && !is_start)) {
+        return;
+    }
+    members.outbox(host).catalogues.push_back({current, directory.list()});
+}
+
+// --- start and planned stop -----------------------------------------------
+
+std::string host_core::impl::start_mark_key() const {
+    return absl::StrCat("host/", context.settings.self.address);
+}
+
+void host_core::impl::read_start_mark() {
+    limits.begin(false);
+    store.read_keys({start_mark_key()}, [this](const table_reply& reply) {
+        if (reply.status != table_status::ok) {
+            return;
+        }
+        start_mark_version_ = reply.rows.empty() ? 0 : reply.rows[0].version;
+        const bool clean =
+            reply.rows.empty() || reply.rows[0].value == clean_mark;
+        write_start_mark(start_mark_version_, clean);
+    });
+}
+
+void host_core::impl::write_start_mark(std::uint64_t row_version, bool clean) {
+    table_transaction transaction;
+    transaction.conditions = {{start_mark_key(), row_version}};
+    transaction.writes = {
+        {start_mark_key(), std::to_string(context.settings.incarnation)}};
+    store.transact(transaction, [this, clean](const table_reply& reply) {
+        if (reply.status != table_status::ok) {
+            return;
+        }
+        start_mark_written_ = true;
+        ++start_mark_version_;
+        if (clean) {
+            limits.begin(true);
+        }
+    });
+}
+
+void host_core::impl::start_draining() {
+    if (draining) {
+        return;
+    }
+    context.log(log_level::info, "drain_started", {});
+    draining = true;
+    stage_ = stop_stage::working_off;
+    jobs.start_draining();
+    refresh_topology();
+    const auto advert = own_advert();
+    for (const auto& host : members.known_hosts()) {
+        members.send_heartbeat(host, advert);
+    }
+}
+
+bool host_core::impl::is_worked_off() const {
+    return jobs.is_idle() && holder.running() == 0 && holder.queued() == 0 &&
+           router.open_requests() == 0;
+}
+
+void host_core::impl::advance_stop() {
+    if (stage_ == stop_stage::working_off && is_worked_off()) {
+        stage_ = stop_stage::handing_over;
+        handover_until_ = context.now + handover_limit;
+        hand_over_answers();
+        if (start_mark_written_ && limits.is_idle()) {
+            table_transaction transaction;
+            transaction.conditions = {{start_mark_key(), start_mark_version_}};
+            transaction.writes = {{start_mark_key(), clean_mark}};
+            store.transact(transaction, [](const table_reply&) {});
+        }
+    } else if (stage_ == stop_stage::handing_over) {
+        const bool sent = members.all_acknowledged() && !store.is_busy();
+        if ((is_worked_off() && sent) || context.now >= handover_until_) {
+            stage_ = stop_stage::done;
+            context.log(log_level::info, "drain_finished", {});
+        }
+    }
+}
+
+void host_core::impl::hand_over_answers() {
+    std::string heir;
+    for (const auto& host : members.alive_hosts()) {
+        if (host != context.settings.self.address &&
+            !members.advert_of(host).draining) {
+            heir = host;
+        }
+    }
+    if (heir.empty()) {
+        return;
+    }
+    auto answers = jobs.ended_answers();
+    const auto adopted = router.adopted();
+    answers.insert(answers.end(), adopted.begin(), adopted.end());
+    for (std::size_t first = 0; first < answers.size();
+         first += answers_per_handover) {
+        const auto last =
+            std::min(first + answers_per_handover, answers.size());
+        members.outbox(heir).handovers.push_back(
+            {{answers.begin() + static_cast<std::ptrdiff_t>(first),
+              answers.begin() + static_cast<std::ptrdiff_t>(last)}});
+    }
+}
+
+bool host_core::impl::is_drained() const {
+    return stage_ == stop_stage::done;
+}
+
+} // namespace figridge
--- /dev/null
+++ b/src/core/host_core_impl.hpp
@@ -0,0 +1,105 @@
+// The modules of one host, and the paths between them.
+#ifndef FIGRIDGE_CORE_HOST_CORE_IMPL_HPP
+#define FIGRIDGE_CORE_HOST_CORE_IMPL_HPP
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "catalogue_keeper.hpp"
+#include "coordinator.hpp"
+#include "core_context.hpp"
+#include "endpoint_directory.hpp"
+#include "figridge/host_core.hpp"
+#include "key_registry.hpp"
+#include "limit_book.hpp"
+#include "membership.hpp"
+#include "request_router.hpp"
+#include "slot_holder.hpp"
+#include "store_client.hpp"
+
+namespace figridge {
+
+// Owned by `host_core`. Not thread-safe.
+class host_core::impl final : public host_view {
+public:
+    impl(const core_settings& settings, const core_ports& ports);
+
+    // Runs one input, then delivers what the host sends itself, handles hosts
+    // found gone, and sends the rest.
+    template <typename Input>
+    void input(timestamp now, Input&& run) {
+        context.now = std::max(context.now, now);
+        run();
+        settle();
+    }
+
+    void start();
+    void tick();
+    void start_draining();
+    void drop_caller(caller_token token);
+    void handle_payload(const std::string& from, const peer_payload& payload);
+    void spread_mark(const std::string& endpoint, leaving_source source);
+    void note_endpoint_answer(const std::string& endpoint, bool leaving);
+    [[nodiscard]] bool is_drained() const;
+
+    [[nodiscard]] const catalogue& current_catalogue() const override {
+        return keeper.current();
+    }
+    [[nodiscard]] host_advert own_advert() const override;
+    [[nodiscard]] std::set<std::string>
+    holders_fitting(const task_spec& spec) const override;
+
+    core_context context;
+    membership members;
+    store_client store;
+    endpoint_directory directory;
+    limit_book limits;
+    coordinator jobs;
+    slot_holder holder;
+    request_router router;
+    catalogue_keeper keeper;
+    key_registry keys;
+    bool draining = false;
+
+    // Which host holds an endpoint, by this host's view.
+    std::map<std::string, std::string> holder_of;
+
+private:
+    enum class stop_stage { running, working_off, handing_over, done };
+
+    void settle();
+    void deliver_local();
+    void handle_gone_hosts();
+    bool serve(const routed_request& request, const waiter& who);
+    void claim_key(const submission_id& id, const job_request& job);
+    void redirect_to(const submission_id& id, const submission_id& holder_id);
+    void answer(const waiter& who, const job_answer& answer, bool invalid);
+    void poll_endpoint_list();
+    void refresh_topology();
+    void assign_endpoints();
+    void introduce_to_new_peers();
+    void send_snapshot(const std::string& host, std::uint64_t have);
+    void read_start_mark();
+    void write_start_mark(std::uint64_t row_version, bool clean);
+    void advance_stop();
+    void hand_over_answers();
+    [[nodiscard]] std::string start_mark_key() const;
+    [[nodiscard]] bool is_worked_off() const;
+    [[nodiscard]] domain_ejections ejections_of_others() const;
+
+    std::map<std::string, std::vector<std::string>> domain_holders_;
+    std::map<std::string, std::uint64_t> introduced_;
+    timestamp listed_at_{-1};
+    bool listing_ = false;
+    bool directory_changed_ = false;
+    stop_stage stage_ = stop_stage::running;
+    timestamp handover_until_{0};
+    std::uint64_t start_mark_version_ = 0;
+    bool start_mark_written_ = false;
+};
+
+} // namespace figridge
+
+#endif
--- /dev/null
+++ b/src/core/id_ledger.hpp
@@ -0,0 +1,49 @@
+// Which submission ids this incarnation has minted, and which were used.
+//
+// Ids are valid for a limited time after they were drawn. An id below the
+// window is never started again, whatever became of it.
+#ifndef FIGRIDGE_CORE_ID_LEDGER_HPP
+#define FIGRIDGE_CORE_ID_LEDGER_HPP
+
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+#include "figridge/settings.hpp"
+
+namespace figridge {
+
+enum class id_state { not_minted, unused, used, expired };
+
+// Owned by `coordinator`. Not thread-safe.
+class id_ledger {
+public:
+    explicit id_ledger(const core_settings& settings) : settings_(settings) {}
+
+    // Mints `count` ids and returns the first counter.
+    std::uint64_t mint(std::uint32_t count, timestamp now);
+
+    [[nodiscard]] id_state state_of(std::uint64_t counter) const;
+
+    // Precondition: `state_of(counter)` is unused.
+    void mark_used(std::uint64_t counter);
+
+    void expire(timestamp now);
+
+private:
+    struct minted_batch {
+        std::uint64_t end = 0;
+        timestamp minted_at{0};
+    };
+    void advance_base(std::uint64_t base);
+
+    const core_settings& settings_;
+    std::uint64_t base_ = 1;
+    std::uint64_t next_ = 1;
+    std::deque<bool> used_;
+    std::deque<minted_batch> batches_;
+};
+
+} // namespace figridge
+
+#endif
--- /dev/null
+++ b/src/core/limit_book.hpp
@@ -0,0 +1,143 @@
+// Limits of catalogue entries, strict under partitions and take-overs.
+//
+// Each failure domain's share is split over the hosts of the domain named in
+// the settings. A host spends its own part without asking anybody; nobody else
+// ever spends it. It borrows unused running tasks and starts from other hosts.
+// A loan lapses at the borrower by the borrower's clock; the lender counts it
+// as spent until the last task started under it must have ended, or until the
+// borrower has returned it. A host that starts after a crash can't know what
+// its predecessor had running or lent, and spends nothing until that has
+// certainly ended.
+#ifndef FIGRIDGE_CORE_LIMIT_BOOK_HPP
+#define FIGRIDGE_CORE_LIMIT_BOOK_HPP
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core_context.hpp"
+#include "membership.hpp"
+
+namespace figridge {
+
+// Permission to start `count` tasks before `valid_until`.
+struct start_permit {
+    std::uint32_t count = 0;
+    timestamp valid_until{0};
+};
+
+struct limit_usage {
+    bool limited = false;
+    std::uint32_t home = 0;
+    std::uint32_t used = 0;
+    std::uint32_t lent = 0;
+    std::uint32_t borrowed = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t queued_share = 0;
+};
+
+// Owned by `host_core`. Not thread-safe.
+class limit_book {
+public:
+    limit_book(core_context& context, membership& members);
+
+    void set_catalogue(const catalogue& current);
+
+    // Spending of the own part begins at once (`clean`), or after everything
+    // that a crashed predecessor may have started or lent has ended.
+    void begin(bool clean);
+
+    // Takes permission for up to `wanted` tasks; asks other hosts for what is
+    // missing.
+    start_permit take(const std::string& entry, std::uint32_t wanted);
+    void release(const std::string& entry, std::uint32_t count);
+    // Counts one running task more, for one that may have been lost.
+    void hold(const std::string& entry);
+
+    // Room in the queue for accepted tasks.
+    [[nodiscard]] bool has_queue_room(const std::string& entry,
+                                      std::uint32_t count) const;
+    void take_queue_room(const std::string& entry, std::uint32_t count);
+    void release_queue_room(const std::string& entry, std::uint32_t count);
+
+    void handle_request(const std::string& from, const loan_request& request);
+    void handle_grant(const std::string& from, const loan_grant& grant);
+    void handle_return(const std::string& from, const loan_return& returned);
+    void tick();
+
+    [[nodiscard]] limit_usage usage_of(const std::string& entry) const;
+    // True if nothing is lent and nothing is in use: a planned stop may tell
+    // the successor to begin at once.
+    [[nodiscard]] bool is_idle() const;
+
+private:
+    struct loan_out {
+        std::uint32_t amount = 0;
+        timestamp reclaim_at{0};
+    };
+    struct loan_in {
+        std::string lender;
+        std::uint32_t amount = 0;
+        timestamp expires{0};
+        timestamp asked_at{0};
+        bool renewing = false;
+    };
+    struct loan_key {
+        std::string host;
+        std::uint64_t incarnation = 0;
+        std::uint64_t loan = 0;
+        auto operator<=>(const loan_key&) const = default;
+    };
+    struct open_request {
+        std::uint64_t loan = 0;
+        loan_kind kind = loan_kind::running;
+        timestamp sent_at{-1};
+    };
+    struct entry_book {
+        bool running_limited = false;
+        bool starts_limited = false;
+        bool queue_limited = false;
+        std::uint32_t running_home = 0;
+        std::uint32_t starts_home = 0;
+        std::uint32_t queue_home = 0;
+        std::uint32_t running_used = 0;
+        std::uint32_t queue_used = 0;
+        std::map<loan_key, loan_out> lent;
+        std::map<std::uint64_t, loan_in> borrowed;
+        std::multiset<timestamp> starts;
+        std::multiset<timestamp> borrowed_starts; // the end of their validity
+        open_request request;
+        timestamp wanted_at{-1s};
+        std::size_t next_lender = 0;
+    };
+
+    [[nodiscard]] std::uint32_t own_part(const domain_shares& shares,
+                                         const std::string& entry) const;
+    [[nodiscard]] std::uint32_t lent_of(const entry_book& book) const;
+    [[nodiscard]] std::uint32_t borrowed_of(const entry_book& book) const;
+    [[nodiscard]] std::uint32_t usable_home(const entry_book& book) const;
+    // Negative while tasks run that were started under a lapsed loan.
+    [[nodiscard]] std::int64_t spare_running(const entry_book& book) const;
+    [[nodiscard]] std::uint32_t free_running(const entry_book& book) const;
+    [[nodiscard]] std::uint32_t free_starts(entry_book& book) const;
+    void spend_starts(entry_book& book, std::uint32_t count);
+    void ask_for_loan(const std::string& entry, entry_book& book,
+                      loan_kind kind, std::uint32_t amount);
+    std::uint32_t lend_running(const std::string& from, entry_book& book,
+                               const loan_request& request);
+    std::uint32_t lend_starts(entry_book& book, const loan_request& request);
+    void return_unused(const std::string& entry, entry_book& book);
+    void renew_loans(const std::string& entry, entry_book& book);
+    [[nodiscard]] duration reclaim_delay() const;
+
+    core_context& context_;
+    membership& members_;
+    std::map<std::string, entry_book> books_;
+    std::uint64_t next_loan_ = 1;
+    timestamp spend_from_ = timestamp::max();
+};
+
+} // namespace figridge
+
+#endif
--- /dev/null
+++ b/src/core/membership.hpp
@@ -0,0 +1,136 @@
+// Membership and reliable delivery between hosts.
+//
+// Every pair of live incarnations has an ordered link. Payloads queued with
+// `outbox()` are sent by `flush()` as numbered envelopes and kept until the
+// peer has acknowledged them, so that a cut or a reconnect delays a message
+// and never loses or repeats it. Any envelope counts as a heartbeat.
+//
+// A peer that is silent is suspect: no new work goes there. It is gone only
+// on proof: another incarnation at its address, or a refused connection.
+#ifndef FIGRIDGE_CORE_MEMBERSHIP_HPP
+#define FIGRIDGE_CORE_MEMBERSHIP_HPP
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core_context.hpp"
+
+namespace figridge {
+
+struct host_incarnation {
+    std::string host;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const host_incarnation&) const = default;
+};
+
+// Owned by `host_core`. Not thread-safe.
+class membership {
+public:
+    explicit membership(core_context& context);
+
+    // Messages for a host, sent at the next flush. The own address is allowed
+    // and delivers without a link. Precondition: `can_send(host)`.
+    peer_payload& outbox(const std::string& host);
+
+    // True if the incarnation of the host is known and not proved gone.
+    [[nodiscard]] bool can_send(const std::string& host) const;
+
+    // Handles the header; returns the payload if it is the next in order.
+    std::optional<peer_payload> receive(const envelope& message);
+
+    // The host refused a connection that was begun at `begun`: no process
+    // listens there.
+    void link_refused(const std::string& host, timestamp begun);
+
+    // A new connection stands: unacknowledged envelopes are sent again.
+    void link_restored(const std::string& host);
+
+    // Sends queued messages, and heartbeats that are due.
+    void flush(const host_advert& own);
+    void send_due_heartbeats(const host_advert& own);
+    void send_heartbeat(const std::string& host, const host_advert& own);
+
+    // Takes what was queued for this host itself.
+    peer_payload take_local();
+
+    // Incarnations proved gone since the last call.
+    std::vector<host_incarnation> take_gone();
+
+    [[nodiscard]] bool is_alive(const std::string& host) const;
+    [[nodiscard]] bool is_gone(const std::string& host,
+                               std::uint64_t incarnation) const;
+    [[nodiscard]] std::uint64_t incarnation_of(const std::string& host) const;
+    [[nodiscard]] const host_advert& advert_of(const std::string& host) const;
+    [[nodiscard]] const std::string& domain_of(const std::string& host) const;
+
+    // Latest stamp of the host's clock known here.
+    [[nodiscard]] std::int64_t stamp_of(const std::string& host) const;
+
+    // Latest own stamp that the host is known to have seen.
+    [[nodiscard]] timestamp echo_of(const std::string& host) const;
+
+    // True if the host is known to have acted on something that this host
+    // sent less than `bound` ago.
+    [[nodiscard]] bool is_fresh(const std::string& host, duration bound) const;
+
+    // Hosts alive now; the own one included. Sorted.
+    [[nodiscard]] std::vector<std::string> alive_hosts() const;
+    // The hosts of a domain that share out its endpoints: those that drain
+    // only if there are no others.
+    [[nodiscard]] std::vector<std::string>
+    holders_of_domain(const std::string& domain, bool self_draining) const;
+
+    [[nodiscard]] std::vector<std::string> known_hosts() const;
+    [[nodiscard]] bool all_acknowledged() const;
+    [[nodiscard]] std::size_t unacknowledged(const std::string& host) const;
+    [[nodiscard]] duration silence_of(const std::string& host) const;
+
+private:
+    struct kept_envelope {
+        std::uint64_t sequence = 0;
+        timestamp sent_at{0};
+        peer_payload payload;
+    };
+    struct peer {
+        std::string domain;
+        std::uint64_t incarnation = 0;
+        timestamp heard_at{-1};
+        timestamp sent_at{-1};
+        timestamp refused_at{-1};
+        std::int64_t latest_stamp = 0;
+        timestamp last_echo{-1};
+        std::uint64_t next_sequence = 1;
+        std::uint64_t expected_sequence = 1;
+        std::uint64_t acknowledged = 0;
+        std::deque<kept_envelope> unacked;
+        host_advert advert;
+        peer_payload outbox;
+        std::set<std::uint64_t> dead;
+    };
+
+    [[nodiscard]] const peer* find(const std::string& host) const;
+    [[nodiscard]] duration suspect_bound(const peer& other) const;
+    [[nodiscard]] bool heard_recently(const peer& other) const;
+    void forget_incarnation(const std::string& host, peer& other);
+    void adopt_incarnation(peer& other, std::uint64_t incarnation);
+    void drop_acknowledged(peer& other, std::uint64_t ack);
+    void enqueue_outbox(peer& other);
+    void send_pending(const std::string& host, peer& other,
+                      const host_advert& own);
+    void send_envelope(const std::string& host, peer& other,
+                       const host_advert& own, kept_envelope* kept);
+
+    core_context& context_;
+    std::map<std::string, peer> peers_;
+    peer_payload local_;
+    std::vector<host_incarnation> gone_;
+};
+
+} // namespace figridge
+
+#endif
--- /dev/null
+++ b/src/core/rendezvous.hpp
@@ -0,0 +1,25 @@
+// Rendezvous hashing: every host that sees the same members picks the same
+// one for a key, and a member that leaves moves only its own keys.
+#ifndef FIGRIDGE_CORE_RENDEZVOUS_HPP
+#define FIGRIDGE_CORE_RENDEZVOUS_HPP
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace figridge {
+
+std::uint64_t rendezvous_weight(std::string_view key, std::string_view member);
+
+// Returns the member with the highest weight, or an empty string if there are
+// no members. Thread-safe.
+std::string rendezvous_pick(std::string_view key,
+                            const std::vector<std::string>& members);
+
+// Returns the members by falling weight. Thread-safe.
+std::vector<std::string> rendezvous_order(std::string_view key,
+                                          std::vector<std::string> members);
+
+} // namespace figridge
+
+#endif
--- /dev/null
+++ b/src/core/request_router.cpp
@@ -0,0 +1,241 @@
+#include "request_router.hpp"
+
+#include <absl/strings/str_cat.h>
+
+namespace figridge {
+namespace {
+
+constexpr duration lookup_timeout = 1500ms;
+constexpr std::uint32_t unreachable_retry_after_ms = 500;
+constexpr std::size_t max_adopted = 200'000;
+
+job_answer unknown_outcome(const submission_id& id) {
+    job_answer answer;
+    answer.id = id;
+    answer.state = job_state::failed;
+    answer.cause = failure_cause::outcome_unknown;
+    answer.may_have_run = true;
+    answer.detail =
+        absl::StrCat("the process at ", id.host, " that had the job is gone");
+    return answer;
+}
+
+bool is_caller(const waiter& who, caller_token token) {
+    const auto* held = std::get_if<caller_token>(&who);
+    return held != nullptr && *held == token;
+}
+
+} // namespace
+
+request_router::request_router(core_context& context, membership& members)
+    : context_(context), members_(members) {}
+
+void request_router::route(const routed_request& request, const waiter& who) {
+    const auto& id = request.id;
+    const auto& self = context_.settings.self;
+    if (id.host == self.address &&
+        id.incarnation == context_.settings.incarnation) {
+        if (!serve_here(request, who)) {
+            answer_invalid(who, id);
+        }
+        return;
+    }
+    const auto kept = adopted_.find(id);
+    if (kept != adopted_.end()) {
+        answer(who, kept->second.answer);
+    } else if (members_.is_gone(id.host, id.incarnation)) {
+        look_up(request, who);
+    } else if (members_.is_alive(id.host)) {
+        forward(request, who);
+    } else {
+        answer_unreachable(request, who);
+    }
+}
+
+void request_router::forward(const routed_request& request, const waiter& who) {
+    const auto number = next_request_++;
+    forwards_[number] = {request, who, request.id.host};
+    members_.outbox(request.id.host)
+        .forwards.push_back({number, request.kind, request.id, request.job});
+}
+
+void request_router::look_up(const routed_request& request, const waiter& who) {
+    const auto number = next_request_++;
+    open_lookup lookup{request, who, context_.now + lookup_timeout, {}};
+    for (const auto& host : members_.alive_hosts()) {
+        if (host == context_.settings.self.address) {
+            continue;
+        }
+        lookup.asked.insert(host);
+        members_.outbox(host).forwards.push_back(
+            {number, forward_kind::lookup, request.id, {}});
+    }
+    if (lookup.asked.empty()) {
+        finish_unknown(lookup);
+        return;
+    }
+    lookups_[number] = std::move(lookup);
+}
+
+void request_router::finish_unknown(const open_lookup& lookup) {
+    answer(lookup.who, unknown_outcome(lookup.request.id));
+}
+
+void request_router::answer_unreachable(const routed_request& request,
+                                        const waiter& who) {
+    job_answer reply;
+    reply.id = request.id;
+    reply.state = job_state::unreachable;
+    reply.detail = absl::StrCat("host ", request.id.host,
+                                " can't be reached now; try again");
+    reply.retry_after_ms = unreachable_retry_after_ms;
+    answer(who, reply);
+}
+
+void request_router::handle_forward(const std::string& from,
+                                    const forward_request& request) {
+    const remote_waiter who{from, members_.incarnation_of(from),
+                            request.request};
+    const bool is_mine =
+        request.id.host == context_.settings.self.address &&
+        request.id.incarnation == context_.settings.incarnation;
+    if (request.kind == forward_kind::lookup) {
+        const auto kept = adopted_.find(request.id);
+        job_answer unknown;
+        unknown.id = request.id;
+        reply_to(who, kept == adopted_.end() ? unknown : kept->second.answer,
+                 false);
+        return;
+    }
+    const routed_request routed{request.kind, request.id, request.job};
+    if (!is_mine) {
+        // Another process than the one the id names: that one is gone.
+        look_up(routed, who);
+    } else if (!serve_here(routed, who)) {
+        job_answer invalid;
+        invalid.id = request.id;
+        reply_to(who, invalid, true);
+    }
+}
+
+void request_router::reply_to(const remote_waiter& who,
+                              const job_answer& answer, bool invalid) {
+    if (members_.incarnation_of(who.host) == who.incarnation) {
+        members_.outbox(who.host).replies.push_back(
+            {who.request, invalid, answer});
+    }
+}
+
+void request_router::handle_reply(const std::string& from,
+                                  const forward_reply& reply) {
+    if (auto open = forwards_.extract(reply.request); !open.empty()) {
+        const auto& [request, who, host] = open.mapped();
+        if (reply.answer.id != request.id) {
+            context_.log(log_level::error, "reply_for_other_id",
+                         {{"host", from}});
+            return;
+        }
+        if (reply.invalid) {
+            answer_invalid(who, request.id);
+        } else {
+            answer(who, reply.answer);
+        }
+        return;
+    }
+    const auto found = lookups_.find(reply.request);
+    if (found == lookups_.end()) {
+        context_.counters.wasted(message_kind::forward);
+        return;
+    }
+    auto& lookup = found->second;
+    lookup.asked.erase(from);
+    const bool known = reply.answer.state != job_state::unknown &&
+                       reply.answer.id == lookup.request.id;
+    if (known) {
+        const auto who = lookup.who;
+        lookups_.erase(found);
+        answer(who, reply.answer);
+    } else if (lookup.asked.empty()) {
+        const auto ended = std::move(lookup);
+        lookups_.erase(found);
+        finish_unknown(ended);
+    }
+}
+
+void request_router::host_gone(const host_incarnation& gone) {
+    std::vector<open_forward> moved;
+    for (auto open = forwards_.begin(); open != forwards_.end();) {
+        if (open->second.host != gone.host) {
+            ++open;
+            continue;
+        }
+        moved.push_back(std::move(open->second));
+        open = forwards_.erase(open);
+    }
+    for (const auto& open : moved) {
+        route(open.request, open.who);
+    }
+}
+
+void request_router::tick() {
+    std::vector<std::uint64_t> cut;
+    for (const auto& [number, open] : forwards_) {
+        if (!members_.is_alive(open.host)) {
+            cut.push_back(number);
+        }
+    }
+    for (const auto number : cut) {
+        const auto open = forwards_.extract(number);
+        answer_unreachable(open.mapped().request, open.mapped().who);
+    }
+    std::vector<std::uint64_t> late;
+    for (const auto& [number, lookup] : lookups_) {
+        if (context_.now >= lookup.give_up_at) {
+            late.push_back(number);
+        }
+    }
+    for (const auto number : late) {
+        const auto lookup = lookups_.extract(number);
+        answer_unreachable(lookup.mapped().request, lookup.mapped().who);
+    }
+    while (!adopted_order_.empty()) {
+        const auto& oldest = adopted_order_.front();
+        const auto found = adopted_.find(oldest);
+        const bool old = context_.now - found->second.since >
+                         context_.settings.answer_retention;
+        if (!old && adopted_order_.size() <= max_adopted) {
+            break;
+        }
+        adopted_.erase(found);
+        adopted_order_.pop_front();
+    }
+}
+
+void request_router::drop(caller_token token) {
+    std::erase_if(forwards_, [token](const auto& item) {
+        return is_caller(item.second.who, token);
+    });
+    std::erase_if(lookups_, [token](const auto& item) {
+        return is_caller(item.second.who, token);
+    });
+}
+
+void request_router::adopt(const std::vector<job_answer>& answers) {
+    for (const auto& kept : answers) {
+        const auto [place, is_new] =
+            adopted_.try_emplace(kept.id, adopted_answer{kept, context_.now});
+        if (is_new) {
+            adopted_order_.push_back(kept.id);
+        }
+    }
+}
+
+std::vector<job_answer> request_router::adopted() const {
+    std::vector<job_answer> answers;
+    for (const auto& id : adopted_order_) {
+        answers.push_back(adopted_.at(id).answer);
+    }
+    return answers;
+}
+
+} // namespace figridge
--- /dev/null
+++ b/src/core/request_router.hpp
@@ -0,0 +1,92 @@
+// Routes callers' requests to the one host that can answer them.
+//
+// A request goes to the incarnation named by its id. If that is gone, its
+// answers may live on at a peer that took them over at a planned stop, so all
+// peers are asked. What nobody knows ends as `outcome_unknown`; what can't be
+// reached now ends as `unreachable`, to be tried again.
+#ifndef FIGRIDGE_CORE_REQUEST_ROUTER_HPP
+#define FIGRIDGE_CORE_REQUEST_ROUTER_HPP
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+#include "coordinator.hpp"
+#include "core_context.hpp"
+#include "membership.hpp"
+
+namespace figridge {
+
+struct routed_request {
+    forward_kind kind = forward_kind::fetch;
+    submission_id id;
+    job_request job;
+};
+
+// Owned by `host_core`. Not thread-safe.
+class request_router {
+public:
+    request_router(core_context& context, membership& members);
+
+    // Handles a request here if its id names this incarnation; set by
+    // `host_core`. Returns false if the id was never minted.
+    std::function<bool(const routed_request&, const waiter&)> serve_here;
+    std::function<void(const waiter&, const job_answer&)> answer;
+    std::function<void(const waiter&, const submission_id&)> answer_invalid;
+
+    void route(const routed_request& request, const waiter& who);
+
+    void handle_forward(const std::string& from,
+                        const forward_request& request);
+    void handle_reply(const std::string& from, const forward_reply& reply);
+    void host_gone(const host_incarnation& gone);
+    void tick();
+    void drop(caller_token token);
+
+    // Keeps answers of a host that has stopped.
+    void adopt(const std::vector<job_answer>& answers);
+    [[nodiscard]] std::vector<job_answer> adopted() const;
+
+    [[nodiscard]] std::size_t open_requests() const {
+        return forwards_.size() + lookups_.size();
+    }
+
+private:
+    struct open_forward {
+        routed_request request;
+        waiter who;
+        std::string host;
+    };
+    struct open_lookup {
+        routed_request request;
+        waiter who;
+        timestamp give_up_at{0};
+        std::set<std::string> asked;
+    };
+    struct adopted_answer {
+        job_answer answer;
+        timestamp since{0};
+    };
+
+    void look_up(const routed_request& request, const waiter& who);
+    void forward(const routed_request& request, const waiter& who);
+    void finish_unknown(const open_lookup& lookup);
+    void answer_unreachable(const routed_request& request, const waiter& who);
+    void reply_to(const remote_waiter& who, const job_answer& answer,
+                  bool invalid);
+
+    core_context& context_;
+    membership& members_;
+    std::map<std::uint64_t, open_forward> forwards_;
+    std::map<std::uint64_t, open_lookup> lookups_;
+    std::unordered_map<submission_id, adopted_answer, submission_id_hash>
+        adopted_;
+    std::deque<submission_id> adopted_order_;
+    std::uint64_t next_request_ = 1;
+};
+
+} // namespace figridge
+
+#endif
