--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Shortcuts; docs/guide.md says more. Each installs what is missing and builds.
+BUILD ?= build/release
+SEEDS ?= 0
+export BUILD SEEDS
+
+.PHONY: packages build test demo mutants faults bench capacity format clean
+
+packages:
+	@scripts/install_packages.sh
+
+build: packages
+	@cmake --preset release >/dev/null
+	@cmake --build --preset release
+
+test: build
+	@ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+demo: build
+	@scripts/demo.sh
+
+mutants: build
+	@scripts/mutants.sh
+
+faults: build
+	@scripts/faults.sh
+
+bench: build
+	@scripts/bench.sh
+
+capacity: build
+	@scripts/capacity.sh
+
+format:
+	@git ls-files '*.cpp' '*.hpp' | xargs clang-format -i
+
+clean:
+	@rm -rf build
