--- /dev/null
+++ b/tests/virtual_cluster.cpp
@@ -0,0 +1,1045 @@
+#include "virtual_cluster.hpp"
+
+#include <algorithm>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include "codec/json_codec.hpp"
+#include "core/name_table.hpp"
+
+namespace figridge::testing {
+namespace {
+
+constexpr duration tick_interval = 20ms;
+constexpr duration caller_retry = 300ms;
+constexpr duration refused_retry = 200ms;
+constexpr duration leaving_bound = 3s;
+constexpr duration spread_bound = 4s;
+constexpr duration slow_factor_run = 20s;
+
+constexpr name_table<step, 16> step_names{{
+    {step::id_drawn, "id_drawn"},
+    {step::submitted, "submitted"},
+    {step::queued, "queued"},
+    {step::slot_asked, "slot_asked"},
+    {step::granted, "granted"},
+    {step::dispatched, "dispatched"},
+    {step::running, "running"},
+    {step::result_sent, "result_sent"},
+    {step::result_acknowledged, "result_acknowledged"},
+    {step::answered, "answered"},
+    {step::retained, "retained"},
+    {step::edit_read, "edit_read"},
+    {step::edit_written, "edit_written"},
+    {step::edit_reply, "edit_reply"},
+    {step::edit_spread, "edit_spread"},
+    {step::edit_applied, "edit_applied"},
+}};
+
+std::string output_of(const task_spec& spec) { return "done " + spec.payload; }
+
+} // namespace
+
+std::string_view to_string(step moment) {
+    return find_name(step_names, moment);
+}
+
+// One process: a core and the ports it calls. A paused process takes its
+// inputs when it goes on.
+class virtual_cluster::host_node final : public peer_port,
+                                         public endpoint_port,
+                                         public platform_port,
+                                         public caller_port,
+                                         public observer_port {
+public:
+    host_node(virtual_cluster& cluster, std::string name)
+        : cluster_(cluster), name_(std::move(name)) {}
+
+    void boot(const core_settings& settings) {
+        incarnation = settings.incarnation;
+        paused_until = timestamp{0};
+        draining = false;
+        core = std::make_unique<host_core>(
+            settings, core_ports{*this, *this, *this, *this, *this});
+        core->start(cluster_.now_);
+    }
+
+    void send(const std::string& host, envelope message) override {
+        cluster_.carry(name_, host, std::move(message));
+    }
+    void start(const std::string& endpoint, const start_order& order) override {
+        cluster_.reach(step::slot_asked, order.ref.id);
+        cluster_.reach(step::granted, order.ref.id);
+        cluster_.start_task(name_, endpoint, order);
+    }
+    void stop(const std::string& endpoint, const task_ref& ref) override {
+        cluster_.at(cluster_.link_delay(), [this, endpoint, ref] {
+            cluster_.stop_task(endpoint, ref);
+        });
+    }
+    void probe(const std::string& endpoint) override {
+        cluster_.probe(name_, endpoint);
+    }
+    void transact(std::uint64_t request,
+                  const table_transaction& transaction) override {
+        const bool is_edit =
+            !transaction.conditions.empty() &&
+            transaction.conditions[0].key == "catalogue/head";
+        cluster_.serve_table(
+            name_, request,
+            [transaction, is_edit](virtual_cluster& cluster) {
+                const auto reply = cluster.transact(transaction);
+                if (is_edit) {
+                    cluster.reach_edit(step::edit_written);
+                }
+                return reply;
+            },
+            true);
+    }
+    void read_keys(std::uint64_t request,
+                   const std::vector<std::string>& keys) override {
+        const bool is_edit = keys.size() == 1 && keys[0].starts_with("edit/");
+        cluster_.serve_table(
+            name_, request,
+            [keys, is_edit](virtual_cluster& cluster) {
+                table_reply reply{table_status::ok, {}};
+                for (const auto& key : keys) {
+                    const auto row = cluster.table_.find(key);
+                    if (row != cluster.table_.end()) {
+                        reply.rows.push_back(
+                            {key, row->second.version, row->second.value});
+                    }
+                }
+                if (is_edit) {
+                    cluster.reach_edit(step::edit_read);
+                }
+                return reply;
+            },
+            false);
+    }
+    void read_prefix(std::uint64_t request,
+                     const std::string& prefix) override {
+        cluster_.serve_table(
+            name_, request,
+            [prefix](virtual_cluster& cluster) {
+                table_reply reply{table_status::ok, {}};
+                for (const auto& [key, row] : cluster.table_) {
+                    if (key.starts_with(prefix)) {
+                        reply.rows.push_back({key, row.version, row.value});
+                    }
+                }
+                return reply;
+            },
+            false);
+    }
+    void read_endpoints(std::uint64_t request) override {
+        cluster_.list_endpoints(name_, request);
+    }
+    void answer(caller_token token, const job_answer& answer) override {
+        cluster_.at(cluster_.link_delay(), [this, token, answer] {
+            cluster_.caller_answered(token, answer);
+        });
+    }
+    void answer_edit(caller_token token, const edit_answer& answer) override {
+        auto open = cluster_.open_edits_.extract(token);
+        if (!open.empty() && answer.status == edit_status::stored) {
+            open.mapped().version = answer.version;
+            open.mapped().stored_at = cluster_.now_;
+            cluster_.stored_edits_.push_back(open.mapped());
+            cluster_.reach_edit(step::edit_reply);
+        }
+    }
+    void log(log_level /*level*/, std::string_view event,
+             const log_fields& fields) override {
+        auto line = absl::StrCat(name_, " ", std::string(event));
+        for (const auto& [key, value] : fields) {
+            absl::StrAppend(&line, " ", std::string(key), "=", value);
+        }
+        cluster_.note(line);
+    }
+    void record(measure /*what*/, duration /*value*/) override {}
+
+    std::unique_ptr<host_core> core;
+    std::uint64_t incarnation = 0;
+    timestamp paused_until{0};
+    bool draining = false;
+
+private:
+    virtual_cluster& cluster_;
+    std::string name_;
+};
+
+virtual_cluster::virtual_cluster(const virtual_options& options)
+    : options_(options), random_(options.seed) {
+    std::set<std::string> domains;
+    for (const auto& host : options.hosts) {
+        domains.insert(host.failure_domain);
+        hosts_[host.address] =
+            std::make_unique<host_node>(*this, host.address);
+    }
+    int number = 1;
+    for (const auto& domain : domains) {
+        for (int index = 0; index < options.endpoints_per_domain; ++index) {
+            virtual_endpoint endpoint;
+            endpoint.info = {absl::StrCat("10.1.0.", number++, ":1"),
+                             domain,
+                             options.slots,
+                             16'000,
+                             32'000,
+                             0,
+                             false};
+            endpoints_[endpoint.info.address] = endpoint;
+        }
+    }
+}
+
+virtual_cluster::~virtual_cluster() = default;
+
+void virtual_cluster::note(const std::string& line) {
+    absl::StrAppend(&log_, to_ms(now_), "ms ", line, "\n");
+}
+
+duration virtual_cluster::link_delay() {
+    std::uniform_int_distribution<int> delay_us(500, 2000);
+    return duration{delay_us(random_)};
+}
+
+// --- time -----------------------------------------------------------------
+
+void virtual_cluster::at(duration after, std::function<void()> action) {
+    events_.push({now_ + after, next_event_++, std::move(action)});
+}
+
+void virtual_cluster::run_for(duration time) {
+    const auto end = now_ + time;
+    while (!events_.empty() && events_.top().when <= end) {
+        auto next = events_.top();
+        events_.pop();
+        now_ = std::max(now_, next.when);
+        next.action();
+    }
+    now_ = end;
+}
+
+// Hands an input to a process if that incarnation still lives.
+void virtual_cluster::to_host(const std::string& host,
+                              std::uint64_t incarnation, duration after,
+                              std::function<void(host_core&)> input) {
+    at(after, [this, host, incarnation, input = std::move(input)] {
+        auto& node = *hosts_.at(host);
+        if (!node.core || node.incarnation != incarnation) {
+            return;
+        }
+        if (now_ < node.paused_until) {
+            to_host(host, incarnation, node.paused_until - now_, input);
+            return;
+        }
+        input(*node.core);
+        check_versions();
+    });
+}
+
+void virtual_cluster::check_versions() {
+    for (const auto& [name, node] : hosts_) {
+        if (!node->core) {
+            continue;
+        }
+        auto& highest = versions_[{name, node->incarnation}];
+        const auto version = node->core->current_catalogue().version;
+        if (version < highest) {
+            found_.push_back(absl::StrCat("reverted: host ", name,
+                                          " went from version ", highest,
+                                          " to ", version));
+        }
+        if (version > highest) {
+            highest = version;
+            if (version > 1) {
+                reach_edit(step::edit_spread);
+            }
+            if (!stored_edits_.empty() &&
+                version >= stored_edits_.back().version) {
+                reach_edit(step::edit_applied);
+            }
+        }
+    }
+}
+
+void virtual_cluster::boot(const std::string& host) {
+    core_settings settings;
+    for (const auto& known : options_.hosts) {
+        if (known.address == host) {
+            settings.self = known;
+        }
+    }
+    settings.hosts = options_.hosts;
+    settings.incarnation = next_incarnation_++ * 1000 + random_() % 1000;
+    settings.seed = random_();
+    settings.placement = options_.placement;
+    settings.slots_per_endpoint = options_.slots;
+    settings.answer_memory_bytes = options_.answer_memory_bytes;
+    settings.max_task_run = 10s;
+    auto& node = *hosts_.at(host);
+    node.boot(settings);
+    const auto incarnation = node.incarnation;
+    auto tick = std::make_shared<std::function<void(host_core&)>>();
+    *tick = [this, host, incarnation,
+             weak = std::weak_ptr(tick)](host_core& core) {
+        core.tick(now_);
+        auto& ticked = *hosts_.at(host);
+        if (ticked.draining && core.is_drained()) {
+            note(absl::StrCat(host, " ended"));
+            ticked.core.reset();
+            report_refused_links(host);
+            return;
+        }
+        if (const auto again = weak.lock()) {
+            to_host(host, incarnation, tick_interval,
+                    [again](host_core& next) { (*again)(next); });
+        }
+    };
+    to_host(host, incarnation, tick_interval,
+            [tick](host_core& core) { (*tick)(core); });
+    for (const auto& [other, other_node] : hosts_) {
+        if (other != host && other_node->core) {
+            to_host(other, other_node->incarnation, link_delay(),
+                    [this, host](host_core& core) {
+                        core.handle_link_restored(now_, host);
+                    });
+        }
+    }
+}
+
+void virtual_cluster::define(const catalogue_entry& entry) {
+    defined_.push_back(entry);
+    auto& head = table_["catalogue/head"];
+    head = {1, "initial"};
+    table_[absl::StrCat("catalogue/entry/", entry.name)] = {
+        1, dump_json(to_json(entry))};
+    if (hosts_.begin()->second->core) {
+        return;
+    }
+    // The hosts start once the first event runs.
+    at(duration{0}, [this] {
+        for (const auto& [name, node] : hosts_) {
+            if (!node->core && node->incarnation == 0) {
+                boot(name);
+            }
+        }
+    });
+}
+
+// --- faults ---------------------------------------------------------------
+
+void virtual_cluster::kill(const std::string& host) {
+    auto& node = *hosts_.at(host);
+    if (!node.core) {
+        return;
+    }
+    note(absl::StrCat(host, " killed"));
+    node.core.reset();
+    report_refused_links(host);
+    for (std::size_t index = 0; index < calls_.size(); ++index) {
+        if (!calls_[index]->final_answer && calls_[index]->host == host) {
+            retry_call(index, caller_retry);
+        }
+    }
+}
+
+void virtual_cluster::report_refused_links(const std::string& dead) {
+    at(refused_retry, [this, dead] {
+        if (hosts_.at(dead)->core) {
+            return;
+        }
+        for (const auto& [name, node] : hosts_) {
+            if (node->core && !cuts_.contains({name, dead})) {
+                const auto begun = now_;
+                to_host(name, node->incarnation, link_delay(),
+                        [this, dead, begun](host_core& core) {
+                            core.handle_link_refused(now_, dead, begun);
+                        });
+            }
+        }
+        report_refused_links(dead);
+    });
+}
+
+void virtual_cluster::restart(const std::string& host) {
+    if (!hosts_.at(host)->core) {
+        note(absl::StrCat(host, " restarted"));
+        boot(host);
+    }
+}
+
+void virtual_cluster::pause(const std::string& host, duration time) {
+    note(absl::StrCat(host, " paused"));
+    hosts_.at(host)->paused_until = now_ + time;
+}
+
+void virtual_cluster::drain(const std::string& host) {
+    auto& node = *hosts_.at(host);
+    if (node.core) {
+        note(absl::StrCat(host, " drains"));
+        node.draining = true;
+        to_host(host, node.incarnation, duration{0},
+                [this](host_core& core) { core.drain(now_); });
+    }
+}
+
+void virtual_cluster::cut(const std::string& left, const std::string& right) {
+    note(absl::StrCat("cut ", left, " and ", right));
+    cuts_.insert({left, right});
+    cuts_.insert({right, left});
+}
+
+void virtual_cluster::cut_domain(const std::string& domain) {
+    for (const auto& left : options_.hosts) {
+        for (const auto& right : options_.hosts) {
+            if (left.failure_domain == domain &&
+                right.failure_domain != domain) {
+                cut(left.address, right.address);
+            }
+        }
+    }
+}
+
+void virtual_cluster::heal() {
+    note("healed");
+    cuts_.clear();
+    platform_up_ = true;
+    platform_delay_ = duration{0};
+    lose_ = repeat_ = delay_ = lost_replies_ = repeat_results_ = 0;
+    for (auto& [address, endpoint] : endpoints_) {
+        endpoint.mode = virtual_mode::normal;
+    }
+    for (const auto& [name, node] : hosts_) {
+        if (!node->core) {
+            restart(name);
+        }
+    }
+}
+
+void virtual_cluster::delay_messages(int count, duration by) {
+    delay_ = count;
+    delay_by_ = by;
+}
+
+void virtual_cluster::carry(const std::string& from, const std::string& to,
+                            envelope message) {
+    for (const auto& batch : message.payload.batches) {
+        reach(step::slot_asked, batch.id);
+        if (tracked_ && batch.id == *tracked_) {
+            holder_ = to;
+        }
+    }
+    if (cuts_.contains({from, to})) {
+        return;
+    }
+    const bool has_payload = message.sequence != 0;
+    if (has_payload && lose_ > 0) {
+        --lose_;
+        note(absl::StrCat("lost message ", from, " to ", to));
+        return;
+    }
+    auto delay = link_delay();
+    if (has_payload && delay_ > 0) {
+        --delay_;
+        delay += delay_by_;
+        note(absl::StrCat("delayed message ", from, " to ", to));
+    }
+    int copies = 1;
+    if (has_payload && repeat_ > 0) {
+        --repeat_;
+        copies = 2;
+        note(absl::StrCat("repeated message ", from, " to ", to));
+    }
+    for (int copy = 0; copy < copies; ++copy) {
+        at(delay + copy * 700ms, [this, to, message] {
+            auto& node = *hosts_.at(to);
+            if (!node.core || cuts_.contains({message.from, to})) {
+                return;
+            }
+            to_host(to, node.incarnation, duration{0},
+                    [this, message](host_core& core) {
+                        core.handle_envelope(now_, message);
+                        for (const auto& result : message.payload.results) {
+                            reach(step::result_acknowledged, result.ref.id);
+                        }
+                    });
+        });
+    }
+}
+
+// --- endpoints ------------------------------------------------------------
+
+void virtual_cluster::set_mode(const std::string& endpoint,
+                               virtual_mode mode) {
+    note(absl::StrCat("endpoint ", endpoint, " mode ",
+                      static_cast<int>(mode)));
+    auto& changed = endpoints_.at(endpoint);
+    changed.mode = mode;
+    if (mode == virtual_mode::dead) {
+        // The processes of its tasks end, their connections break.
+        for (const auto& [number, task] :
+             std::exchange(changed.running, {})) {
+            --running_of_entry_[task.order.entry];
+            start_reply reply;
+            reply.endpoint = endpoint;
+            reply.order = task.order.ref;
+            reply_start(task, reply);
+        }
+    }
+}
+
+void virtual_cluster::start_task(const std::string& host,
+                                 const std::string& endpoint,
+                                 const start_order& order) {
+    const auto incarnation = hosts_.at(host)->incarnation;
+    at(link_delay(), [this, host, endpoint, order, incarnation] {
+        auto& target = endpoints_.at(endpoint);
+        const virtual_endpoint::running_task task{order, host, incarnation};
+        start_reply refusal;
+        refusal.endpoint = endpoint;
+        refusal.order = refusal.answered = order.ref;
+        if (target.mode == virtual_mode::dead) {
+            refusal.status = start_status::not_sent;
+            return reply_start(task, refusal);
+        }
+        if (target.answers_leaving) {
+            refusal.status = start_status::leaving;
+            return reply_start(task, refusal);
+        }
+        if (target.mode == virtual_mode::refuse ||
+            target.running.size() >= target.info.slots) {
+            refusal.status = start_status::refused;
+            return reply_start(task, refusal);
+        }
+        if (target.no_starts_from && now_ >= *target.no_starts_from) {
+            found_.push_back(absl::StrCat("late_leaving: ", endpoint,
+                                          " was given a task at ",
+                                          to_ms(now_), " ms"));
+        }
+        ++starts_total_;
+        ++starts_[{order.ref.id, order.ref.task}];
+        auto& running = ++running_of_entry_[order.entry];
+        auto& most = most_running_[order.entry];
+        most = std::max(most, running);
+        const auto number = next_task_++;
+        target.running[number] = task;
+        if (tracked_ && order.ref.id == *tracked_) {
+            endpoint_ = endpoint;
+        }
+        reach(step::dispatched, order.ref.id);
+        duration run = std::chrono::milliseconds(order.spec.run_ms_hint);
+        if (target.mode == virtual_mode::slow) {
+            run += slow_factor_run;
+        }
+        if (target.mode == virtual_mode::fail_all) {
+            run = 1ms;
+        }
+        const duration limit = std::chrono::milliseconds(order.deadline_ms);
+        at(std::min(run, limit) / 2, [this, id = order.ref.id] {
+            reach(step::running, id);
+        });
+        at(std::min(run, limit),
+           [this, endpoint, number] { end_task(endpoint, number); });
+    });
+}
+
+void virtual_cluster::end_task(const std::string& endpoint,
+                               std::uint64_t number) {
+    auto& target = endpoints_.at(endpoint);
+    auto ended = target.running.extract(number);
+    if (ended.empty()) {
+        return;
+    }
+    const auto& task = ended.mapped();
+    reach(step::result_sent, task.order.ref.id);
+    --running_of_entry_[task.order.entry];
+    start_reply reply;
+    reply.endpoint = endpoint;
+    reply.order = reply.answered = task.order.ref;
+    reply.status = start_status::finished;
+    reply.failed = target.mode == virtual_mode::fail_all;
+    reply.output = output_of(task.order.spec);
+    if (target.mode == virtual_mode::slow) {
+        reply.status = start_status::deadline;
+    }
+    if (target.mode == virtual_mode::hang) {
+        return;
+    }
+    if (target.mode == virtual_mode::crossed) {
+        // The answer goes out on the connection of another running task.
+        for (const auto& [other, running] : target.running) {
+            reply.order = running.order.ref;
+            return reply_start(running, reply);
+        }
+    }
+    reply_start(task, reply);
+    if (repeat_results_ > 0) {
+        --repeat_results_;
+        reply_start(task, reply);
+    }
+}
+
+void virtual_cluster::reply_start(const virtual_endpoint::running_task& task,
+                                  start_reply reply) {
+    to_host(task.host, task.incarnation, link_delay(),
+            [this, host = task.host,
+             reply = std::move(reply)](host_core& core) {
+                core.handle_start_reply(now_, reply);
+                if (reply.order.id.host == host) {
+                    reach(step::result_acknowledged, reply.order.id);
+                }
+            });
+}
+
+void virtual_cluster::stop_task(const std::string& endpoint,
+                                const task_ref& ref) {
+    auto& target = endpoints_.at(endpoint);
+    for (const auto& [number, task] : target.running) {
+        if (task.order.ref == ref) {
+            end_task(endpoint, number);
+            return;
+        }
+    }
+}
+
+void virtual_cluster::probe(const std::string& host,
+                            const std::string& endpoint) {
+    const auto incarnation = hosts_.at(host)->incarnation;
+    at(link_delay(), [this, host, endpoint, incarnation] {
+        const auto& target = endpoints_.at(endpoint);
+        probe_reply reply;
+        reply.endpoint = endpoint;
+        reply.reachable = target.mode != virtual_mode::dead;
+        reply.leaving = target.answers_leaving;
+        reply.running = static_cast<std::uint32_t>(target.running.size());
+        to_host(host, incarnation, link_delay(),
+                [this, reply](host_core& core) {
+                    core.handle_probe_reply(now_, reply);
+                });
+    });
+}
+
+void virtual_cluster::leave_by_platform(const std::string& endpoint) {
+    auto& target = endpoints_.at(endpoint);
+    target.info.leaving = true;
+    target.no_starts_from = now_ + leaving_bound;
+}
+
+void virtual_cluster::leave_by_operator(const std::string& endpoint) {
+    endpoints_.at(endpoint).no_starts_from = now_ + leaving_bound;
+    core(any_serving_host()).set_endpoint_leaving(now_, endpoint, true);
+}
+
+void virtual_cluster::leave_by_answer(const std::string& endpoint) {
+    auto& target = endpoints_.at(endpoint);
+    target.answers_leaving = true;
+    target.no_starts_from = now_ + leaving_bound;
+}
+
+// --- platform -------------------------------------------------------------
+
+void virtual_cluster::serve_table(
+    const std::string& host, std::uint64_t request,
+    std::function<table_reply(virtual_cluster&)> work, bool is_write) {
+    const auto incarnation = hosts_.at(host)->incarnation;
+    at(link_delay() + platform_delay_, [this, host, request, is_write,
+                                        incarnation,
+                                        work = std::move(work)] {
+        if (!platform_up_) {
+            return;
+        }
+        const auto reply = work(*this);
+        if (is_write && lost_replies_ > 0) {
+            --lost_replies_;
+            note(absl::StrCat("lost the reply of a write of ", host));
+            return;
+        }
+        to_host(host, incarnation, link_delay() + platform_delay_,
+                [this, request, reply](host_core& core) {
+                    core.handle_table_reply(now_, request, reply);
+                });
+    });
+}
+
+void virtual_cluster::list_endpoints(const std::string& host,
+                                     std::uint64_t request) {
+    const auto incarnation = hosts_.at(host)->incarnation;
+    at(link_delay() + platform_delay_, [this, host, request, incarnation] {
+        if (!platform_up_) {
+            return;
+        }
+        std::vector<endpoint_info> list;
+        for (const auto& [address, endpoint] : endpoints_) {
+            list.push_back(endpoint.info);
+        }
+        to_host(host, incarnation, link_delay(),
+                [this, request, list](host_core& core) {
+                    core.handle_endpoint_list(now_, request, true, list);
+                });
+    });
+}
+
+table_reply virtual_cluster::transact(const table_transaction& transaction) {
+    table_reply reply{table_status::ok, {}};
+    for (const auto& condition : transaction.conditions) {
+        const auto row = table_.find(condition.key);
+        const auto version = row == table_.end() ? 0 : row->second.version;
+        if (version != condition.version) {
+            reply.status = table_status::conflict;
+            if (row != table_.end()) {
+                reply.rows.push_back({condition.key, row->second.version,
+                                      row->second.value});
+            }
+        }
+    }
+    if (reply.status == table_status::ok) {
+        for (const auto& write : transaction.writes) {
+            auto& row = table_[write.key];
+            ++row.version;
+            row.value = write.value;
+        }
+    }
+    return reply;
+}
+
+// --- callers and operators ------------------------------------------------
+
+std::string virtual_cluster::any_serving_host() {
+    for (const auto& [name, node] : hosts_) {
+        if (node->core && !node->draining && now_ >= node->paused_until) {
+            return name;
+        }
+    }
+    return hosts_.begin()->first;
+}
+
+std::size_t virtual_cluster::submit(const std::string& host,
+                                    const job_request& job) {
+    const auto index = calls_.size();
+    calls_.push_back(std::make_unique<virtual_call>());
+    auto& made = *calls_.back();
+    made.job = job;
+    made.begun = now_;
+    made.gives_up_ids = true;
+    auto& node = *hosts_.at(host);
+    const bool awake = node.core && now_ >= node.paused_until;
+    const auto ids = awake ? node.core->draw_ids(now_, 1)
+                           : std::vector<submission_id>{};
+    if (ids.empty()) {
+        at(caller_retry, [this, index] { send_call(index, ""); });
+        return index;
+    }
+    made.id = ids[0];
+    send_call(index, host);
+    return index;
+}
+
+void virtual_cluster::send_call(std::size_t index, const std::string& host) {
+    auto& made = *calls_[index];
+    if (made.final_answer) {
+        return;
+    }
+    const auto target = host.empty() ? any_serving_host() : host;
+    made.host = target;
+    auto& node = *hosts_.at(target);
+    if (!node.core) {
+        return retry_call(index, caller_retry);
+    }
+    if (made.id.host.empty()) {
+        const auto ids = node.core->draw_ids(now_, 1);
+        if (ids.empty()) {
+            return retry_call(index, caller_retry);
+        }
+        made.id = ids[0];
+    }
+    if (made.is_tracked) {
+        tracked_ = made.id;
+        reach(step::id_drawn, made.id);
+    }
+    reach(step::submitted, made.id);
+    to_host(target, node.incarnation, link_delay(),
+            [this, index](host_core& core) {
+                const auto& sent = *calls_[index];
+                core.submit(now_, index, sent.id, sent.job);
+                reach(step::queued, sent.id);
+            });
+}
+
+void virtual_cluster::retry_call(std::size_t index, duration after) {
+    at(after, [this, index] { send_call(index, ""); });
+}
+
+void virtual_cluster::resubmit(std::size_t call, const std::string& host) {
+    const auto index = calls_.size();
+    calls_.push_back(std::make_unique<virtual_call>());
+    auto& made = *calls_.back();
+    made.job = calls_[call]->job;
+    made.id = calls_[call]->id;
+    made.begun = now_;
+    if (!made.id.host.empty()) {
+        send_call(index, host);
+    } else {
+        calls_.pop_back();
+    }
+}
+
+void virtual_cluster::cancel(std::size_t call, const std::string& host) {
+    auto& node = *hosts_.at(host);
+    if (node.core && !calls_[call]->id.host.empty()) {
+        calls_[call]->cancels = true;
+        to_host(host, node.incarnation, link_delay(),
+                [this, id = calls_[call]->id](host_core& core) {
+                    core.cancel(now_, ~std::uint64_t{0}, id);
+                });
+    }
+}
+
+void virtual_cluster::caller_answered(std::size_t index,
+                                      const job_answer& answer) {
+    if (index >= calls_.size() || calls_[index]->final_answer) {
+        return;
+    }
+    auto& made = *calls_[index];
+    made.answers.push_back(answer);
+    if (answer.id != made.id && made.job.idempotency_key.empty()) {
+        found_.push_back(absl::StrCat("crossed: the caller of ",
+                                      to_string(made.id), " was told of ",
+                                      to_string(answer.id)));
+    }
+    const bool again = answer.state == job_state::unreachable ||
+                       answer.state == job_state::running;
+    if (again) {
+        return retry_call(index, caller_retry);
+    }
+    if (answer.state == job_state::unknown) {
+        found_.push_back(absl::StrCat("lost: ", to_string(made.id),
+                                      " is not known at its host"));
+    }
+    reach(step::answered, made.id);
+    at(1s, [this, id = made.id] { reach(step::retained, id); });
+    made.final_answer = answer;
+}
+
+void virtual_cluster::edit(const std::string& host, const std::string& entry,
+                           const std::string& edit_id) {
+    auto& node = *hosts_.at(host);
+    if (!node.core || now_ < node.paused_until) {
+        return;
+    }
+    const auto token = next_edit_token_++;
+    open_edits_[token] = {entry, edit_id, 0, timestamp{0}};
+    to_host(host, node.incarnation, link_delay(),
+            [this, token, entry, edit_id](host_core& core) {
+                catalogue_edit change;
+                change.based_on = core.current_catalogue().version;
+                change.edit_id = edit_id;
+                change.set = {{entry, "team-" + edit_id, "work", {}, {}, {},
+                               5000}};
+                core.edit_catalogue(now_, token, change);
+            });
+}
+
+// --- steps ----------------------------------------------------------------
+
+void virtual_cluster::on_step(step moment, std::function<void()> action) {
+    step_actions_[moment].push_back(std::move(action));
+}
+
+void virtual_cluster::track(std::size_t call) {
+    calls_[call]->is_tracked = true;
+    tracked_ = calls_[call]->id;
+    reach(step::id_drawn, *tracked_);
+}
+
+void virtual_cluster::reach(step moment, const submission_id& id) {
+    if (!tracked_ || id != *tracked_) {
+        return;
+    }
+    auto actions = step_actions_.extract(moment);
+    if (actions.empty()) {
+        return;
+    }
+    note(absl::StrCat("step ", std::string(to_string(moment))));
+    for (const auto& action : actions.mapped()) {
+        at(duration{0}, action);
+    }
+}
+
+void virtual_cluster::reach_edit(step moment) {
+    if (tracked_) {
+        reach(moment, *tracked_);
+    }
+}
+
+// --- evidence -------------------------------------------------------------
+
+host_core& virtual_cluster::core(const std::string& host) {
+    return *hosts_.at(host)->core;
+}
+
+bool virtual_cluster::is_up(const std::string& host) const {
+    return hosts_.at(host)->core != nullptr;
+}
+
+std::vector<std::string> virtual_cluster::host_names() const {
+    std::vector<std::string> names;
+    for (const auto& [name, node] : hosts_) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+std::vector<std::string> virtual_cluster::endpoint_names() const {
+    std::vector<std::string> names;
+    for (const auto& [name, endpoint] : endpoints_) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+bool virtual_cluster::all_calls_answered() const {
+    return std::all_of(calls_.begin(), calls_.end(), [](const auto& made) {
+        return made->final_answer.has_value();
+    });
+}
+
+std::uint32_t virtual_cluster::starts_of(const submission_id& id) const {
+    std::uint32_t sum = 0;
+    for (const auto& [key, count] : starts_) {
+        sum += key.first == id ? count : 0;
+    }
+    return sum;
+}
+
+std::uint32_t virtual_cluster::most_running(const std::string& entry) const {
+    const auto found = most_running_.find(entry);
+    return found == most_running_.end() ? 0 : found->second;
+}
+
+void virtual_cluster::check_starts(std::vector<std::string>& found) const {
+    std::set<submission_id> idempotent;
+    for (const auto& made : calls_) {
+        if (made->job.idempotent) {
+            idempotent.insert(made->id);
+        }
+    }
+    for (const auto& [key, count] : starts_) {
+        if (count > 1 && !idempotent.contains(key.first)) {
+            found.push_back(absl::StrCat("doubled: ", to_string(key.first),
+                                         " task ", key.second, " started ",
+                                         count, " times"));
+        }
+    }
+}
+
+void virtual_cluster::check_answers(std::vector<std::string>& found) const {
+    std::map<submission_id, std::vector<const job_answer*>> by_id;
+    for (const auto& made : calls_) {
+        if (!made->final_answer) {
+            found.push_back(absl::StrCat("lost: no answer for ",
+                                         to_string(made->id)));
+            continue;
+        }
+        const auto& answer = *made->final_answer;
+        by_id[answer.id].push_back(&answer);
+        const auto& tasks = made->job.tasks;
+        if (answer.state == job_state::complete) {
+            bool whole = answer.outputs.size() == tasks.size();
+            for (std::size_t task = 0; whole && task < tasks.size(); ++task) {
+                whole = answer.outputs[task] == output_of(tasks[task]);
+            }
+            if (!whole) {
+                found.push_back(
+                    absl::StrCat("partial: ", to_string(made->id)));
+            }
+        } else if (!answer.outputs.empty()) {
+            found.push_back(absl::StrCat("partial: failed job ",
+                                         to_string(made->id),
+                                         " has outputs"));
+        }
+        const bool says_not_run = answer.state == job_state::failed &&
+                                  (!answer.may_have_run ||
+                                   is_not_run(answer.cause));
+        if (says_not_run && starts_of(answer.id) > 0) {
+            found.push_back(absl::StrCat(
+                "false_not_run: ", to_string(answer.id), " ",
+                std::string(to_string(answer.cause))));
+        }
+    }
+    for (const auto& [id, answers] : by_id) {
+        const job_answer* known = nullptr;
+        for (const auto* answer : answers) {
+            if (answer->cause == failure_cause::outcome_unknown) {
+                continue;
+            }
+            const bool differs = known != nullptr &&
+                                 (known->state != answer->state ||
+                                  known->cause != answer->cause ||
+                                  known->outputs != answer->outputs);
+            if (differs) {
+                found.push_back(
+                    absl::StrCat("answers differ for ", to_string(id)));
+            }
+            known = answer;
+        }
+    }
+}
+
+void virtual_cluster::check_catalogue(std::vector<std::string>& found) {
+    for (const auto& edit : stored_edits_) {
+        const auto row =
+            table_.find(absl::StrCat("edit/", edit.edit_id));
+        if (row == table_.end() ||
+            row->second.value != std::to_string(edit.version)) {
+            found.push_back(absl::StrCat("lost: accepted edit ", edit.edit_id,
+                                         " is not in the table"));
+        }
+        for (const auto& [name, node] : hosts_) {
+            const bool late =
+                node->core && now_ - edit.stored_at > spread_bound &&
+                now_ >= node->paused_until + spread_bound &&
+                node->core->current_catalogue().version < edit.version;
+            if (late) {
+                found.push_back(absl::StrCat("late edit: ", edit.edit_id,
+                                             " is not in force at ", name));
+            }
+        }
+    }
+    std::set<std::uint64_t> versions;
+    for (const auto& edit : stored_edits_) {
+        if (!versions.insert(edit.version).second) {
+            found.push_back(absl::StrCat("reverted: two edits at version ",
+                                         edit.version));
+        }
+    }
+}
+
+void virtual_cluster::check_limits(std::vector<std::string>& found) const {
+    for (const auto& entry : defined_) {
+        std::uint32_t limit = 0;
+        for (const auto& [domain, share] : entry.running_tasks) {
+            limit += share;
+        }
+        if (!entry.running_tasks.empty() &&
+            most_running(entry.name) > limit) {
+            found.push_back(absl::StrCat("limit: ", entry.name, " ran ",
+                                         most_running(entry.name), " of ",
+                                         limit));
+        }
+    }
+}
+
+std::vector<std::string> virtual_cluster::violations() {
+    auto found = found_;
+    check_starts(found);
+    check_answers(found);
+    check_catalogue(found);
+    check_limits(found);
+    return found;
+}
+
+} // namespace figridge::testing
