--- a/include/figridge/messages.hpp
+++ b/include/figridge/messages.hpp
@@ -156,7 +156,12 @@
                    accelerators, leaving);
 };
 
-enum class leaving_source { none, operator_request, endpoint_answer };
+enum class leaving_source {
+    none,
+    endpoint_answer,
+    platform_list,
+    operator_request,
+};
 
 // Who asked for an endpoint to be left alone; the higher revision is right.
 struct leaving_mark {
--- a/src/core/host_core_impl.cpp
+++ b/src/core/host_core_impl.cpp
@@ -263,13 +263,34 @@
     store.read_endpoints(
         [this](bool ok, const std::vector<endpoint_info>& endpoints) {
             listing_ = false;
-            if (ok && directory.set_list(endpoints)) {
-                directory_changed_ = true;
-                refresh_topology();
+            if (ok) {
+                take_endpoint_list(endpoints);
             }
         });
 }
 
+void host_core::impl::take_endpoint_list(
+    const std::vector<endpoint_info>& endpoints) {
+    const auto before = directory.all();
+    if (!directory.set_list(endpoints)) {
+        return;
+    }
+    directory_changed_ = true;
+    // Peers that can't reach the platform learn from this host.
+    for (const auto& endpoint : endpoints) {
+        const auto old = before.find(endpoint.address);
+        const bool was_leaving = old != before.end() && old->second.leaving;
+        const auto mark = directory.mark_of(endpoint.address);
+        if (endpoint.leaving && mark == leaving_source::none) {
+            spread_mark(endpoint.address, leaving_source::platform_list);
+        } else if (!endpoint.leaving && was_leaving &&
+                   mark == leaving_source::platform_list) {
+            spread_mark(endpoint.address, leaving_source::none);
+        }
+    }
+    refresh_topology();
+}
+
 void host_core::impl::refresh_topology() {
     std::map<std::string, std::vector<std::string>> now_holders;
     for (const auto& [address, endpoint] : directory.all()) {
--- a/src/core/host_core_impl.hpp
+++ b/src/core/host_core_impl.hpp
@@ -77,6 +77,7 @@
     void redirect_to(const submission_id& id, const submission_id& holder_id);
     void answer(const waiter& who, const job_answer& answer, bool invalid);
     void poll_endpoint_list();
+    void take_endpoint_list(const std::vector<endpoint_info>& endpoints);
     void refresh_topology();
     void assign_endpoints();
     void introduce_to_new_peers();
--- a/src/core/names.cpp
+++ b/src/core/names.cpp
@@ -64,8 +64,9 @@
     {task_result_kind::stopped, "stopped"},
 }};
 
-constexpr name_table<leaving_source, 3> leaving_source_names{{
+constexpr name_table<leaving_source, 4> leaving_source_names{{
     {leaving_source::none, "none"},
+    {leaving_source::platform_list, "platform_list"},
     {leaving_source::operator_request, "operator_request"},
     {leaving_source::endpoint_answer, "endpoint_answer"},
 }};
--- a/src/core/slot_holder.cpp
+++ b/src/core/slot_holder.cpp
@@ -155,7 +155,15 @@
         give_back(refused.task, return_reason::refused, {});
         return;
     }
-    queue_.put_back(std::move(refused.task));
+    requeue(std::move(refused.task));
+}
+
+void slot_holder::requeue(queued_task task) {
+    if (pool_.fits(task.spec)) {
+        queue_.put_back(std::move(task));
+    } else {
+        give_back(task, return_reason::no_endpoint, {});
+    }
 }
 
 void slot_holder::finish(running_map::iterator running, task_result_kind kind,
@@ -301,7 +309,7 @@
     for (auto& [host, tasks] : parked_) {
         if (members_.is_fresh(host, context_.settings.start_freshness)) {
             for (auto& task : tasks) {
-                queue_.push(std::move(task));
+                requeue(std::move(task));
             }
             tasks.clear();
         }
--- a/src/core/slot_holder.hpp
+++ b/src/core/slot_holder.hpp
@@ -67,6 +67,8 @@
     void give_back(const queued_task& task, return_reason reason,
                    const std::string& hint);
     void refuse_start(running_map::iterator running);
+    // Queues a task again, or gives it back if no held endpoint fits it now.
+    void requeue(queued_task task);
     void finish(running_map::iterator running, task_result_kind kind,
                 const start_reply& reply);
     void pull_if_idle();
--- a/tests/virtual_cluster.hpp
+++ b/tests/virtual_cluster.hpp
@@ -149,6 +149,7 @@
         endpoint_info info;
         virtual_mode mode = virtual_mode::normal;
         bool answers_leaving = false;
+        bool marked_by_operator = false;
         std::optional<timestamp> no_starts_from;
         struct running_task {
             start_order order;
@@ -219,8 +220,10 @@
     duration delay_by_{0};
     int repeat_results_ = 0;
     std::set<std::pair<std::string, std::string>> cuts_;
+    std::map<std::pair<std::string, std::string>, timestamp> last_arrival_;
     std::vector<std::unique_ptr<virtual_call>> calls_;
     std::vector<catalogue_entry> defined_;
+    std::vector<job_answer> told_not_run_; // the caller then drew another id
     std::map<std::pair<submission_id, std::uint32_t>, std::uint32_t> starts_;
     std::map<std::string, std::uint32_t> running_of_entry_;
     std::map<std::string, std::uint32_t> most_running_;
