Planned stop loses nothing: wait for peers, hand over used ids

Cause: rolling restart of 8 hosts under load failed 45 of 845 jobs: ids drawn ahead from a host that had stopped ended outcome_unknown (44), a batch reached a holder that was exiting (holder_lost 1); then 3+3 more: tasks sent to a draining host named by a rebalance hint, and lookups answered by a host that had just started and knew no peer yet. Ruled out: lost handovers (acknowledged in every log). Change: a stopping host waits until every live peer has echoed a stamp of its drain, hands over which of its ids were used (an unused one is answered not_run_draining), hints to hosts without slots are ignored, and a lookup ends outcome_unknown only if no host may be merely cut off.

--- a/include/figridge/messages.hpp
+++ b/include/figridge/messages.hpp
@@ -184,9 +184,21 @@
     MSGPACK_DEFINE(content, endpoints);
 };
 
+// Which ids an incarnation that ends by a planned stop has minted and used.
+// Those not used were never run and never will be.
+struct retired_ids {
+    std::string host;
+    std::uint64_t incarnation = 0;
+    std::uint64_t first = 0;
+    std::vector<bool> used; // from `first` on
+    MSGPACK_DEFINE(host, incarnation, first, used);
+};
+
+// What a host that stops leaves to another: answers and used ids.
 struct answer_handover {
     std::vector<job_answer> answers;
-    MSGPACK_DEFINE(answers);
+    std::vector<retired_ids> retired;
+    MSGPACK_DEFINE(answers, retired);
 };
 
 struct peer_payload {
--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# Shows that the fault matrix can fail: applies each mutation of
+# tests/mutants.txt to a copy of one file, links it into the matrix and runs
+# that. Last line: mutants=N caught=N.
+set -u
+cd "$(dirname "$0")/.."
+build=${BUILD:-build/release}
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+libraries="$(pkg-config --libs absl_strings absl_status absl_statusor \
+    absl_str_format) -lxxhash -lgflags -lpthread"
+
+run_mutant() { # line
+    local name file old new
+    IFS='|' read -r name file old new < <(sed 's/\\|/\x01/g' <<<"$1")
+    old=${old//$'\x01'/|} new=${new//$'\x01'/|}
+    local folder=$work/$name
+    mkdir -p "$folder"
+    OLD=$old NEW=$new perl -0777 -pe '
+        $n = () = /\Q$ENV{OLD}\E/g;
+        die "the text stands there $n times\n" if $n != 1;
+        s/\Q$ENV{OLD}\E/$ENV{NEW}/' "src/core/$file" >"$folder/$file" \
+        2>"$folder/error" || { echo "mutant $name: $(cat "$folder/error")"; return; }
+    if ! g++ -std=c++20 -O1 -DMSGPACK_USE_BOOST=1 -Iinclude -Isrc -Isrc/core \
+        -Itests -o "$folder/matrix" tests/fault_matrix_main.cpp \
+        "$folder/$file" "$build/libfigridge_virtual_cluster.a" \
+        "$build/libfigridge_core.a" $libraries 2>"$folder/error"; then
+        echo "mutant $name: does not build: $(head -3 "$folder/error")"
+        return
+    fi
+    timeout 300 "$folder/matrix" --seeds 1 --pairs 1000 --stop_at_first \
+        >"$folder/out" 2>&1
+    if [ $? -ne 1 ] || ! grep -q '^BROKEN' "$folder/out"; then
+        echo "mutant $name: NOT caught"
+    else
+        echo "mutant $name: caught by $(sed -n 's/^BROKEN //p' "$folder/out" |
+            head -1):$(sed -n 2p "$folder/out")"
+    fi
+}
+
+mapfile -t lines < <(grep -v '^#' tests/mutants.txt)
+for line in "${lines[@]}"; do
+    run_mutant "$line" | tee -a "$work/results"
+done
+caught=$(grep -c ': caught by' "$work/results")
+echo "mutants=${#lines[@]} caught=$caught"
+[ "$caught" -eq "${#lines[@]}" ]
--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -570,9 +570,12 @@
 
 void coordinator::send_to_hint(const std::string& hint, const task_ref& ref,
                                job_record& record) {
+    auto holder = view_of(hint);
+    if (holder.total_slots == 0) {
+        return;
+    }
     const auto permit = limits_.take(record.request.entry, 1);
     if (permit.count == 1) {
-        auto holder = view_of(hint);
         send_task(holder, ref.id, record, ref.task, permit);
     }
 }
@@ -774,6 +777,11 @@
     return answers;
 }
 
+retired_ids coordinator::used_ids() const {
+    return {context_.settings.self.address, context_.settings.incarnation,
+            ledger_.first_valid(), ledger_.used_from_first_valid()};
+}
+
 std::vector<job_summary> coordinator::summaries(std::size_t most) const {
     std::vector<job_summary> summaries;
     for (const auto& id : live_) {
--- a/src/core/coordinator.hpp
+++ b/src/core/coordinator.hpp
@@ -110,6 +110,7 @@
     [[nodiscard]] bool is_idle() const;
     [[nodiscard]] std::size_t running_jobs() const { return live_.size(); }
     [[nodiscard]] std::vector<job_answer> ended_answers() const;
+    [[nodiscard]] retired_ids used_ids() const;
     [[nodiscard]] std::vector<job_summary> summaries(std::size_t most) const;
     [[nodiscard]] std::size_t pending_tasks() const { return pending_total_; }
 
--- a/src/core/host_core_impl.cpp
+++ b/src/core/host_core_impl.cpp
@@ -44,6 +44,7 @@
 // --- inputs ---------------------------------------------------------------
 
 void host_core::impl::start() {
+    members.start();
     read_start_mark();
     poll_endpoint_list();
     keeper.tick();
@@ -144,7 +145,7 @@
         limits.handle_return(from, returned);
     }
     for (const auto& handover : payload.handovers) {
-        router.adopt(handover.answers);
+        router.adopt(handover);
     }
 }
 
@@ -428,6 +429,7 @@
     context.log(log_level::info, "drain_started", {});
     draining = true;
     stage_ = stop_stage::working_off;
+    drain_started_ = context.now;
     jobs.start_draining();
     refresh_topology();
     const auto advert = own_advert();
@@ -437,8 +439,16 @@
 }
 
 bool host_core::impl::is_worked_off() const {
-    return jobs.is_idle() && holder.running() == 0 && holder.queued() == 0 &&
-           router.open_requests() == 0;
+    // Peers that have seen the drain send no more tasks, and what they sent
+    // before has arrived, since links keep their order.
+    const auto hosts = members.alive_hosts();
+    const bool peers_know =
+        std::all_of(hosts.begin(), hosts.end(), [this](const auto& host) {
+            return host == context.settings.self.address ||
+                   members.echo_of(host) >= drain_started_;
+        });
+    return peers_know && jobs.is_idle() && holder.running() == 0 &&
+           holder.queued() == 0 && router.open_requests() == 0;
 }
 
 void host_core::impl::advance_stop() {
@@ -481,8 +491,12 @@
             std::min(first + answers_per_handover, answers.size());
         members.outbox(heir).handovers.push_back(
             {{answers.begin() + static_cast<std::ptrdiff_t>(first),
-              answers.begin() + static_cast<std::ptrdiff_t>(last)}});
+              answers.begin() + static_cast<std::ptrdiff_t>(last)},
+             {}});
     }
+    auto retired = router.retired();
+    retired.push_back(jobs.used_ids());
+    members.outbox(heir).handovers.push_back({{}, std::move(retired)});
 }
 
 bool host_core::impl::is_drained() const {
--- a/src/core/host_core_impl.hpp
+++ b/src/core/host_core_impl.hpp
@@ -96,6 +96,7 @@
     bool listing_ = false;
     bool directory_changed_ = false;
     stop_stage stage_ = stop_stage::running;
+    timestamp drain_started_{0};
     timestamp handover_until_{0};
     std::uint64_t start_mark_version_ = 0;
     bool start_mark_written_ = false;
--- a/src/core/id_ledger.hpp
+++ b/src/core/id_ledger.hpp
@@ -30,6 +30,11 @@
 
     void expire(timestamp now);
 
+    [[nodiscard]] std::uint64_t first_valid() const { return base_; }
+    [[nodiscard]] std::vector<bool> used_from_first_valid() const {
+        return {used_.begin(), used_.end()};
+    }
+
 private:
     struct minted_batch {
         std::uint64_t end = 0;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -8,6 +8,7 @@
 constexpr std::size_t resend_window = 64;
 constexpr int remote_domain_factor = 2;
 constexpr duration refused_is_recent = 5s;
+constexpr duration forget_after = 60s;
 
 void count_payload(message_counters& counters, const peer_payload& payload) {
     counters.sent(message_kind::mark, payload.marks.size());
@@ -251,10 +252,23 @@
     if (other == nullptr) {
         return false;
     }
-    const bool nobody_listens =
-        other->incarnation == 0 && other->refused_at >= timestamp{0} &&
-        context_.now - other->refused_at < refused_is_recent;
-    return nobody_listens || other->dead.contains(incarnation);
+    return nobody_listens(*other, context_.now) ||
+           other->dead.contains(incarnation);
+}
+
+bool membership::nobody_listens(const peer& other, timestamp now) {
+    return other.incarnation == 0 && other.refused_at >= timestamp{0} &&
+           now - other.refused_at < refused_is_recent;
+}
+
+bool membership::may_be_cut_off(const std::string& host) const {
+    const auto* other = find(host);
+    if (other == nullptr || heard_recently(*other) ||
+        nobody_listens(*other, context_.now)) {
+        return false;
+    }
+    const auto silent_since = std::max(other->heard_at, started_at_);
+    return context_.now - silent_since < forget_after;
 }
 
 std::uint64_t membership::incarnation_of(const std::string& host) const {
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -33,6 +33,9 @@
 public:
     explicit membership(core_context& context);
 
+    // The process begins now. Precondition: called once, first of all.
+    void start() { started_at_ = context_.now; }
+
     // Messages for a host, sent at the next flush. The own address is allowed
     // and delivers without a link. Precondition: `can_send(host)`.
     peer_payload& outbox(const std::string& host);
@@ -64,6 +67,9 @@
     [[nodiscard]] bool is_alive(const std::string& host) const;
     [[nodiscard]] bool is_gone(const std::string& host,
                                std::uint64_t incarnation) const;
+    // True if a host may live although it is not heard: not proved gone, and
+    // silent for less than `forget_after`.
+    [[nodiscard]] bool may_be_cut_off(const std::string& host) const;
     [[nodiscard]] std::uint64_t incarnation_of(const std::string& host) const;
     [[nodiscard]] const host_advert& advert_of(const std::string& host) const;
     [[nodiscard]] const std::string& domain_of(const std::string& host) const;
@@ -118,6 +124,7 @@
     [[nodiscard]] bool heard_recently(const peer& other) const;
     void forget_incarnation(const std::string& host, peer& other);
     void adopt_incarnation(peer& other, std::uint64_t incarnation);
+    [[nodiscard]] static bool nobody_listens(const peer& other, timestamp now);
     void drop_acknowledged(peer& other, std::uint64_t ack);
     void enqueue_outbox(peer& other);
     void send_pending(const std::string& host, peer& other,
@@ -126,6 +133,7 @@
                        const host_advert& own, kept_envelope* kept);
 
     core_context& context_;
+    timestamp started_at_{0};
     std::map<std::string, peer> peers_;
     peer_payload local_;
     std::vector<host_incarnation> gone_;
--- a/src/core/request_router.cpp
+++ b/src/core/request_router.cpp
@@ -40,9 +40,9 @@
         }
         return;
     }
-    const auto kept = adopted_.find(id);
-    if (kept != adopted_.end()) {
-        answer(who, kept->second.answer);
+    const auto known = recall(id);
+    if (known.state != job_state::unknown) {
+        answer(who, known);
     } else if (members_.is_gone(id.host, id.incarnation)) {
         look_up(request, who);
     } else if (members_.is_alive(id.host)) {
@@ -77,7 +77,35 @@
     lookups_[number] = std::move(lookup);
 }
 
+job_answer request_router::recall(const submission_id& id) const {
+    if (const auto kept = adopted_.find(id); kept != adopted_.end()) {
+        return kept->second.answer;
+    }
+    job_answer answer;
+    answer.id = id;
+    const auto found = retired_.find({id.host, id.incarnation});
+    if (found == retired_.end()) {
+        return answer;
+    }
+    const auto& [host, incarnation, first, used] = found->second.ids;
+    const bool was_minted =
+        id.counter >= first && id.counter - first < used.size();
+    if (was_minted && !used[id.counter - first]) {
+        answer.state = job_state::failed;
+        answer.cause = failure_cause::not_run_draining;
+        answer.detail = "the host has stopped; draw another id";
+    }
+    return answer;
+}
+
 void request_router::finish_unknown(const open_lookup& lookup) {
+    // A host that can't be heard now may keep the answer.
+    for (const auto& host : members_.known_hosts()) {
+        if (members_.may_be_cut_off(host)) {
+            answer_unreachable(lookup.request, lookup.who);
+            return;
+        }
+    }
     answer(lookup.who, unknown_outcome(lookup.request.id));
 }
 
@@ -100,11 +128,7 @@
         request.id.host == context_.settings.self.address &&
         request.id.incarnation == context_.settings.incarnation;
     if (request.kind == forward_kind::lookup) {
-        const auto kept = adopted_.find(request.id);
-        job_answer unknown;
-        unknown.id = request.id;
-        reply_to(who, kept == adopted_.end() ? unknown : kept->second.answer,
-                 false);
+        reply_to(who, recall(request.id), false);
         return;
     }
     const routed_request routed{request.kind, request.id, request.job};
@@ -198,6 +222,13 @@
         const auto lookup = lookups_.extract(number);
         answer_unreachable(lookup.mapped().request, lookup.mapped().who);
     }
+    forget_old_handovers();
+}
+
+void request_router::forget_old_handovers() {
+    std::erase_if(retired_, [this](const auto& item) {
+        return context_.now - item.second.since > context_.settings.id_validity;
+    });
     while (!adopted_order_.empty()) {
         const auto& oldest = adopted_order_.front();
         const auto found = adopted_.find(oldest);
@@ -220,8 +251,12 @@
     });
 }
 
-void request_router::adopt(const std::vector<job_answer>& answers) {
-    for (const auto& kept : answers) {
+void request_router::adopt(const answer_handover& handover) {
+    for (const auto& ids : handover.retired) {
+        retired_.try_emplace({ids.host, ids.incarnation},
+                             retired_incarnation{ids, context_.now});
+    }
+    for (const auto& kept : handover.answers) {
         const auto [place, is_new] =
             adopted_.try_emplace(kept.id, adopted_answer{kept, context_.now});
         if (is_new) {
@@ -230,6 +265,14 @@
     }
 }
 
+std::vector<retired_ids> request_router::retired() const {
+    std::vector<retired_ids> all;
+    for (const auto& [key, incarnation] : retired_) {
+        all.push_back(incarnation.ids);
+    }
+    return all;
+}
+
 std::vector<job_answer> request_router::adopted() const {
     std::vector<job_answer> answers;
     for (const auto& id : adopted_order_) {
--- a/src/core/request_router.hpp
+++ b/src/core/request_router.hpp
@@ -45,9 +45,10 @@
     void tick();
     void drop(caller_token token);
 
-    // Keeps answers of a host that has stopped.
-    void adopt(const std::vector<job_answer>& answers);
+    // Keeps what a host that has stopped leaves behind.
+    void adopt(const answer_handover& handover);
     [[nodiscard]] std::vector<job_answer> adopted() const;
+    [[nodiscard]] std::vector<retired_ids> retired() const;
 
     [[nodiscard]] std::size_t open_requests() const {
         return forwards_.size() + lookups_.size();
@@ -70,6 +71,15 @@
         timestamp since{0};
     };
 
+    struct retired_incarnation {
+        retired_ids ids;
+        timestamp since{0};
+    };
+
+    // What is known of an id from hosts that have stopped; state unknown if
+    // nothing is.
+    [[nodiscard]] job_answer recall(const submission_id& id) const;
+    void forget_old_handovers();
     void look_up(const routed_request& request, const waiter& who);
     void forward(const routed_request& request, const waiter& who);
     void finish_unknown(const open_lookup& lookup);
@@ -84,6 +94,8 @@
     std::unordered_map<submission_id, adopted_answer, submission_id_hash>
         adopted_;
     std::deque<submission_id> adopted_order_;
+    std::map<std::pair<std::string, std::uint64_t>, retired_incarnation>
+        retired_;
     std::uint64_t next_request_ = 1;
 };
 
--- /dev/null
+++ b/testing/load_driver.cpp
@@ -0,0 +1,318 @@
+#include "load_driver.hpp"
+
+#include <algorithm>
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+namespace figridge {
+namespace {
+
+constexpr duration retry_pause = 200ms;
+constexpr duration call_margin = 10s;
+constexpr int ids_per_draw = 50;
+constexpr duration settle_time = 1500ms;
+
+} // namespace
+
+load_driver::load_driver(event_loop& loop, const load_options& options,
+                         std::vector<trace_job> trace)
+    : loop_(loop), options_(options), trace_(std::move(trace)),
+      open_(trace_.size()), random_(options.seed), client_(loop) {}
+
+http_result load_driver::call(http_call call) {
+    http_result answer;
+    client_.send(std::move(call), [&](const http_result& result) {
+        answer = result;
+        loop_.stop();
+    });
+    loop_.run();
+    return answer;
+}
+
+bool load_driver::prepare(std::uint32_t owners) {
+    const auto& host = options_.hosts.front();
+    const auto shown = call(
+        {"GET", absl::StrCat("http://", host, "/v1/catalogue"), {}, 5s, {}});
+    const auto current = parse_json(shown.body);
+    if (!current.ok()) {
+        return false;
+    }
+    catalogue_edit edit;
+    edit.based_on = current->value("version", std::uint64_t{0});
+    edit.edit_id = absl::StrCat("load-", random_());
+    for (std::uint32_t owner = 0; owner < owners; ++owner) {
+        catalogue_entry entry;
+        entry.name = entry_name(owner);
+        entry.owner = absl::StrCat("owner-", owner);
+        entry.work_class = "load";
+        entry.task_deadline_ms = 15'000;
+        edit.set.push_back(entry);
+    }
+    const auto stored = call({"POST",
+                              absl::StrCat("http://", host, "/v1/catalogue"),
+                              dump_json(to_json(edit)),
+                              10s,
+                              {}});
+    loop_.run_for(settle_time);
+    return stored.status == 200;
+}
+
+const std::string& load_driver::any_host() {
+    return options_.hosts[random_() % options_.hosts.size()];
+}
+
+std::string load_driver::payload_of(std::size_t index, std::size_t task) const {
+    return absl::StrCat("run_ms=", trace_[index].run_ms[task], " job=", index,
+                        " task=", task);
+}
+
+json load_driver::body_of(std::size_t index) const {
+    const auto& job = trace_[index];
+    json tasks = json::array();
+    for (std::size_t task = 0; task < job.run_ms.size(); ++task) {
+        tasks.push_back({{"payload", payload_of(index, task)},
+                         {"run_ms_hint", job.declared_ms[task]}});
+    }
+    return {{"entry", entry_name(job.owner)},
+            {"priority", job.urgent ? "urgent" : "normal"},
+            {"deadline_ms", options_.deadline_ms},
+            {"tasks", std::move(tasks)}};
+}
+
+void load_driver::after(std::size_t index, duration time,
+                        std::function<void()> act) {
+    auto& timers = open_[index].timers;
+    timers.push_back(std::make_unique<timer_watcher>(loop_, std::move(act)));
+    timers.back()->start_once(time);
+}
+
+load_result load_driver::run() {
+    const auto begun = event_loop::now();
+    for (std::size_t index = 0; index < trace_.size(); ++index) {
+        starters_.push_back(std::make_unique<timer_watcher>(
+            loop_, [this, index] { begin(index); }));
+        const auto due = begun + trace_[index].arrival - event_loop::now();
+        starters_.back()->start_once(std::max(due, duration{0}));
+    }
+    if (!trace_.empty()) {
+        loop_.run();
+    }
+    check_starts();
+    return result_;
+}
+
+void load_driver::begin(std::size_t index) {
+    auto& job = open_[index];
+    job.begun = event_loop::now();
+    ++result_.jobs;
+    result_.tasks += trace_[index].run_ms.size();
+    after(index, options_.patience, [this, index] {
+        if (!open_[index].ended) {
+            ++result_.lost;
+            ++result_.causes["no_answer"];
+            open_[index].ended = true;
+            if (++ended_ == trace_.size()) {
+                loop_.stop();
+            }
+        }
+    });
+    after(index, options_.caller_delay, [this, index] { draw(index); });
+}
+
+void load_driver::draw(std::size_t index) {
+    if (open_[index].ended) {
+        return;
+    }
+    const auto host = any_host();
+    auto& ids = drawn_[host];
+    if (!ids.empty()) {
+        open_[index].id = ids.back();
+        ids.pop_back();
+        return submit(index, host, true);
+    }
+    http_call draw_call{
+        "POST",
+        absl::StrCat("http://", host, "/v1/ids?count=", ids_per_draw),
+        "{}",
+        5s,
+        {}};
+    client_.send(std::move(draw_call),
+                 [this, index, host](const http_result& result) {
+                     const auto body = parse_json(result.body);
+                     if (result.status != 200 || !body.ok()) {
+                         return retry(index, true);
+                     }
+                     for (const auto& id : body->at("ids")) {
+                         drawn_[host].push_back(id.get<std::string>());
+                     }
+                     open_[index].id = drawn_[host].back();
+                     drawn_[host].pop_back();
+                     submit(index, host, true);
+                 });
+}
+
+void load_driver::submit(std::size_t index, const std::string& host,
+                         bool is_first) {
+    std::uniform_real_distribution<double> unit(0, 1);
+    auto& job = open_[index];
+    const auto id = job.id;
+    http_call put;
+    put.method = "PUT";
+    put.url = absl::StrCat("http://", host, "/v1/jobs/", id);
+    put.body = dump_json(body_of(index));
+    put.timeout = std::chrono::milliseconds(options_.deadline_ms) + call_margin;
+    client_.send(std::move(put), [this, index, id](const http_result& result) {
+        answered(index, id, result);
+    });
+    if (is_first && unit(random_) < options_.resubmit_share) {
+        after(index, 30ms, [this, index] { submit(index, any_host(), false); });
+    }
+    if (is_first && unit(random_) < options_.cancel_share) {
+        job.cancelled = true;
+        const auto delay = std::chrono::milliseconds(random_() % 300);
+        after(index, delay, [this, id] {
+            http_call cancel{
+                "DELETE",
+                absl::StrCat("http://", any_host(), "/v1/jobs/", id),
+                "{}",
+                10s,
+                {}};
+            client_.send(std::move(cancel), [](const http_result&) {});
+        });
+    }
+}
+
+void load_driver::retry(std::size_t index, bool new_id) {
+    if (open_[index].ended) {
+        return;
+    }
+    after(index, retry_pause, [this, index, new_id] {
+        if (open_[index].ended) {
+            return;
+        }
+        if (new_id) {
+            draw(index);
+        } else {
+            submit(index, any_host(), false);
+        }
+    });
+}
+
+void load_driver::answered(std::size_t index, const std::string& id,
+                           const http_result& result) {
+    const auto body = parse_json(result.body);
+    const bool has_answer = result.outcome == http_outcome::answered &&
+                            body.ok() && body->is_object() &&
+                            body->contains("state");
+    if (!has_answer) {
+        return retry(index, false);
+    }
+    const auto state = body->value("state", "");
+    if (state == "running" || state == "unreachable") {
+        return retry(index, false);
+    }
+    if (body->value("id", "") != id) {
+        ++result_.partial;
+    }
+    const auto cause = body->value("cause", "");
+    if (absl::StartsWith(cause, "not_run_")) {
+        told_not_run_.insert(id);
+        if (cause == "not_run_draining" && !open_[index].ended) {
+            return retry(index, true);
+        }
+    }
+    // Callers of one id are all told the same.
+    auto [known, is_new] = answers_.try_emplace(id, result.body);
+    if (!is_new && known->second != result.body && cause != "outcome_unknown") {
+        ++result_.partial;
+    }
+    if (!open_[index].ended) {
+        finish(index, *body);
+    }
+}
+
+void load_driver::finish(std::size_t index, const json& body) {
+    auto& job = open_[index];
+    job.ended = true;
+    ++ended_;
+    const auto& trace = trace_[index];
+    const auto response = event_loop::now() - job.begun + options_.caller_delay;
+    if (body.value("state", "") == "complete") {
+        ++result_.complete;
+        const auto& outputs = body.at("outputs");
+        bool whole = outputs.size() == trace.run_ms.size();
+        for (std::size_t task = 0; whole && task < outputs.size(); ++task) {
+            whole = outputs[task] ==
+                    json(absl::StrCat("done ", payload_of(index, task)));
+        }
+        result_.partial += whole ? 0 : 1;
+        const auto ideal =
+            to_seconds(trace.ideal_response + 2 * options_.caller_delay);
+        const auto slowdown = to_seconds(response) / ideal;
+        result_.slowdowns.push_back(slowdown);
+        result_.owner_slowdowns[trace.owner].push_back(slowdown);
+        if (trace.urgent) {
+            result_.urgent_slowdowns.push_back(slowdown);
+        }
+    } else {
+        const auto cause = body.value("cause", "unknown");
+        ++result_.causes[cause];
+        ++(absl::StartsWith(cause, "not_run_") ? result_.not_run
+                                               : result_.failed);
+        result_.partial += body.contains("outputs") ? 1 : 0;
+    }
+    if (ended_ == trace_.size()) {
+        loop_.stop();
+    }
+}
+
+void load_driver::check_starts() {
+    const auto reply =
+        call({"GET",
+              absl::StrCat("http://", options_.endpoints_control, "/report"),
+              {},
+              30s,
+              {}});
+    const auto report = parse_json(reply.body);
+    if (!report.ok()) {
+        ++result_.lost;
+        return;
+    }
+    result_.starts = report->at("total").get<std::uint64_t>();
+    result_.late_starts = report->at("late_starts").get<std::uint64_t>();
+    for (const auto& [task, count] : report->at("starts").items()) {
+        if (count.get<std::uint64_t>() > 1) {
+            ++result_.doubled;
+        }
+        const std::string id = task.substr(0, task.rfind('/'));
+        if (told_not_run_.contains(id)) {
+            ++result_.false_not_run;
+        }
+    }
+}
+
+std::map<std::string, double> load_driver::read_metrics() {
+    std::map<std::string, double> sums;
+    for (const auto& host : options_.hosts) {
+        const auto reply = call(
+            {"GET", absl::StrCat("http://", host, "/metrics"), {}, 5s, {}});
+        for (const auto& line : absl::StrSplit(reply.body, '\n')) {
+            const std::vector<std::string> parts = absl::StrSplit(line, ' ');
+            double value = 0;
+            if (parts.size() != 2 || !absl::SimpleAtod(parts[1], &value)) {
+                continue;
+            }
+            sums[parts[0]] += value;
+            if (absl::StartsWith(parts[0], "figridge_messages_total")) {
+                const bool wasted = absl::StrContains(parts[0], "wasted");
+                sums[wasted ? "wasted" : "sent"] += value;
+            }
+        }
+    }
+    return sums;
+}
+
+} // namespace figridge
--- /dev/null
+++ b/testing/load_driver.hpp
@@ -0,0 +1,104 @@
+// Callers that send a trace to a cluster and check every answer.
+#ifndef FIGRIDGE_TESTING_LOAD_DRIVER_HPP
+#define FIGRIDGE_TESTING_LOAD_DRIVER_HPP
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "adapters/event_loop.hpp"
+#include "adapters/http_client.hpp"
+#include "codec/json_codec.hpp"
+#include "trace.hpp"
+
+namespace figridge {
+
+struct load_options {
+    std::vector<std::string> hosts;
+    std::string endpoints_control;
+    duration caller_delay{0};  // one way, between a caller and a host
+    double resubmit_share = 0; // of the jobs, at another host while running
+    double cancel_share = 0;
+    std::uint32_t deadline_ms = 60'000;
+    duration patience = 90s; // then a job counts as lost
+    std::uint64_t seed = 1;
+};
+
+struct load_result {
+    std::uint64_t jobs = 0;
+    std::uint64_t tasks = 0;
+    std::uint64_t complete = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t not_run = 0;
+    std::uint64_t partial = 0;
+    std::uint64_t lost = 0;
+    std::uint64_t doubled = 0;
+    std::uint64_t false_not_run = 0;
+    std::uint64_t starts = 0;
+    std::uint64_t late_starts = 0;
+    std::map<std::string, std::uint64_t> causes;
+    std::vector<double> slowdowns;
+    std::vector<double> urgent_slowdowns;
+    std::map<std::uint32_t, std::vector<double>> owner_slowdowns;
+};
+
+// Not thread-safe.
+class load_driver {
+public:
+    load_driver(event_loop& loop, const load_options& options,
+                std::vector<trace_job> trace);
+
+    // Stores one entry for each owner and waits until it is in force.
+    bool prepare(std::uint32_t owners);
+
+    // Sends the whole trace and waits for every answer.
+    load_result run();
+
+    // Sums of the hosts' metrics: messages by use, processor time.
+    std::map<std::string, double> read_metrics();
+
+private:
+    struct open_job {
+        std::string id;
+        std::string first_id;
+        timestamp begun{0};
+        bool ended = false;
+        bool cancelled = false;
+        std::vector<std::unique_ptr<timer_watcher>> timers;
+    };
+
+    void begin(std::size_t index);
+    void draw(std::size_t index);
+    void submit(std::size_t index, const std::string& host, bool is_first);
+    void answered(std::size_t index, const std::string& id,
+                  const http_result& result);
+    void finish(std::size_t index, const json& body);
+    void retry(std::size_t index, bool new_id);
+    void after(std::size_t index, duration time, std::function<void()> act);
+    [[nodiscard]] json body_of(std::size_t index) const;
+    [[nodiscard]] std::string payload_of(std::size_t index,
+                                         std::size_t task) const;
+    [[nodiscard]] const std::string& any_host();
+    void check_starts();
+    http_result call(http_call call);
+
+    event_loop& loop_;
+    load_options options_;
+    std::vector<trace_job> trace_;
+    std::vector<open_job> open_;
+    std::vector<std::unique_ptr<timer_watcher>> starters_;
+    std::mt19937_64 random_;
+    http_client client_;
+    std::map<std::string, std::vector<std::string>> drawn_;
+    std::set<std::string> told_not_run_;
+    std::map<std::string, std::string> answers_;
+    std::size_t ended_ = 0;
+    load_result result_;
+};
+
+} // namespace figridge
+
+#endif
--- a/tests/fault_matrix.cpp
+++ b/tests/fault_matrix.cpp
@@ -9,7 +9,8 @@
 constexpr auto resubmit_host = "10.0.0.4:1";
 constexpr duration boot_time = 1500ms;
 constexpr duration strike_anyway_after = 5s;
-constexpr duration heal_after = 6s;
+constexpr duration long_partition = 25s;
+constexpr duration demand_interval = 1s;
 constexpr duration run_slice = 5s;
 constexpr int max_slices = 30;
 constexpr std::uint32_t task_ms = 400;
@@ -83,23 +84,63 @@
     }
 }
 
+// Keeps every host wanting more of the limited entry than its own part.
+void keep_demand(virtual_cluster& cluster, duration left, int number) {
+    for (const auto& host : cluster.host_names()) {
+        if (cluster.is_up(host)) {
+            cluster.submit(
+                host, make_job("tight", 2, absl::StrCat("demand", number)));
+        }
+    }
+    if (left > duration{0}) {
+        cluster.at(demand_interval, [&cluster, left, number] {
+            keep_demand(cluster, left - demand_interval, number + 1);
+        });
+    }
+}
+
 void restart_soon(virtual_cluster& cluster, const std::string& host) {
     cluster.kill(host);
     cluster.at(300ms, [&cluster, host] { cluster.restart(host); });
 }
 
+// What a single fault may do to the tracked job, and to a caller that asks
+// for its answer again.
+void judge_tracked(virtual_cluster& cluster, const fault_case& fault,
+                   std::size_t tracked, std::size_t again,
+                   std::vector<std::string>& violations) {
+    for (const auto index : {tracked, again}) {
+        const auto& call = cluster.call(index);
+        const auto& answer = call.final_answer;
+        if (fault.must_complete && answer &&
+            answer->state != job_state::complete) {
+            violations.push_back(absl::StrCat(
+                "failed: the tracked job ended ",
+                std::string(to_string(answer->cause)), ": ", answer->detail));
+        }
+    }
+    const auto& first = cluster.call(tracked);
+    const bool late = fault.answer_within > duration{0} &&
+                      first.answered - first.begun > fault.answer_within;
+    if (late) {
+        violations.push_back(
+            absl::StrCat("late: the tracked job's answer ", "took ",
+                         to_ms(first.answered - first.begun), " ms"));
+    }
+}
+
 } // namespace
 
 const std::vector<fault_case>& all_faults() {
     static const std::vector<fault_case> faults{
         {"kill_coordinator", false,
          [](virtual_cluster& c) { c.kill(coordinator_host); }},
-        {"kill_holder", false,
-         [](virtual_cluster& c) { c.kill(holder_of(c)); }},
+        {"kill_holder", false, [](virtual_cluster& c) { c.kill(holder_of(c)); },
+         6s, 10s},
         {"restart_coordinator", false,
          [](virtual_cluster& c) { restart_soon(c, coordinator_host); }},
         {"restart_holder", false,
-         [](virtual_cluster& c) { restart_soon(c, holder_of(c)); }},
+         [](virtual_cluster& c) { restart_soon(c, holder_of(c)); }, 6s, 10s},
         {"pause_coordinator", true,
          [](virtual_cluster& c) { c.pause(coordinator_host, 5s); }},
         {"pause_holder", true,
@@ -111,6 +152,24 @@
         {"cut_link", true,
          [](virtual_cluster& c) { c.cut(coordinator_host, holder_of(c)); }},
         {"cut_domain", true, [](virtual_cluster& c) { c.cut_domain("d1"); }},
+        {"cut_domain_long", true,
+         [](virtual_cluster& c) { c.cut_domain("d1"); }, long_partition},
+        {"cut_host_long", true,
+         [](virtual_cluster& c) {
+             for (const auto& host : c.host_names()) {
+                 if (host != coordinator_host) {
+                     c.cut(coordinator_host, host);
+                 }
+             }
+         },
+         long_partition},
+        {"restart_cut_off", false,
+         [](virtual_cluster& c) {
+             c.cut_domain("d1");
+             c.set_platform(false);
+             restart_soon(c, coordinator_host);
+         },
+         long_partition},
         {"cut_domain_and_platform", true,
          [](virtual_cluster& c) {
              c.cut_domain("d2");
@@ -250,10 +309,16 @@
     });
     cluster.at(2500ms,
                [&cluster] { cluster.edit("10.0.0.1:1", "raced", "edit-2"); });
+    duration heal_after{0};
+    for (const auto& planned : plan) {
+        heal_after = std::max(heal_after, planned.fault->heal_after);
+    }
+    keep_demand(cluster, strike_anyway_after + heal_after, 0);
     cluster.at(strike_anyway_after + heal_after,
                [&cluster] { cluster.heal(); });
     cluster.run_for(strike_anyway_after + heal_after + 2s);
-    cluster.resubmit(tracked, resubmit_host);
+    const auto again = cluster.resubmit(tracked, resubmit_host);
+    cluster.resubmit(tracked, coordinator_host);
     cluster.run_for(run_slice);
     for (int slice = 0; slice < max_slices && !cluster.all_calls_answered();
          ++slice) {
@@ -261,13 +326,9 @@
     }
     cell_result result;
     result.violations = cluster.violations();
-    const bool must_complete =
-        plan.size() == 1 && plan.front().fault->must_complete;
-    const auto& answer = cluster.call(tracked).final_answer;
-    if (must_complete && answer && answer->state != job_state::complete) {
-        result.violations.push_back(absl::StrCat(
-            "failed: the tracked job ended ",
-            std::string(to_string(answer->cause)), ": ", answer->detail));
+    if (plan.size() == 1) {
+        judge_tracked(cluster, *plan.front().fault, tracked, again,
+                      result.violations);
     }
     result.log = cluster.log_text();
     return result;
--- a/tests/fault_matrix.hpp
+++ b/tests/fault_matrix.hpp
@@ -16,6 +16,9 @@
     std::string name;
     bool must_complete = false;
     std::function<void(virtual_cluster&)> strike;
+    duration heal_after = 6s;
+    // How soon after the fault the tracked job must be answered; 0: no bound.
+    duration answer_within{0};
 };
 
 struct planned_fault {
--- a/tests/fault_matrix_main.cpp
+++ b/tests/fault_matrix_main.cpp
@@ -18,6 +18,7 @@
 DEFINE_uint64(pairs, 600, "How many pairs of faults run.");
 DEFINE_string(only, "", "Run just FAULT@STEP, or FAULT@STEP,FAULT@STEP.");
 DEFINE_bool(show_log, false, "Print the log of each run that breaks.");
+DEFINE_bool(stop_at_first, false, "End at the first broken run.");
 DEFINE_uint64(most_shown, 20, "How many broken runs are printed.");
 
 namespace figridge::testing {
@@ -85,7 +86,8 @@
     const auto work = [&] {
         while (true) {
             const auto index = next++;
-            if (index >= runs.size()) {
+            const bool enough = FLAGS_stop_at_first && violations > 0;
+            if (index >= runs.size() || enough) {
                 return;
             }
             const auto& run = runs[index];
@@ -121,7 +123,9 @@
     }
     const auto singles = plan_singles();
     auto violations = run_all(singles);
-    violations += run_all(plan_pairs());
+    if (violations == 0 || !FLAGS_stop_at_first) {
+        violations += run_all(plan_pairs());
+    }
     std::cout << "matrix cells=" << all_faults().size() * all_steps().size()
               << " pairs=" << FLAGS_pairs << " seeds=" << FLAGS_seeds
               << " violations=" << violations << "\n";
--- a/tests/virtual_cluster.cpp
+++ b/tests/virtual_cluster.cpp
@@ -17,6 +17,8 @@
 constexpr duration refused_retry = 200ms;
 constexpr duration leaving_bound = 3s;
 constexpr duration spread_bound = 4s;
+constexpr duration freshness_bound = 2500ms;
+constexpr duration link_margin = 100ms;
 constexpr duration slow_factor_run = 20s;
 
 constexpr name_table<step, 16> step_names{{
@@ -473,7 +475,8 @@
                 return;
             }
             to_host(to, node.incarnation, duration{0},
-                    [this, message](host_core& core) {
+                    [this, to, message](host_core& core) {
+                        delivered_[{message.from, to}] = now_;
                         core.handle_envelope(now_, message);
                         for (const auto& result : message.payload.results) {
                             reach(step::result_acknowledged, result.ref.id);
@@ -529,6 +532,7 @@
                                           " was given a task at ", to_ms(now_),
                                           " ms"));
         }
+        check_freshness(host, order);
         ++starts_total_;
         ++starts_[{order.ref.id, order.ref.task}];
         auto& running = ++running_of_entry_[order.entry];
@@ -784,18 +788,17 @@
     at(after, [this, index] { send_call(index, ""); });
 }
 
-void virtual_cluster::resubmit(std::size_t call, const std::string& host) {
+std::size_t virtual_cluster::resubmit(std::size_t call,
+                                      const std::string& host) {
     const auto index = calls_.size();
     calls_.push_back(std::make_unique<virtual_call>());
     auto& made = *calls_.back();
     made.job = calls_[call]->job;
     made.id = calls_[call]->id;
+    made.gives_up_ids = made.id.host.empty();
     made.begun = now_;
-    if (!made.id.host.empty()) {
-        send_call(index, host);
-    } else {
-        calls_.pop_back();
-    }
+    send_call(index, host);
+    return index;
 }
 
 void virtual_cluster::cancel(std::size_t call, const std::string& host) {
@@ -840,6 +843,7 @@
     reach(step::answered, made.id);
     at(1s, [this, id = made.id] { reach(step::retained, id); });
     made.final_answer = answer;
+    made.answered = now_;
 }
 
 void virtual_cluster::edit(const std::string& host, const std::string& entry,
@@ -938,6 +942,37 @@
     return found == most_running_.end() ? 0 : found->second;
 }
 
+// A holder may not start tasks of a coordinator that it has not heard of for
+// a while: that one may be gone, and its limits spent by others.
+void virtual_cluster::check_freshness(const std::string& holder,
+                                      const start_order& order) {
+    const auto& coordinator = order.ref.id.host;
+    const auto heard = delivered_.find({coordinator, holder});
+    const bool stale = coordinator != holder &&
+                       (heard == delivered_.end() ||
+                        now_ - heard->second > freshness_bound + link_margin);
+    if (stale) {
+        found_.push_back(absl::StrCat("stale_start: ", holder, " started ",
+                                      to_string(order.ref.id), " at ",
+                                      to_ms(now_), " ms"));
+    }
+}
+
+void virtual_cluster::check_keys(std::vector<std::string>& found) const {
+    std::map<std::string, std::set<submission_id>> ran;
+    for (const auto& made : calls_) {
+        if (!made->job.idempotency_key.empty() && starts_of(made->id) > 0) {
+            ran[made->job.idempotency_key].insert(made->id);
+        }
+    }
+    for (const auto& [key, ids] : ran) {
+        if (ids.size() > 1) {
+            found.push_back(absl::StrCat("doubled: key ", key, " ran under ",
+                                         ids.size(), " ids"));
+        }
+    }
+}
+
 void virtual_cluster::check_starts(std::vector<std::string>& found) const {
     std::set<submission_id> idempotent;
     for (const auto& made : calls_) {
@@ -1059,6 +1094,7 @@
     check_answers(found);
     check_catalogue(found);
     check_limits(found);
+    check_keys(found);
     return found;
 }
 
--- a/tests/virtual_cluster.hpp
+++ b/tests/virtual_cluster.hpp
@@ -56,6 +56,7 @@
     std::optional<job_answer> final_answer;
     std::vector<job_answer> answers;
     timestamp begun{0};
+    timestamp answered{0};
     bool is_tracked = false;
 };
 
@@ -107,7 +108,8 @@
 
     // --- callers and operators ---
     std::size_t submit(const std::string& host, const job_request& job);
-    void resubmit(std::size_t call, const std::string& host);
+    // Asks again under the same id; returns the new call.
+    std::size_t resubmit(std::size_t call, const std::string& host);
     void cancel(std::size_t call, const std::string& host);
     virtual_call& call(std::size_t index) { return *calls_[index]; }
     void edit(const std::string& host, const std::string& entry,
@@ -202,6 +204,8 @@
     void check_answers(std::vector<std::string>& found) const;
     void check_catalogue(std::vector<std::string>& found);
     void check_limits(std::vector<std::string>& found) const;
+    void check_keys(std::vector<std::string>& found) const;
+    void check_freshness(const std::string& holder, const start_order& order);
 
     virtual_options options_;
     std::mt19937_64 random_;
@@ -210,6 +214,7 @@
     std::uint64_t next_event_ = 1;
     std::map<std::string, std::unique_ptr<host_node>> hosts_;
     std::map<std::string, virtual_endpoint> endpoints_;
+    std::map<std::pair<std::string, std::string>, timestamp> delivered_;
     std::map<std::string, table_cell> table_;
     bool platform_up_ = true;
     duration platform_delay_{0};
