--- a/src/core/host_core_impl.cpp
+++ b/src/core/host_core_impl.cpp
@@ -299,6 +299,9 @@
     }
     for (auto& [domain, holders] : now_holders) {
         holders = members.holders_of_domain(domain, draining);
+        if (stage_ == stop_stage::handing_over) {
+            std::erase(holders, context.settings.self.address);
+        }
     }
     if (directory_changed_ || now_holders != domain_holders_) {
         domain_holders_ = std::move(now_holders);
@@ -429,7 +432,6 @@
     context.log(log_level::info, "drain_started", {});
     draining = true;
     stage_ = stop_stage::working_off;
-    drain_started_ = context.now;
     jobs.start_draining();
     refresh_topology();
     const auto advert = own_advert();
@@ -439,38 +441,48 @@
 }
 
 bool host_core::impl::is_worked_off() const {
-    // Peers that have seen the drain send no more tasks, and what they sent
-    // before has arrived, since links keep their order.
+    return jobs.is_idle() && holder.running() == 0 && holder.queued() == 0 &&
+           router.open_requests() == 0;
+}
+
+// True once every live peer has seen that this host holds no endpoint. What a
+// peer sent before has then arrived, since links keep their order.
+bool host_core::impl::peers_know_closing() const {
     const auto hosts = members.alive_hosts();
-    const bool peers_know =
-        std::all_of(hosts.begin(), hosts.end(), [this](const auto& host) {
-            return host == context.settings.self.address ||
-                   members.echo_of(host) >= drain_started_;
-        });
-    return peers_know && jobs.is_idle() && holder.running() == 0 &&
-           holder.queued() == 0 && router.open_requests() == 0;
+    return std::all_of(hosts.begin(), hosts.end(), [this](const auto& host) {
+        return host == context.settings.self.address ||
+               members.echo_of(host) >= closed_at_;
+    });
 }
 
 void host_core::impl::advance_stop() {
     if (stage_ == stop_stage::working_off && is_worked_off()) {
         stage_ = stop_stage::handing_over;
-        handover_until_ = context.now + handover_limit;
+        closed_at_ = context.now;
+        refresh_topology();
         hand_over_answers();
-        if (start_mark_written_ && limits.is_idle()) {
-            table_transaction transaction;
-            transaction.conditions = {{start_mark_key(), start_mark_version_}};
-            transaction.writes = {{start_mark_key(), clean_mark}};
-            store.transact(transaction, [](const table_reply&) {});
-        }
+        mark_clean_stop();
     } else if (stage_ == stop_stage::handing_over) {
-        const bool sent = members.all_acknowledged() && !store.is_busy();
-        if ((is_worked_off() && sent) || context.now >= handover_until_) {
+        const bool is_over = is_worked_off() && peers_know_closing() &&
+                             members.all_acknowledged() && !store.is_busy();
+        const bool is_late = context.now - closed_at_ >= handover_limit;
+        if (is_over || (is_late && is_worked_off())) {
             stage_ = stop_stage::done;
             context.log(log_level::info, "drain_finished", {});
         }
     }
 }
 
+void host_core::impl::mark_clean_stop() {
+    if (!start_mark_written_ || !limits.is_idle()) {
+        return;
+    }
+    table_transaction transaction;
+    transaction.conditions = {{start_mark_key(), start_mark_version_}};
+    transaction.writes = {{start_mark_key(), clean_mark}};
+    store.transact(transaction, [](const table_reply&) {});
+}
+
 void host_core::impl::hand_over_answers() {
     std::string heir;
     for (const auto& host : members.alive_hosts()) {
--- a/src/core/host_core_impl.hpp
+++ b/src/core/host_core_impl.hpp
@@ -86,6 +86,8 @@
     void write_start_mark(std::uint64_t row_version, bool clean);
     void advance_stop();
     void hand_over_answers();
+    void mark_clean_stop();
+    [[nodiscard]] bool peers_know_closing() const;
     [[nodiscard]] std::string start_mark_key() const;
     [[nodiscard]] bool is_worked_off() const;
     [[nodiscard]] domain_ejections ejections_of_others() const;
@@ -96,8 +98,7 @@
     bool listing_ = false;
     bool directory_changed_ = false;
     stop_stage stage_ = stop_stage::running;
-    timestamp drain_started_{0};
-    timestamp handover_until_{0};
+    timestamp closed_at_{0};
     std::uint64_t start_mark_version_ = 0;
     bool start_mark_written_ = false;
 };
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -340,7 +340,17 @@
             (draining ? leaving : staying).push_back(host);
         }
     }
-    return staying.empty() ? leaving : staying;
+    const bool all_drain = staying.empty() && everyone_drains(self_draining);
+    return all_drain ? leaving : staying;
+}
+
+bool membership::everyone_drains(bool self_draining) const {
+    const auto hosts = alive_hosts();
+    return std::all_of(hosts.begin(), hosts.end(), [&](const auto& host) {
+        return host == context_.settings.self.address
+                   ? self_draining
+                   : advert_of(host).draining;
+    });
 }
 
 std::vector<std::string> membership::known_hosts() const {
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -87,7 +87,7 @@
     // Hosts alive now; the own one included. Sorted.
     [[nodiscard]] std::vector<std::string> alive_hosts() const;
     // The hosts of a domain that share out its endpoints: those that drain
-    // only if there are no others.
+    // only if every host drains.
     [[nodiscard]] std::vector<std::string>
     holders_of_domain(const std::string& domain, bool self_draining) const;
 
@@ -124,6 +124,7 @@
     [[nodiscard]] bool heard_recently(const peer& other) const;
     void forget_incarnation(const std::string& host, peer& other);
     void adopt_incarnation(peer& other, std::uint64_t incarnation);
+    [[nodiscard]] bool everyone_drains(bool self_draining) const;
     [[nodiscard]] static bool nobody_listens(const peer& other, timestamp now);
     void drop_acknowledged(peer& other, std::uint64_t ack);
     void enqueue_outbox(peer& other);
--- /dev/null
+++ b/tests/fair_queue_test.cpp
@@ -0,0 +1,100 @@
+#define BOOST_TEST_DYN_LINK
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+#include "core/fair_queue.hpp"
+
+namespace figridge {
+namespace {
+
+queued_task make_task(const std::string& owner, std::uint64_t counter,
+                      priority_class priority = priority_class::normal) {
+    queued_task task;
+    task.ref.id.counter = counter;
+    task.owner = owner;
+    task.priority = priority;
+    task.submitted = timestamp{static_cast<std::int64_t>(counter)};
+    return task;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(queue_order)
+
+BOOST_AUTO_TEST_CASE(oldest_job_of_an_owner_goes_first) {
+    fair_queue queue;
+    queue.push(make_task("a", 2));
+    queue.push(make_task("a", 1));
+    BOOST_TEST(queue.pop()->ref.id.counter == 1U);
+    BOOST_TEST(queue.pop()->ref.id.counter == 2U);
+    BOOST_TEST(!queue.pop().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(owners_get_equal_task_time_whatever_they_file) {
+    // 54 owners; one of them files ten times as many tasks.
+    fair_queue queue;
+    std::uint64_t counter = 0;
+    for (int owner = 0; owner < 54; ++owner) {
+        for (int task = 0; task < (owner == 0 ? 200 : 20); ++task) {
+            queue.push(make_task("owner" + std::to_string(owner), counter++));
+        }
+    }
+    std::map<std::string, int> picked;
+    for (int pick = 0; pick < 540; ++pick) {
+        const auto task = queue.pop();
+        ++picked[task->owner];
+        queue.charge(task->owner, 100ms);
+    }
+    BOOST_TEST(picked.size() == 54U);
+    for (const auto& [owner, count] : picked) {
+        BOOST_TEST(count == 10, owner << " got " << count);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(urgent_goes_first_whoever_files_it) {
+    fair_queue queue;
+    queue.charge("heavy", 100s);
+    queue.push(make_task("light", 1));
+    queue.push(make_task("heavy", 2, priority_class::urgent));
+    BOOST_TEST(queue.pop()->owner == "heavy");
+}
+
+BOOST_AUTO_TEST_CASE(normal_work_is_not_starved_by_urgent_work) {
+    fair_queue queue;
+    queue.push(make_task("patient", 0));
+    std::uint64_t counter = 1;
+    int waited = 0;
+    while (true) {
+        queue.push(make_task("hasty", counter++, priority_class::urgent));
+        if (queue.pop()->owner == "patient") {
+            break;
+        }
+        ++waited;
+        BOOST_REQUIRE_MESSAGE(waited < 100, "starved for 100 picks");
+    }
+    BOOST_TEST(waited > 0);
+}
+
+BOOST_AUTO_TEST_CASE(an_owner_that_was_idle_has_no_claim_on_the_past) {
+    fair_queue queue;
+    for (int task = 0; task < 40; ++task) {
+        queue.push(make_task("busy", static_cast<std::uint64_t>(task)));
+        queue.charge("busy", 1s);
+    }
+    for (int task = 0; task < 40; ++task) {
+        queue.push(make_task("new", static_cast<std::uint64_t>(100 + task)));
+    }
+    int of_busy = 0;
+    for (int pick = 0; pick < 20; ++pick) {
+        const auto task = queue.pop();
+        of_busy += task->owner == "busy" ? 1 : 0;
+        queue.charge(task->owner, 1s);
+    }
+    BOOST_TEST(of_busy >= 9);
+    BOOST_TEST(of_busy <= 11);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace figridge
