--- a/include/figridge/messages.hpp
+++ b/include/figridge/messages.hpp
@@ -26,12 +26,15 @@
     std::uint32_t endpoints_held = 0;
     std::uint32_t endpoints_ejected = 0;
     std::uint32_t mean_run_ms = 0;
+    std::uint32_t recently_ended = 0; // tasks, at endpoints not ejected
+    std::uint32_t recently_failed = 0;
     std::uint64_t catalogue_version = 0;
     bool draining = false;
 
     bool operator==(const host_advert&) const = default;
     MSGPACK_DEFINE(free_slots, total_slots, queued_tasks, endpoints_held,
-                   endpoints_ejected, mean_run_ms, catalogue_version, draining);
+                   endpoints_ejected, mean_run_ms, recently_ended,
+                   recently_failed, catalogue_version, draining);
 };
 
 // Sends tasks of one job to the holder of some endpoints. `echo_us` is the
--- a/src/core/endpoint_pool.cpp
+++ b/src/core/endpoint_pool.cpp
@@ -140,19 +140,27 @@
     task_vanished(endpoint);
 }
 
-bool endpoint_pool::others_do_well(const std::string& endpoint) const {
-    std::size_t ended = 0;
-    std::size_t failed = 0;
+peer_health endpoint_pool::recent_ends(const std::string& but_for) const {
+    peer_health sum;
     for (const auto& [address, other] : endpoints_) {
-        if (address != endpoint && other.health == endpoint_health::good) {
-            ended += other.recent.size();
-            failed += count_failures(other);
+        if (address != but_for && other.health == endpoint_health::good) {
+            sum.ended += static_cast<std::uint32_t>(other.recent.size());
+            sum.failed += static_cast<std::uint32_t>(count_failures(other));
         }
     }
+    return sum;
+}
+
+bool endpoint_pool::others_do_well(const std::string& endpoint,
+                                   const peer_health& others) const {
+    const auto own = recent_ends(endpoint);
+    const auto ended = own.ended + others.ended;
+    const auto failed = own.failed + others.failed;
     return ended > 0 && failed * 2 < ended;
 }
 
-bool endpoint_pool::should_eject(const held_endpoint& endpoint) const {
+bool endpoint_pool::should_eject(const held_endpoint& endpoint,
+                                 const peer_health& others) const {
     const auto failures = count_failures(endpoint);
     if (failures < min_failures || failures * 5 < endpoint.recent.size() * 4) {
         return false;
@@ -170,7 +178,7 @@
     }
     const bool sure =
         jobs.size() >= sure_failed_jobs && owners.size() >= sure_failed_owners;
-    return sure || others_do_well(endpoint.info.address);
+    return sure || others_do_well(endpoint.info.address, others);
 }
 
 void endpoint_pool::eject(held_endpoint& endpoint) {
@@ -187,7 +195,7 @@
 void endpoint_pool::task_ended(const std::string& endpoint,
                                const submission_id& job,
                                const std::string& owner, bool failed,
-                               const domain_ejections& others) {
+                               const peer_health& others) {
     auto* found = find(endpoint);
     if (found == nullptr) {
         return;
@@ -205,7 +213,7 @@
             found->eject_backoff = duration{0};
         }
     } else if (found->health == endpoint_health::good && failed &&
-               should_eject(*found)) {
+               should_eject(*found, others)) {
         const auto held = held_count() + others.held;
         const auto ejected = ejected_count() + others.ejected;
         if ((ejected + 1) * 2 <= held) {
--- a/src/core/endpoint_pool.hpp
+++ b/src/core/endpoint_pool.hpp
@@ -41,10 +41,13 @@
     [[nodiscard]] std::uint32_t free_slots(timestamp now) const;
 };
 
-// What the rest of the domain reports, for the cap on ejections.
-struct domain_ejections {
+// What other hosts report: ejections in the own domain, for the cap, and how
+// tasks ended anywhere, to tell a bad endpoint from bad jobs.
+struct peer_health {
     std::uint32_t held = 0;
     std::uint32_t ejected = 0;
+    std::uint32_t ended = 0;
+    std::uint32_t failed = 0;
 };
 
 // Owned by `slot_holder`. Not thread-safe.
@@ -66,7 +69,7 @@
     void task_started(const std::string& endpoint);
     void task_ended(const std::string& endpoint, const submission_id& job,
                     const std::string& owner, bool failed,
-                    const domain_ejections& others);
+                    const peer_health& others);
     // The endpoint refused a start: stop trying for a growing while.
     void start_refused(const std::string& endpoint);
     void task_vanished(const std::string& endpoint);
@@ -77,6 +80,8 @@
 
     [[nodiscard]] std::uint32_t free_slots() const;
     [[nodiscard]] std::uint32_t total_slots() const;
+    // How the last tasks at endpoints in good health ended, but for one.
+    [[nodiscard]] peer_health recent_ends(const std::string& but_for) const;
     [[nodiscard]] std::uint32_t held_count() const;
     [[nodiscard]] std::uint32_t ejected_count() const;
     [[nodiscard]] const std::map<std::string, held_endpoint>& all() const {
@@ -84,8 +89,10 @@
     }
 
 private:
-    [[nodiscard]] bool others_do_well(const std::string& endpoint) const;
-    [[nodiscard]] bool should_eject(const held_endpoint& endpoint) const;
+    [[nodiscard]] bool others_do_well(const std::string& endpoint,
+                                      const peer_health& others) const;
+    [[nodiscard]] bool should_eject(const held_endpoint& endpoint,
+                                    const peer_health& others) const;
     void eject(held_endpoint& endpoint);
     held_endpoint* find(const std::string& endpoint);
     void drop_if_unused(const std::string& endpoint);
--- a/src/core/host_core_impl.cpp
+++ b/src/core/host_core_impl.cpp
@@ -61,7 +61,7 @@
     limits.tick();
     router.tick();
     jobs.tick();
-    holder.tick(ejections_of_others());
+    holder.tick(health_at_others());
     advance_stop();
     members.send_due_heartbeats(own_advert());
 }
@@ -234,6 +234,9 @@
     advert.endpoints_held = holder.pool().held_count();
     advert.endpoints_ejected = holder.pool().ejected_count();
     advert.mean_run_ms = holder.mean_run_ms();
+    const auto ends = holder.pool().recent_ends({});
+    advert.recently_ended = ends.ended;
+    advert.recently_failed = ends.failed;
     advert.catalogue_version = keeper.current().version;
     advert.draining = draining;
     return advert;
@@ -329,14 +332,16 @@
     holder.assign(mine, leaving);
 }
 
-domain_ejections host_core::impl::ejections_of_others() const {
-    domain_ejections sum;
+peer_health host_core::impl::health_at_others() const {
+    const auto& self = context.settings.self;
+    peer_health sum;
     for (const auto& host : members.alive_hosts()) {
-        if (members.domain_of(host) == context.settings.self.failure_domain) {
-            const auto& advert = members.advert_of(host);
-            sum.held += advert.endpoints_held;
-            sum.ejected += advert.endpoints_ejected;
-        }
+        const auto& advert = members.advert_of(host);
+        const bool near = members.domain_of(host) == self.failure_domain;
+        sum.held += near ? advert.endpoints_held : 0;
+        sum.ejected += near ? advert.endpoints_ejected : 0;
+        sum.ended += advert.recently_ended;
+        sum.failed += advert.recently_failed;
     }
     return sum;
 }
--- a/src/core/slot_holder.cpp
+++ b/src/core/slot_holder.cpp
@@ -250,8 +250,13 @@
     std::string loaded;
     std::uint32_t most = min_queue_to_pull_from;
     for (const auto& host : members_.alive_hosts()) {
+        // One pull an advert: the next waits for news of the queue.
+        const auto pulled = pulled_.find(host);
+        const bool is_news = pulled == pulled_.end() ||
+                             members_.echo_of(host) >= pulled->second;
         if (const auto queued = members_.advert_of(host).queued_tasks;
-            queued > most && host != context_.settings.self.address) {
+            queued > most && is_news &&
+            host != context_.settings.self.address) {
             loaded = host;
             most = queued;
         }
@@ -269,6 +274,7 @@
     }
     if (const auto host = most_loaded_host(); !host.empty()) {
         pulled_at_ = context_.now;
+        pulled_[host] = context_.now;
         members_.outbox(host).pulls.push_back({free});
     }
 }
@@ -303,7 +309,7 @@
     }
 }
 
-void slot_holder::tick(const domain_ejections& others) {
+void slot_holder::tick(const peer_health& others) {
     others_ = others;
     give_up_overdue_tasks();
     for (auto& [host, tasks] : parked_) {
--- a/src/core/slot_holder.hpp
+++ b/src/core/slot_holder.hpp
@@ -36,7 +36,7 @@
     // Starts what can be started; call after any change of slots or queue.
     void dispatch();
 
-    void tick(const domain_ejections& others);
+    void tick(const peer_health& others);
 
     // Takes over the endpoints to hold; gives back the queued tasks that none
     // of them fits.
@@ -81,8 +81,9 @@
     fair_queue queue_;
     running_map running_;
     std::map<std::string, std::vector<queued_task>> parked_;
-    domain_ejections others_;
+    peer_health others_;
     std::uint32_t mean_run_ms_ = 0;
+    std::map<std::string, timestamp> pulled_; // by the host asked
     timestamp pulled_at_{-1s};
 };
 
