--- a/testing/load_driver.cpp
+++ b/testing/load_driver.cpp
@@ -1,6 +1,7 @@
 #include "load_driver.hpp"
 
 #include <algorithm>
+#include <iostream>
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -253,6 +254,7 @@
             to_seconds(trace.ideal_response + 2 * options_.caller_delay);
         const auto slowdown = to_seconds(response) / ideal;
         result_.slowdowns.push_back(slowdown);
+        result_.by_job.push_back({slowdown, index, response});
         result_.owner_slowdowns[trace.owner].push_back(slowdown);
         if (trace.urgent) {
             result_.urgent_slowdowns.push_back(slowdown);
@@ -294,6 +296,26 @@
     }
 }
 
+void load_driver::print_slowest(std::size_t most) const {
+    auto jobs = result_.by_job;
+    std::sort(jobs.begin(), jobs.end(), [](const auto& a, const auto& b) {
+        return a.slowdown > b.slowdown;
+    });
+    jobs.resize(std::min(most, jobs.size()));
+    for (const auto& job : jobs) {
+        const auto& trace = trace_[job.index];
+        std::cerr << "  slow job: slowdown " << job.slowdown << " response_ms "
+                  << to_ms(job.response) << " ideal_ms "
+                  << to_ms(trace.ideal_response) << " arrival_ms "
+                  << to_ms(trace.arrival) << " tasks " << trace.run_ms.size()
+                  << " longest_ms "
+                  << *std::max_element(trace.run_ms.begin(),
+                                       trace.run_ms.end())
+                  << " urgent " << trace.urgent << " owner " << trace.owner
+                  << "\n";
+    }
+}
+
 std::map<std::string, double> load_driver::read_metrics() {
     std::map<std::string, double> sums;
     for (const auto& host : options_.hosts) {
--- a/testing/load_driver.hpp
+++ b/testing/load_driver.hpp
@@ -41,6 +41,12 @@
     std::uint64_t late_starts = 0;
     std::map<std::string, std::uint64_t> causes;
     std::vector<double> slowdowns;
+    struct slow_job {
+        double slowdown = 0;
+        std::size_t index = 0;
+        duration response{0};
+    };
+    std::vector<slow_job> by_job;
     std::vector<double> urgent_slowdowns;
     std::map<std::uint32_t, std::vector<double>> owner_slowdowns;
 };
@@ -57,6 +63,9 @@
     // Sends the whole trace and waits for every answer.
     load_result run();
 
+    // Prints the jobs that were slowest against the ideal.
+    void print_slowest(std::size_t most) const;
+
     // Sums of the hosts' metrics: messages by use, processor time.
     std::map<std::string, double> read_metrics();
 
--- a/testing/load_main.cpp
+++ b/testing/load_main.cpp
@@ -28,6 +28,7 @@
 DEFINE_double(cancel_share, 0, "Jobs that are cancelled.");
 DEFINE_uint32(deadline_ms, 60000, "Deadline of jobs.");
 DEFINE_uint32(patience_ms, 90000, "A job without answer by then is lost.");
+DEFINE_uint64(show_slowest, 0, "Print this many of the slowest jobs.");
 DEFINE_bool(as_bench, false, "Print a bench line.");
 
 namespace figridge {
@@ -130,6 +131,7 @@
     const auto result = driver.run();
     if (FLAGS_as_bench) {
         print_bench(result, before, driver.read_metrics());
+        driver.print_slowest(FLAGS_show_slowest);
     } else {
         print_load(result);
     }
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -202,6 +202,7 @@
     }
     BOOST_TEST(bad_is_ejected);
     BOOST_TEST(ejected == 1);
+    cluster.run_for(5s);
     check_no_violations(cluster);
 }
 
