--- a/src/adapters/platform_http.cpp
+++ b/src/adapters/platform_http.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-platform_http::platform_http(http_client& client, std::string address,
+platform_http::platform_http(http_client& client, const std::string& address,
                              duration timeout, platform_events& events)
     : client_(client), base_(absl::StrCat("http://", address)),
       timeout_(timeout), events_(events) {}
--- a/src/adapters/platform_http.hpp
+++ b/src/adapters/platform_http.hpp
@@ -21,8 +21,8 @@
 // Owned by the daemon's main object. Not thread-safe.
 class platform_http final : public platform_port {
 public:
-    platform_http(http_client& client, std::string address, duration timeout,
-                  platform_events& events);
+    platform_http(http_client& client, const std::string& address,
+                  duration timeout, platform_events& events);
 
     void transact(std::uint64_t request,
                   const table_transaction& transaction) override;
--- a/src/adapters/settings_file.cpp
+++ b/src/adapters/settings_file.cpp
@@ -71,7 +71,7 @@
     return [&target, least,
             most](const std::string& value) -> std::optional<std::string> {
         std::uint64_t number = 0;
-        const auto error = set_number(number, least, most)(value);
+        auto error = set_number(number, least, most)(value);
         if (!error) {
             target = std::chrono::milliseconds(number);
         }
--- a/src/core/key_registry.cpp
+++ b/src/core/key_registry.cpp
@@ -82,6 +82,7 @@
 
 void key_registry::read_back(std::vector<open_claim> claims) {
     std::vector<std::string> rows;
+    rows.reserve(claims.size());
     for (const auto& claim : claims) {
         rows.push_back(claim.row);
     }
