--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -5,6 +5,7 @@
 set -u
 cd "$(dirname "$0")/.."
 build=${BUILD:-build/release}
+at_once=4
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 libraries="$(pkg-config --libs absl_strings absl_status absl_statusor \
@@ -40,8 +41,12 @@
 
 mapfile -t lines < <(grep -v '^#' tests/mutants.txt)
 for line in "${lines[@]}"; do
-    run_mutant "$line" | tee -a "$work/results"
+    while [ "$(jobs -r | wc -l)" -ge "$at_once" ]; do
+        wait -n
+    done
+    run_mutant "$line" | tee -a "$work/results" &
 done
+wait
 caught=$(grep -c ': caught by' "$work/results")
 echo "mutants=${#lines[@]} caught=$caught"
 [ "$caught" -eq "${#lines[@]}" ]
--- a/src/adapters/caller_api.cpp
+++ b/src/adapters/caller_api.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/strip.h>
 
 #include "codec/json_codec.hpp"
+#include "core/name_table.hpp"
 
 namespace figridge {
 namespace {
@@ -81,21 +82,13 @@
     return http_bad_gateway;
 }
 
-constexpr const char* name_of(edit_status status) {
-    switch (status) {
-    case edit_status::stored:
-        return "stored";
-    case edit_status::conflict:
-        return "conflict";
-    case edit_status::invalid:
-        return "invalid";
-    case edit_status::store_down:
-        return "store_down";
-    case edit_status::not_ready:
-        return "not_ready";
-    }
-    return "invalid";
-}
+constexpr name_table<edit_status, 5> edit_status_names{{
+    {edit_status::stored, "stored"},
+    {edit_status::conflict, "conflict"},
+    {edit_status::invalid, "invalid"},
+    {edit_status::store_down, "store_down"},
+    {edit_status::not_ready, "not_ready"},
+}};
 
 } // namespace
 
@@ -233,7 +226,6 @@
     }
     auto& call = held_[request.token];
     call.id = id;
-    call.wants_fresh_ids = request.method == "PUT";
     const auto token = request.token;
     call.wait_limit = std::make_unique<timer_watcher>(
         loop_, [this, token] { give_up_waiting(token); });
@@ -290,32 +282,34 @@
     respond_error(request, http_not_found, "path: unknown");
 }
 
-void caller_api::check(const http_request& request) {
+std::optional<catalogue_edit>
+caller_api::read_edit(const http_request& request) {
     const auto body = parse_json(request.body);
-    const auto change = body.ok()
-                            ? edit_from_json(*body)
+    auto change = body.ok() ? edit_from_json(*body)
                             : absl::StatusOr<catalogue_edit>(body.status());
     if (!change.ok()) {
-        return respond_error(request, http_bad_request,
-                             std::string(change.status().message()));
+        respond_error(request, http_bad_request,
+                      std::string(change.status().message()));
+        return std::nullopt;
+    }
+    return *std::move(change);
+}
+
+void caller_api::check(const http_request& request) {
+    if (read_edit(request)) {
+        respond(request, http_ok, {{"status", "valid"}});
     }
-    respond(request, http_ok, {{"status", "valid"}});
 }
 
 void caller_api::edit(const http_request& request) {
-    const auto body = parse_json(request.body);
-    const auto change = body.ok()
-                            ? edit_from_json(*body)
-                            : absl::StatusOr<catalogue_edit>(body.status());
-    if (!change.ok()) {
-        return respond_error(request, http_bad_request,
-                             std::string(change.status().message()));
+    if (const auto change = read_edit(request)) {
+        core_->edit_catalogue(event_loop::now(), request.token, *change);
     }
-    core_->edit_catalogue(event_loop::now(), request.token, *change);
 }
 
 void caller_api::answer_edit(caller_token token, const edit_answer& answer) {
-    json body{{"status", name_of(answer.status)}, {"version", answer.version}};
+    json body{{"status", find_name(edit_status_names, answer.status)},
+              {"version", answer.version}};
     if (!answer.detail.empty()) {
         body[answer.status == edit_status::stored ? "detail" : "error"] =
             answer.detail;
--- a/src/adapters/caller_api.hpp
+++ b/src/adapters/caller_api.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -45,7 +46,6 @@
 private:
     struct held_call {
         submission_id id;
-        bool wants_fresh_ids = false;
         std::unique_ptr<timer_watcher> wait_limit;
     };
 
@@ -56,6 +56,8 @@
     void draw_ids(const http_request& request);
     void submit(const http_request& request, const submission_id& id);
     void submit_fresh(const http_request& request);
+    // Parses an edit; answers the request itself if that fails.
+    std::optional<catalogue_edit> read_edit(const http_request& request);
     void edit(const http_request& request);
     void check(const http_request& request);
     void mark_endpoint(const http_request& request, const std::string& address,
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -47,11 +47,7 @@
 }
 
 absl::Status http_server::start(const std::string& address) {
-    const auto parsed = parse_socket_address(address);
-    if (!parsed.ok()) {
-        return parsed.status();
-    }
-    const auto listener = listen_on(*parsed);
+    const auto listener = listen_on(address);
     if (!listener.ok()) {
         return listener.status();
     }
--- a/src/adapters/peer_transport.cpp
+++ b/src/adapters/peer_transport.cpp
@@ -278,11 +278,7 @@
 }
 
 absl::Status peer_transport::listen(const std::string& address) {
-    const auto parsed = parse_socket_address(address);
-    if (!parsed.ok()) {
-        return parsed.status();
-    }
-    const auto listener = listen_on(*parsed);
+    const auto listener = listen_on(address);
     if (!listener.ok()) {
         return listener.status();
     }
--- a/src/adapters/socket_address.cpp
+++ b/src/adapters/socket_address.cpp
@@ -40,7 +40,11 @@
     return address;
 }
 
-absl::StatusOr<int> listen_on(const sockaddr_in& address) {
+absl::StatusOr<int> listen_on(std::string_view address) {
+    const auto parsed = parse_socket_address(address);
+    if (!parsed.ok()) {
+        return parsed.status();
+    }
     const int descriptor =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0) {
@@ -48,8 +52,8 @@
     }
     const int on = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    const auto* raw = reinterpret_cast<const sockaddr*>(&address);
-    if (bind(descriptor, raw, sizeof(address)) != 0 ||
+    const auto* raw = reinterpret_cast<const sockaddr*>(&*parsed);
+    if (bind(descriptor, raw, sizeof(*parsed)) != 0 ||
         listen(descriptor, listen_backlog) != 0) {
         const auto error = absl::UnavailableError(
             absl::StrCat("can't listen: ", strerror(errno)));
--- a/src/adapters/socket_address.hpp
+++ b/src/adapters/socket_address.hpp
@@ -14,8 +14,8 @@
 // Parses an IPv4 address and a port. Thread-safe.
 absl::StatusOr<sockaddr_in> parse_socket_address(std::string_view text);
 
-// Opens a non-blocking TCP listener. Thread-safe.
-absl::StatusOr<int> listen_on(const sockaddr_in& address);
+// Opens a non-blocking TCP listener on `ip:port`. Thread-safe.
+absl::StatusOr<int> listen_on(std::string_view address);
 
 } // namespace figridge
 
--- a/src/core/host_core_impl.cpp
+++ b/src/core/host_core_impl.cpp
@@ -11,6 +11,7 @@
 
 constexpr auto clean_mark = "clean";
 constexpr duration handover_limit = 2s;
+constexpr duration topology_check_interval = 100ms;
 constexpr std::size_t answers_per_handover = 500;
 
 } // namespace
@@ -56,8 +57,11 @@
     poll_endpoint_list();
     keeper.tick();
     keys.tick();
-    refresh_topology();
-    introduce_to_new_peers();
+    if (context.now - topology_checked_at_ >= topology_check_interval) {
+        topology_checked_at_ = context.now;
+        refresh_topology();
+        introduce_to_new_peers();
+    }
     limits.tick();
     router.tick();
     jobs.tick();
--- a/src/figridged/daemon.cpp
+++ b/src/figridged/daemon.cpp
@@ -22,7 +22,7 @@
 namespace figridge {
 namespace {
 
-constexpr duration tick_interval = 10ms;
+constexpr duration tick_interval = 20ms;
 constexpr duration cut_grace = 5s;
 constexpr int exit_port_unusable = 1;
 constexpr int exit_stop_cut_work = 3;
--- a/testing/endpoints_main.cpp
+++ b/testing/endpoints_main.cpp
@@ -3,14 +3,13 @@
 // PUT /control: {"endpoint": INDEX or "all", "mode": NAME} sets how they
 // behave; {"endpoint": INDEX, "expect_no_starts_after_ms": N} counts later
 // starts. GET /report tells what was started.
-#include <csignal>
-#include <iostream>
 #include <memory>
 #include <vector>
 
 #include <gflags/gflags.h>
 
 #include "endpoint_stand_in.hpp"
+#include "run_stand_in.hpp"
 #include "stand_in_layout.hpp"
 
 DEFINE_string(control, "127.0.0.1:7199", "Address of the control server.");
@@ -89,23 +88,11 @@
     http_server control_;
 };
 
-int run() {
-    event_loop loop;
-    endpoint_group group(loop);
-    if (const auto status = group.start(); !status.ok()) {
-        std::cerr << "endpoints_stand_in: " << status.message() << "\n";
-        return 1;
-    }
-    signal_watcher on_term(loop, SIGTERM, [&loop] { loop.stop(); });
-    signal_watcher on_int(loop, SIGINT, [&loop] { loop.stop(); });
-    loop.run();
-    return 0;
-}
-
 } // namespace
 } // namespace figridge
 
 int main(int argc, char** argv) {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    return figridge::run();
+    return figridge::run_stand_in<figridge::endpoint_group>(
+        "endpoints_stand_in");
 }
--- a/testing/platform_main.cpp
+++ b/testing/platform_main.cpp
@@ -2,8 +2,6 @@
 // endpoints. PUT /control makes it fail: {"mode": "up" | "down" | "slow",
 // "slow_ms": N, "lose_replies": N}. PUT /leaving/ADDRESS marks an endpoint as
 // leaving; the list shows it after the lag.
-#include <csignal>
-#include <iostream>
 #include <map>
 #include <memory>
 
@@ -13,6 +11,7 @@
 #include "adapters/event_loop.hpp"
 #include "adapters/http_server.hpp"
 #include "codec/json_codec.hpp"
+#include "run_stand_in.hpp"
 #include "stand_in_layout.hpp"
 
 DEFINE_string(listen, "127.0.0.1:7000", "Address to listen on.");
@@ -198,23 +197,11 @@
     http_server server_;
 };
 
-int run() {
-    event_loop loop;
-    platform_stand_in platform(loop);
-    if (const auto status = platform.start(); !status.ok()) {
-        std::cerr << "platform_stand_in: " << status.message() << "\n";
-        return 1;
-    }
-    signal_watcher on_term(loop, SIGTERM, [&loop] { loop.stop(); });
-    signal_watcher on_int(loop, SIGINT, [&loop] { loop.stop(); });
-    loop.run();
-    return 0;
-}
-
 } // namespace
 } // namespace figridge
 
 int main(int argc, char** argv) {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    return figridge::run();
+    return figridge::run_stand_in<figridge::platform_stand_in>(
+        "platform_stand_in");
 }
--- a/tests/virtual_cluster.cpp
+++ b/tests/virtual_cluster.cpp
@@ -8,6 +8,7 @@
 
 #include "codec/json_codec.hpp"
 #include "core/name_table.hpp"
+#include "virtual_host.hpp"
 
 namespace figridge::testing {
 namespace {
@@ -16,9 +17,6 @@
 constexpr duration caller_retry = 300ms;
 constexpr duration refused_retry = 200ms;
 constexpr duration leaving_bound = 3s;
-constexpr duration spread_bound = 4s;
-constexpr duration freshness_bound = 2500ms;
-constexpr duration link_margin = 100ms;
 constexpr duration slow_factor_run = 20s;
 
 constexpr name_table<step, 16> step_names{{
@@ -40,140 +38,12 @@
     {step::edit_applied, "edit_applied"},
 }};
 
-std::string output_of(const task_spec& spec) {
-    return "done " + spec.payload;
-}
-
 } // namespace
 
 std::string_view to_string(step moment) {
     return find_name(step_names, moment);
 }
 
-// One process: a core and the ports it calls. A paused process takes its
-// inputs when it goes on.
-class virtual_cluster::host_node final : public peer_port,
-                                         public endpoint_port,
-                                         public platform_port,
-                                         public caller_port,
-                                         public observer_port {
-public:
-    host_node(virtual_cluster& cluster, std::string name)
-        : cluster_(cluster), name_(std::move(name)) {}
-
-    void boot(const core_settings& settings) {
-        incarnation = settings.incarnation;
-        paused_until = timestamp{0};
-        draining = false;
-        core = std::make_unique<host_core>(
-            settings, core_ports{*this, *this, *this, *this, *this});
-        core->start(cluster_.now_);
-    }
-
-    void send(const std::string& host, envelope message) override {
-        cluster_.carry(name_, host, std::move(message));
-    }
-    void start(const std::string& endpoint, const start_order& order) override {
-        cluster_.reach(step::slot_asked, order.ref.id);
-        cluster_.reach(step::granted, order.ref.id);
-        cluster_.start_task(name_, endpoint, order);
-    }
-    void stop(const std::string& endpoint, const task_ref& ref) override {
-        cluster_.at(cluster_.link_delay(), [this, endpoint, ref] {
-            cluster_.stop_task(endpoint, ref);
-        });
-    }
-    void probe(const std::string& endpoint) override {
-        cluster_.probe(name_, endpoint);
-    }
-    void transact(std::uint64_t request,
-                  const table_transaction& transaction) override {
-        const bool is_edit = !transaction.conditions.empty() &&
-                             transaction.conditions[0].key == "catalogue/head";
-        cluster_.serve_table(
-            name_, request,
-            [transaction, is_edit](virtual_cluster& cluster) {
-                const auto reply = cluster.transact(transaction);
-                if (is_edit) {
-                    cluster.reach_edit(step::edit_written);
-                }
-                return reply;
-            },
-            true);
-    }
-    void read_keys(std::uint64_t request,
-                   const std::vector<std::string>& keys) override {
-        const bool is_edit = keys.size() == 1 && keys[0].starts_with("edit/");
-        cluster_.serve_table(
-            name_, request,
-            [keys, is_edit](virtual_cluster& cluster) {
-                table_reply reply{table_status::ok, {}};
-                for (const auto& key : keys) {
-                    const auto row = cluster.table_.find(key);
-                    if (row != cluster.table_.end()) {
-                        reply.rows.push_back(
-                            {key, row->second.version, row->second.value});
-                    }
-                }
-                if (is_edit) {
-                    cluster.reach_edit(step::edit_read);
-                }
-                return reply;
-            },
-            false);
-    }
-    void read_prefix(std::uint64_t request,
-                     const std::string& prefix) override {
-        cluster_.serve_table(
-            name_, request,
-            [prefix](virtual_cluster& cluster) {
-                table_reply reply{table_status::ok, {}};
-                for (const auto& [key, row] : cluster.table_) {
-                    if (key.starts_with(prefix)) {
-                        reply.rows.push_back({key, row.version, row.value});
-                    }
-                }
-                return reply;
-            },
-            false);
-    }
-    void read_endpoints(std::uint64_t request) override {
-        cluster_.list_endpoints(name_, request);
-    }
-    void answer(caller_token token, const job_answer& answer) override {
-        cluster_.at(cluster_.link_delay(), [this, token, answer] {
-            cluster_.caller_answered(token, answer);
-        });
-    }
-    void answer_edit(caller_token token, const edit_answer& answer) override {
-        auto open = cluster_.open_edits_.extract(token);
-        if (!open.empty() && answer.status == edit_status::stored) {
-            open.mapped().version = answer.version;
-            open.mapped().stored_at = cluster_.now_;
-            cluster_.stored_edits_.push_back(open.mapped());
-            cluster_.reach_edit(step::edit_reply);
-        }
-    }
-    void log(log_level /*level*/, std::string_view event,
-             const log_fields& fields) override {
-        auto line = absl::StrCat(name_, " ", std::string(event));
-        for (const auto& [key, value] : fields) {
-            absl::StrAppend(&line, " ", std::string(key), "=", value);
-        }
-        cluster_.note(line);
-    }
-    void record(measure /*what*/, duration /*value*/) override {}
-
-    std::unique_ptr<host_core> core;
-    std::uint64_t incarnation = 0;
-    timestamp paused_until{0};
-    bool draining = false;
-
-private:
-    virtual_cluster& cluster_;
-    std::string name_;
-};
-
 virtual_cluster::virtual_cluster(const virtual_options& options)
     : options_(options), random_(options.seed) {
     std::set<std::string> domains;
@@ -574,7 +444,7 @@
     reply.order = reply.answered = task.order.ref;
     reply.status = start_status::finished;
     reply.failed = target.mode == virtual_mode::fail_all;
-    reply.output = output_of(task.order.spec);
+    reply.output = virtual_output(task.order.spec);
     if (target.mode == virtual_mode::slow) {
         reply.status = start_status::deadline;
     }
@@ -897,205 +767,4 @@
     }
 }
 
-// --- evidence -------------------------------------------------------------
-
-host_core& virtual_cluster::core(const std::string& host) {
-    return *hosts_.at(host)->core;
-}
-
-bool virtual_cluster::is_up(const std::string& host) const {
-    return hosts_.at(host)->core != nullptr;
-}
-
-std::vector<std::string> virtual_cluster::host_names() const {
-    std::vector<std::string> names;
-    for (const auto& [name, node] : hosts_) {
-        names.push_back(name);
-    }
-    return names;
-}
-
-std::vector<std::string> virtual_cluster::endpoint_names() const {
-    std::vector<std::string> names;
-    for (const auto& [name, endpoint] : endpoints_) {
-        names.push_back(name);
-    }
-    return names;
-}
-
-bool virtual_cluster::all_calls_answered() const {
-    return std::all_of(calls_.begin(), calls_.end(), [](const auto& made) {
-        return made->final_answer.has_value();
-    });
-}
-
-std::uint32_t virtual_cluster::starts_of(const submission_id& id) const {
-    std::uint32_t sum = 0;
-    for (const auto& [key, count] : starts_) {
-        sum += key.first == id ? count : 0;
-    }
-    return sum;
-}
-
-std::uint32_t virtual_cluster::most_running(const std::string& entry) const {
-    const auto found = most_running_.find(entry);
-    return found == most_running_.end() ? 0 : found->second;
-}
-
-// A holder may not start tasks of a coordinator that it has not heard of for
-// a while: that one may be gone, and its limits spent by others.
-void virtual_cluster::check_freshness(const std::string& holder,
-                                      const start_order& order) {
-    const auto& coordinator = order.ref.id.host;
-    const auto heard = delivered_.find({coordinator, holder});
-    const bool stale = coordinator != holder &&
-                       (heard == delivered_.end() ||
-                        now_ - heard->second > freshness_bound + link_margin);
-    if (stale) {
-        found_.push_back(absl::StrCat("stale_start: ", holder, " started ",
-                                      to_string(order.ref.id), " at ",
-                                      to_ms(now_), " ms"));
-    }
-}
-
-void virtual_cluster::check_keys(std::vector<std::string>& found) const {
-    std::map<std::string, std::set<submission_id>> ran;
-    for (const auto& made : calls_) {
-        if (!made->job.idempotency_key.empty() && starts_of(made->id) > 0) {
-            ran[made->job.idempotency_key].insert(made->id);
-        }
-    }
-    for (const auto& [key, ids] : ran) {
-        if (ids.size() > 1) {
-            found.push_back(absl::StrCat("doubled: key ", key, " ran under ",
-                                         ids.size(), " ids"));
-        }
-    }
-}
-
-void virtual_cluster::check_starts(std::vector<std::string>& found) const {
-    std::set<submission_id> idempotent;
-    for (const auto& made : calls_) {
-        if (made->job.idempotent) {
-            idempotent.insert(made->id);
-        }
-    }
-    for (const auto& [key, count] : starts_) {
-        if (count > 1 && !idempotent.contains(key.first)) {
-            found.push_back(absl::StrCat("doubled: ", to_string(key.first),
-                                         " task ", key.second, " started ",
-                                         count, " times"));
-        }
-    }
-}
-
-void virtual_cluster::check_answers(std::vector<std::string>& found) const {
-    std::map<submission_id, std::vector<const job_answer*>> by_id;
-    for (const auto& made : calls_) {
-        if (!made->final_answer) {
-            found.push_back(
-                absl::StrCat("lost: no answer for ", to_string(made->id)));
-            continue;
-        }
-        const auto& answer = *made->final_answer;
-        by_id[answer.id].push_back(&answer);
-        const auto& tasks = made->job.tasks;
-        if (answer.state == job_state::complete) {
-            bool whole = answer.outputs.size() == tasks.size();
-            for (std::size_t task = 0; whole && task < tasks.size(); ++task) {
-                whole = answer.outputs[task] == output_of(tasks[task]);
-            }
-            if (!whole) {
-                found.push_back(absl::StrCat("partial: ", to_string(made->id)));
-            }
-        } else if (!answer.outputs.empty()) {
-            found.push_back(absl::StrCat("partial: failed job ",
-                                         to_string(made->id), " has outputs"));
-        }
-        const bool says_not_run =
-            answer.state == job_state::failed &&
-            (!answer.may_have_run || is_not_run(answer.cause));
-        if (says_not_run && starts_of(answer.id) > 0) {
-            found.push_back(
-                absl::StrCat("false_not_run: ", to_string(answer.id), " ",
-                             std::string(to_string(answer.cause))));
-        }
-    }
-    for (const auto& answer : told_not_run_) {
-        if (starts_of(answer.id) > 0) {
-            found.push_back(absl::StrCat(
-                "false_not_run: ", to_string(answer.id), " ", answer.detail));
-        }
-    }
-    for (const auto& [id, answers] : by_id) {
-        const job_answer* known = nullptr;
-        for (const auto* answer : answers) {
-            if (answer->cause == failure_cause::outcome_unknown) {
-                continue;
-            }
-            const bool differs =
-                known != nullptr && (known->state != answer->state ||
-                                     known->cause != answer->cause ||
-                                     known->outputs != answer->outputs);
-            if (differs) {
-                found.push_back(
-                    absl::StrCat("answers differ for ", to_string(id)));
-            }
-            known = answer;
-        }
-    }
-}
-
-void virtual_cluster::check_catalogue(std::vector<std::string>& found) {
-    for (const auto& edit : stored_edits_) {
-        const auto row = table_.find(absl::StrCat("edit/", edit.edit_id));
-        if (row == table_.end() ||
-            row->second.value != std::to_string(edit.version)) {
-            found.push_back(absl::StrCat("lost: accepted edit ", edit.edit_id,
-                                         " is not in the table"));
-        }
-        for (const auto& [name, node] : hosts_) {
-            const bool late =
-                node->core && now_ - edit.stored_at > spread_bound &&
-                now_ >= node->paused_until + spread_bound &&
-                node->core->current_catalogue().version < edit.version;
-            if (late) {
-                found.push_back(absl::StrCat("late edit: ", edit.edit_id,
-                                             " is not in force at ", name));
-            }
-        }
-    }
-    std::set<std::uint64_t> versions;
-    for (const auto& edit : stored_edits_) {
-        if (!versions.insert(edit.version).second) {
-            found.push_back(
-                absl::StrCat("reverted: two edits at version ", edit.version));
-        }
-    }
-}
-
-void virtual_cluster::check_limits(std::vector<std::string>& found) const {
-    for (const auto& entry : defined_) {
-        std::uint32_t limit = 0;
-        for (const auto& [domain, share] : entry.running_tasks) {
-            limit += share;
-        }
-        if (!entry.running_tasks.empty() && most_running(entry.name) > limit) {
-            found.push_back(absl::StrCat("limit: ", entry.name, " ran ",
-                                         most_running(entry.name), " of ",
-                                         limit));
-        }
-    }
-}
-
-std::vector<std::string> virtual_cluster::violations() {
-    auto found = found_;
-    check_starts(found);
-    check_answers(found);
-    check_catalogue(found);
-    check_limits(found);
-    check_keys(found);
-    return found;
-}
-
 } // namespace figridge::testing
--- a/tests/virtual_cluster.hpp
+++ b/tests/virtual_cluster.hpp
@@ -60,6 +60,9 @@
     bool is_tracked = false;
 };
 
+// What an endpoint of the virtual cluster answers for a task.
+std::string virtual_output(const task_spec& spec);
+
 struct virtual_options {
     std::uint64_t seed = 1;
     std::vector<host_identity> hosts{{"10.0.0.1:1", "d1"},
