--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -105,6 +105,7 @@
     put "$(platform_address)/control" '{"mode":"up"}'
 }
 strike_lost_replies() {
+    sleep 3
     local i code stored=0
     for ((i = 0; i < 6; i++)); do
         put "$(platform_address)/control" '{"lose_replies":1}'
@@ -191,6 +192,13 @@
     "strike_$1"
     wait "$load_pid"
     line=$(tail -1 "$cluster_dir/load.out")
+    case "$line" in
+    "load jobs="*) ;;
+    *)
+        echo "$1: the load ended without a result: $(cat "$cluster_dir/load.err")"
+        return 1
+        ;;
+    esac
     # The platform is up again and every host reachable: an edit must spread.
     put "$(platform_address)/control" '{"mode":"up"}'
     sleep 1
@@ -218,6 +226,7 @@
 for scenario in $scenarios; do
     run_scenario "$scenario" || exit 1
 done
+[ "$runs" -eq "$(wc -w <<<"$scenarios")" ] || exit 1
 echo "faults runs=$runs starts=$starts doubled=$doubled partial=$partial" \
     "lost=$lost false_not_run=$false_not_run reverted=$reverted" \
     "cut_by_stop=$cut_by_stop late_leaving=$late_leaving"
--- a/testing/load_driver.cpp
+++ b/testing/load_driver.cpp
@@ -14,6 +14,7 @@
 constexpr duration retry_pause = 200ms;
 constexpr duration call_margin = 10s;
 constexpr int ids_per_draw = 50;
+constexpr int edit_attempts = 20;
 constexpr duration settle_time = 1500ms;
 
 } // namespace
@@ -34,6 +35,17 @@
 }
 
 bool load_driver::prepare(std::uint32_t owners) {
+    for (int attempt = 0; attempt < edit_attempts; ++attempt) {
+        if (store_entries(owners)) {
+            loop_.run_for(settle_time);
+            return true;
+        }
+        loop_.run_for(retry_pause);
+    }
+    return false;
+}
+
+bool load_driver::store_entries(std::uint32_t owners) {
     const auto& host = options_.hosts.front();
     const auto shown = call(
         {"GET", absl::StrCat("http://", host, "/v1/catalogue"), {}, 5s, {}});
@@ -57,7 +69,6 @@
                               dump_json(to_json(edit)),
                               10s,
                               {}});
-    loop_.run_for(settle_time);
     return stored.status == 200;
 }
 
--- a/testing/load_driver.hpp
+++ b/testing/load_driver.hpp
@@ -79,6 +79,7 @@
         std::vector<std::unique_ptr<timer_watcher>> timers;
     };
 
+    bool store_entries(std::uint32_t owners);
     void begin(std::size_t index);
     void draw(std::size_t index);
     void submit(std::size_t index, const std::string& host, bool is_first);
