--- a/src/adapters/platform_http.cpp
+++ b/src/adapters/platform_http.cpp
@@ -83,21 +83,32 @@
     call.url = absl::StrCat(base_, "/endpoints");
     call.timeout = timeout_;
     client_.send(std::move(call), [this, request](const http_result& result) {
-        std::vector<endpoint_info> endpoints;
-        const auto body = parse_json(result.body);
-        bool ok = result.outcome == http_outcome::answered &&
-                  result.status == http_ok && body.ok() && body->is_array();
-        if (ok) {
-            for (const auto& item : *body) {
-                const auto endpoint = endpoint_from_json(item);
-                ok = ok && endpoint.ok();
-                if (endpoint.ok()) {
-                    endpoints.push_back(*endpoint);
-                }
-            }
-        }
-        events_.on_endpoint_list(request, ok, endpoints);
+        const bool ok = result.outcome == http_outcome::answered &&
+                        result.status == http_ok && take_list(result.body);
+        events_.on_endpoint_list(request, ok, endpoints_);
     });
 }
 
+// Parses a list unless it is the one parsed last.
+bool platform_http::take_list(const std::string& text) {
+    if (!list_text_.empty() && text == list_text_) {
+        return true;
+    }
+    const auto body = parse_json(text);
+    if (!body.ok() || !body->is_array()) {
+        return false;
+    }
+    std::vector<endpoint_info> endpoints;
+    for (const auto& item : *body) {
+        const auto endpoint = endpoint_from_json(item);
+        if (!endpoint.ok()) {
+            return false;
+        }
+        endpoints.push_back(*endpoint);
+    }
+    endpoints_ = std::move(endpoints);
+    list_text_ = text;
+    return true;
+}
+
 } // namespace figridge
--- a/src/adapters/platform_http.hpp
+++ b/src/adapters/platform_http.hpp
@@ -32,12 +32,15 @@
     void read_endpoints(std::uint64_t request) override;
 
 private:
+    bool take_list(const std::string& text);
     void post(std::uint64_t request, const std::string& path, std::string body);
 
     http_client& client_;
     std::string base_;
     duration timeout_;
     platform_events& events_;
+    std::string list_text_;
+    std::vector<endpoint_info> endpoints_;
 };
 
 } // namespace figridge
--- a/src/core/endpoint_directory.cpp
+++ b/src/core/endpoint_directory.cpp
@@ -6,6 +6,17 @@
 
 namespace figridge {
 
+bool endpoint_directory::holds(
+    const std::vector<endpoint_info>& endpoints) const {
+    return endpoints.size() == endpoints_.size() &&
+           std::all_of(endpoints.begin(), endpoints.end(),
+                       [this](const endpoint_info& endpoint) {
+                           const auto held = endpoints_.find(endpoint.address);
+                           return held != endpoints_.end() &&
+                                  held->second == endpoint;
+                       });
+}
+
 bool endpoint_directory::set_list(const std::vector<endpoint_info>& endpoints) {
     std::map<std::string, endpoint_info> next;
     for (const auto& endpoint : endpoints) {
--- a/src/core/endpoint_directory.hpp
+++ b/src/core/endpoint_directory.hpp
@@ -13,6 +13,9 @@
 // Owned by `host_core`. Not thread-safe.
 class endpoint_directory {
 public:
+    // True if the list is the one held.
+    [[nodiscard]] bool holds(const std::vector<endpoint_info>& endpoints) const;
+
     // Takes over a list; returns true if it differs from the one held.
     bool set_list(const std::vector<endpoint_info>& endpoints);
 
--- a/src/core/host_core_impl.cpp
+++ b/src/core/host_core_impl.cpp
@@ -279,10 +279,11 @@
 
 void host_core::impl::take_endpoint_list(
     const std::vector<endpoint_info>& endpoints) {
-    const auto before = directory.all();
-    if (!directory.set_list(endpoints)) {
+    if (directory.holds(endpoints)) {
         return;
     }
+    const auto before = directory.all();
+    directory.set_list(endpoints);
     directory_changed_ = true;
     // Peers that can't reach the platform learn from this host.
     for (const auto& endpoint : endpoints) {
