--- a/src/adapters/http_server.hpp
+++ b/src/adapters/http_server.hpp
@@ -99,6 +99,7 @@
     std::unordered_map<http_token, exchange*> held_;
     http_token next_token_ = 1;
     bool running_ = false;
+    bool stopping_ = false;
 };
 
 } // namespace figridge
--- /dev/null
+++ b/tests/http_server_test.cpp
@@ -0,0 +1,38 @@
+#define BOOST_TEST_DYN_LINK
+#include <boost/test/unit_test.hpp>
+
+#include <string_view>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "adapters/http_server.hpp"
+#include "adapters/socket_address.hpp"
+
+namespace figridge {
+
+BOOST_AUTO_TEST_SUITE(http_server_life)
+
+BOOST_AUTO_TEST_CASE(a_request_that_arrives_at_the_end_is_not_handled) {
+    // The objects behind the handler are gone when the server is destroyed.
+    constexpr auto address = "127.0.0.1:24901";
+    int handled = 0;
+    event_loop loop;
+    auto server = std::make_unique<http_server>(
+        loop, 1024, [&handled](const http_request&) { ++handled; },
+        [](http_token) {});
+    BOOST_REQUIRE(server->start(address).ok());
+    const int caller = socket(AF_INET, SOCK_STREAM, 0);
+    const auto target = parse_socket_address(address);
+    const auto* raw = reinterpret_cast<const sockaddr*>(&*target);
+    BOOST_REQUIRE(connect(caller, raw, sizeof(*target)) == 0);
+    constexpr std::string_view request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    BOOST_REQUIRE(send(caller, request.data(), request.size(), 0) > 0);
+    server.reset();
+    close(caller);
+    BOOST_TEST(handled == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace figridge
