An ending server hands over no more requests

Cause: see the test before: requests that arrive during destruction reached a destroyed core (one segmentation fault in a live rolling restart). Change: an ending server refuses every request. Conclusion: the last step of a planned stop touches nothing that has ended.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -33,6 +33,7 @@
     }
     watcher_.reset();
     timer_.reset();
+    stopping_ = true;
     // Held connections have to be resumed before the daemon may stop.
     for (auto& [token, held] : held_) {
         if (held->suspended) {
@@ -96,6 +97,9 @@
 MHD_Result http_server::access(MHD_Connection* connection, const char* url,
                                const char* method, const char* data,
                                std::size_t* size, void** state) {
+    if (stopping_) {
+        return MHD_NO;
+    }
     if (*state == nullptr) {
         auto* fresh = new exchange;
         fresh->connection = connection;
