Clean-up: a method and a setting that nothing used

Cause: the last reading found coordinator::drop_waiter without a caller and slots_per_endpoint without a reader; a comment described on_answer wrongly. Change: removed; the comment says what the callback is for.

--- a/include/figridge/settings.hpp
+++ b/include/figridge/settings.hpp
@@ -32,7 +32,6 @@
     std::vector<host_identity> hosts; // every entry host, self included
 
     placement_policy_kind placement = placement_policy_kind::rebalance;
-    std::uint32_t slots_per_endpoint = 8;
     std::uint32_t max_queued_per_slot = 40;
 
     duration heartbeat_interval = 250ms;
--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -244,15 +244,6 @@
     return true;
 }
 
-void coordinator::drop_waiter(const submission_id& id, caller_token token) {
-    if (const auto found = jobs_.find(id); found != jobs_.end()) {
-        std::erase_if(found->second.waiters, [token](const waiter& who) {
-            const auto* held = std::get_if<caller_token>(&who);
-            return held != nullptr && *held == token;
-        });
-    }
-}
-
 // --- placement ------------------------------------------------------------
 
 std::uint32_t coordinator::in_flight_to(const std::string& host) const {
--- a/src/core/coordinator.hpp
+++ b/src/core/coordinator.hpp
@@ -102,9 +102,7 @@
     // Sends what may be sent; call after any change of limits or holders.
     void place_pending();
 
-    void drop_waiter(const submission_id& id, caller_token token);
-
-    // A second answer that a waiter gets: set by `host_core`.
+    // Called with the answer for each waiter; set by `host_core`.
     std::function<void(const waiter&, const job_answer&)> on_answer;
 
     [[nodiscard]] bool is_idle() const;
--- a/tests/virtual_cluster.cpp
+++ b/tests/virtual_cluster.cpp
@@ -149,7 +149,6 @@
     settings.incarnation = next_incarnation_++ * 1000 + random_() % 1000;
     settings.seed = random_();
     settings.placement = options_.placement;
-    settings.slots_per_endpoint = options_.slots;
     settings.answer_memory_bytes = options_.answer_memory_bytes;
     settings.max_task_run = 10s;
     auto& node = *hosts_.at(host);
