--- a/src/adapters/caller_api.cpp
+++ b/src/adapters/caller_api.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint32_t default_ids_per_draw = 10;
 constexpr duration longest_wait = 600s;
 
+constexpr const char* idempotency_header = "Idempotency-Key";
 constexpr int http_ok = 200;
 constexpr int http_accepted = 202;
 constexpr int http_bad_request = 400;
@@ -101,6 +102,7 @@
           [this](http_token token) { caller_gone(token); }) {}
 
 absl::Status caller_api::start(const std::string& address) {
+    server_.keep_headers({idempotency_header});
     return server_.start(address);
 }
 
@@ -182,8 +184,9 @@
         return respond_error(request, http_bad_request,
                              std::string(job.status().message()));
     }
-    if (!request.idempotency_key.empty()) {
-        job->idempotency_key = request.idempotency_key;
+    if (const auto key = request.headers.find(idempotency_header);
+        key != request.headers.end()) {
+        job->idempotency_key = key->second;
         if (const auto status = check_job(*job); !status.ok()) {
             return respond_error(request, http_bad_request,
                                  std::string(status.message()));
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -70,8 +70,7 @@
             curl_slist_append(open->headers, "Content-Type: application/json");
         open->headers = curl_slist_append(open->headers, "Expect:");
     }
-    if (!sent.idempotency_key.empty()) {
-        const auto header = "Idempotency-Key: " + sent.idempotency_key;
+    for (const auto& header : sent.headers) {
         open->headers = curl_slist_append(open->headers, header.c_str());
     }
     if (open->headers != nullptr) {
--- a/src/adapters/http_client.hpp
+++ b/src/adapters/http_client.hpp
@@ -22,7 +22,7 @@
     std::string url;
     std::string body;
     duration timeout = 5s;
-    std::string idempotency_key;
+    std::vector<std::string> headers; // "Name: value"
 };
 
 enum class http_outcome {
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -1,5 +1,8 @@
 #include "http_server.hpp"
 
+#include <cerrno>
+
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <absl/strings/str_cat.h>
@@ -39,6 +42,7 @@
         if (held->suspended) {
             held->suspended = false;
             held->aborted = true;
+            held->hang_up.reset();
             MHD_resume_connection(held->connection);
         }
     }
@@ -128,9 +132,11 @@
         held.handed_over = true;
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &add_query,
                                   &held.request.query);
-        if (const auto* key = MHD_lookup_connection_value(
-                connection, MHD_HEADER_KIND, "Idempotency-Key")) {
-            held.request.idempotency_key = key;
+        for (const auto& name : header_names_) {
+            if (const auto* value = MHD_lookup_connection_value(
+                    connection, MHD_HEADER_KIND, name.c_str())) {
+                held.request.headers[name] = value;
+            }
         }
         held_[held.request.token] = &held;
         handle_(held.request);
@@ -143,9 +149,57 @@
     }
     held.suspended = true;
     MHD_suspend_connection(connection);
+    watch_hang_up(held);
     return MHD_YES;
 }
 
+// A suspended connection is not read, so its end is looked for here.
+void http_server::watch_hang_up(exchange& held) {
+    const auto* info = MHD_get_connection_info(
+        held.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info == nullptr) {
+        return;
+    }
+    const auto token = held.request.token;
+    held.hang_up = std::make_unique<io_watcher>(
+        loop_, info->connect_fd, EV_READ,
+        [this, token](int) { check_hang_up(token); });
+}
+
+void http_server::check_hang_up(http_token token) {
+    const auto found = held_.find(token);
+    if (found == held_.end()) {
+        return;
+    }
+    auto& held = *found->second;
+    const auto* info = MHD_get_connection_info(
+        held.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    char byte = 0;
+    const auto count =
+        recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (count > 0) {
+        // The next request is there already; it is read after this one.
+        held.hang_up->set_events(0);
+        return;
+    }
+    abort(token);
+    if (gone_) {
+        gone_(token);
+    }
+}
+
+void http_server::resume(exchange& held) {
+    if (held.suspended) {
+        held.suspended = false;
+        held.hang_up.reset();
+        MHD_resume_connection(held.connection);
+        run_soon();
+    }
+}
+
 MHD_Result http_server::queue_response(exchange& held) {
     auto& answer = held.response;
     auto* response = MHD_create_response_from_buffer(
@@ -173,11 +227,7 @@
     held_.erase(found);
     held.response = std::move(response);
     held.answered = true;
-    if (held.suspended) {
-        held.suspended = false;
-        MHD_resume_connection(held.connection);
-        run_soon();
-    }
+    resume(held);
 }
 
 void http_server::abort(http_token token) {
@@ -188,11 +238,7 @@
     auto& held = *found->second;
     held_.erase(found);
     held.aborted = true;
-    if (held.suspended) {
-        held.suspended = false;
-        MHD_resume_connection(held.connection);
-        run_soon();
-    }
+    resume(held);
 }
 
 void http_server::on_completed(void* self, MHD_Connection* /*connection*/,
--- a/src/adapters/http_server.hpp
+++ b/src/adapters/http_server.hpp
@@ -28,7 +28,7 @@
     std::string method;
     std::string path;
     std::map<std::string, std::string> query;
-    std::string idempotency_key; // header Idempotency-Key
+    std::map<std::string, std::string> headers; // those the server keeps
     std::string body;
     bool too_large = false;
 };
@@ -57,6 +57,11 @@
     // Listens on `ip:port`.
     absl::Status start(const std::string& address);
 
+    // Names the headers that requests keep. Precondition: not started yet.
+    void keep_headers(std::vector<std::string> names) {
+        header_names_ = std::move(names);
+    }
+
     // Answers a held request; a token that is gone is ignored.
     void respond(http_token token, http_response response);
 
@@ -74,6 +79,8 @@
         bool answered = false;
         bool suspended = false;
         bool aborted = false;
+        // Watches for the caller's end of the connection while suspended.
+        std::unique_ptr<io_watcher> hang_up;
     };
 
     static MHD_Result on_access(void* self, MHD_Connection* connection,
@@ -86,6 +93,9 @@
                       const char* method, const char* data, std::size_t* size,
                       void** state);
     MHD_Result queue_response(exchange& held);
+    void watch_hang_up(exchange& held);
+    void check_hang_up(http_token token);
+    void resume(exchange& held);
     void run_soon();
     void run_daemon();
 
@@ -93,6 +103,7 @@
     std::size_t max_body_bytes_;
     request_handler handle_;
     gone_handler gone_;
+    std::vector<std::string> header_names_;
     MHD_Daemon* daemon_ = nullptr;
     std::unique_ptr<io_watcher> watcher_;
     std::unique_ptr<timer_watcher> timer_;
--- /dev/null
+++ b/src/adapters/ini_schema.hpp
@@ -0,0 +1,73 @@
+// A checked INI file: a table of settings, each with a function that takes its
+// value.
+//
+// Every error is reported, with section, key and value; unknown sections and
+// keys are errors. All functions are thread-safe.
+#ifndef FIGRIDGE_ADAPTERS_INI_SCHEMA_HPP
+#define FIGRIDGE_ADAPTERS_INI_SCHEMA_HPP
+
+#include <functional>
+#include <iosfwd>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <boost/property_tree/ptree.hpp>
+
+#include "figridge/time.hpp"
+
+namespace figridge {
+
+// Takes a value; returns what is wrong with it, or nothing.
+using setter =
+    std::function<std::optional<std::string>(const std::string& value)>;
+
+struct setting {
+    std::string section;
+    std::string key;
+    bool required = false;
+    setter set;
+};
+
+setter set_address(std::string& target);
+// A list of addresses, separated by commas; it may be empty.
+setter set_addresses(std::vector<std::string>& target);
+setter set_name(std::string& target);
+// A list of names, separated by commas.
+setter set_names(std::vector<std::string>& target);
+setter set_ms(duration& target, std::uint64_t least, std::uint64_t most);
+setter set_flag(bool& target);
+setter set_fraction(double& target, double least, double most);
+setter set_log_level(std::string& target);
+
+template <typename Number>
+setter set_number(Number& target, std::uint64_t least, std::uint64_t most) {
+    return [&target, least,
+            most](const std::string& value) -> std::optional<std::string> {
+        std::uint64_t number = 0;
+        if (!absl::SimpleAtoi(value, &number) || number < least ||
+            number > most) {
+            return absl::StrCat("expected a whole number from ", least, " to ",
+                                most);
+        }
+        target = static_cast<Number>(number);
+        return std::nullopt;
+    };
+}
+
+// Says what is wrong with a setting.
+std::string describe_setting(const std::string& section, const std::string& key,
+                             const std::string& value, const std::string& what);
+
+// Reads a file and applies the schema; appends what is wrong to `errors`.
+// Sections in `free_sections` are left to the caller.
+boost::property_tree::ptree
+read_ini(std::istream& file, const std::vector<setting>& schema,
+         const std::vector<std::string>& free_sections,
+         std::vector<std::string>& errors);
+
+} // namespace figridge
+
+#endif
--- a/src/adapters/peer_transport.cpp
+++ b/src/adapters/peer_transport.cpp
@@ -20,7 +20,8 @@
 
 constexpr duration first_reconnect = 50ms;
 constexpr duration longest_reconnect = 1s;
-constexpr duration connect_timeout = 2s;
+constexpr duration connect_timeout = 1s;
+constexpr unsigned unconfirmed_limit_ms = 1500;
 constexpr std::size_t max_buffered_bytes = 32U << 20;
 constexpr std::size_t max_unread_bytes = 64U << 20;
 constexpr std::size_t first_buffer_bytes = 64U << 10;
@@ -34,9 +35,14 @@
             NGHTTP2_NV_FLAG_NONE};
 }
 
-void set_no_delay(int socket) {
+// Messages go out at once, and a connection whose peer does not confirm what
+// was sent is given up.
+void set_socket_options(int socket) {
     const int on = 1;
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const unsigned timeout_ms = unconfirmed_limit_ms;
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+               sizeof(timeout_ms));
 }
 
 } // namespace
@@ -59,12 +65,14 @@
     peer_link(const peer_link&) = delete;
     peer_link& operator=(const peer_link&) = delete;
 
-    void send(const envelope& message) {
+    [[nodiscard]] bool is_connected() const {
+        return state_ == state::connected && !broken_;
+    }
+
+    void send(const msgpack::sbuffer& packed) {
         if (!connection_ || buffer_.size() > max_buffered_bytes) {
             return;
         }
-        msgpack::sbuffer packed;
-        msgpack::pack(packed, message);
         buffer_.append(packed.data(), packed.size());
         transport_.bytes_sent_ += packed.size();
         if (!flush_pending_) {
@@ -81,7 +89,7 @@
         const auto address = parse_socket_address(host_);
         socket_ =
             socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-        set_no_delay(socket_);
+        set_socket_options(socket_);
         begun_ = event_loop::now();
         state_ = state::connecting;
         const auto* raw = reinterpret_cast<const sockaddr*>(&*address);
@@ -250,7 +258,7 @@
             unpacker_.buffer_consumed(length);
             msgpack::object_handle handle;
             while (unpacker_.next(handle)) {
-                transport_.receive(handle.get().as<envelope>());
+                transport_.events_.on_message(handle.get());
             }
         } catch (const std::exception&) {
             return NGHTTP2_ERR_CALLBACK_FAILURE;
@@ -294,7 +302,17 @@
     }
 }
 
-void peer_transport::send(const std::string& host, envelope message) {
+void peer_transport::remove_peer(const std::string& host) {
+    links_.erase(host);
+}
+
+bool peer_transport::is_connected(const std::string& host) const {
+    const auto found = links_.find(host);
+    return found != links_.end() && found->second->is_connected();
+}
+
+void peer_transport::send(const std::string& host,
+                          const msgpack::sbuffer& message) {
     if (cut_.contains(host)) {
         return;
     }
@@ -314,7 +332,7 @@
         if (socket < 0) {
             return;
         }
-        set_no_delay(socket);
+        set_socket_options(socket);
         readers_.push_back(std::make_unique<peer_reader>(*this, socket));
     }
 }
@@ -325,10 +343,4 @@
     });
 }
 
-void peer_transport::receive(const envelope& message) {
-    if (!cut_.contains(message.from)) {
-        events_.on_envelope(message);
-    }
-}
-
 } // namespace figridge
--- a/src/adapters/peer_transport.hpp
+++ b/src/adapters/peer_transport.hpp
@@ -1,8 +1,8 @@
-// Envelopes between hosts over HTTP/2 streams, by nghttp2.
+// Messages between hosts over HTTP/2 streams, by nghttp2.
 //
 // A host keeps one connection to every peer, with one long request whose body
-// is the sequence of its envelopes; what comes back flows on the peer's own
-// connection. A connection that breaks is made again after a growing, random
+// is the sequence of its messages, each a msgpack object; what comes back
+// flows on the peer's own connection. A connection that breaks is made again after a growing, random
 // pause. Messages for a peer without connection are dropped: the core sends
 // again what was not acknowledged.
 #ifndef FIGRIDGE_ADAPTERS_PEER_TRANSPORT_HPP
@@ -17,9 +17,9 @@
 #include <string>
 
 #include <absl/status/status.h>
+#include <msgpack.hpp>
 
 #include "event_loop.hpp"
-#include "figridge/ports.hpp"
 
 namespace figridge {
 
@@ -27,7 +27,9 @@
 class peer_events {
 public:
     virtual ~peer_events() = default;
-    virtual void on_envelope(const envelope& message) = 0;
+    // Throws if the message is not what the receiver expects; its connection
+    // is closed then.
+    virtual void on_message(const msgpack::object& message) = 0;
     virtual void on_link_refused(const std::string& host, timestamp begun) = 0;
     virtual void on_link_restored(const std::string& host) = 0;
 };
@@ -36,21 +38,31 @@
 class peer_reader;
 
 // Owned by the daemon's main object. Not thread-safe.
-class peer_transport final : public peer_port {
+class peer_transport {
 public:
     peer_transport(event_loop& loop, std::string self, std::uint64_t seed,
                    peer_events& events);
-    ~peer_transport() override;
+    ~peer_transport();
+    peer_transport(const peer_transport&) = delete;
+    peer_transport& operator=(const peer_transport&) = delete;
 
     absl::Status listen(const std::string& address);
 
     // Connects to a peer and stays connected.
     void add_peer(const std::string& host);
 
-    void send(const std::string& host, envelope message) override;
+    // Closes the connection to a peer and forgets it.
+    void remove_peer(const std::string& host);
 
-    // Drops everything from and to these hosts, to try out partitions.
+    // Sends one packed message, or drops it if there is no connection.
+    void send(const std::string& host, const msgpack::sbuffer& message);
+    [[nodiscard]] bool is_connected(const std::string& host) const;
+
+    // Drops everything to these hosts, to try out partitions.
     void set_cut(std::set<std::string> hosts);
+    [[nodiscard]] bool is_cut(const std::string& host) const {
+        return cut_.contains(host);
+    }
 
     [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
 
@@ -59,7 +71,6 @@
     friend class peer_reader;
 
     void accept_connections();
-    void receive(const envelope& message);
     void forget_closed_readers();
 
     event_loop& loop_;
--- /dev/null
+++ b/src/core/dispatch/dispatcher.cpp
@@ -0,0 +1,514 @@
+#include "core/dispatch/dispatcher.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace figridge::dispatch {
+namespace {
+
+// Holders are compared with the hosts heard this often.
+constexpr duration check_interval = 50ms;
+// A gap between inputs that only a suspended or starved process shows.
+constexpr duration suspension_gap = 400ms;
+// A probe's answer counts this long.
+constexpr duration probe_validity = 300ms;
+constexpr duration probe_interval = 150ms;
+// Entries in one transaction: a condition and a row for each endpoint.
+constexpr std::size_t max_rows_per_transaction = 50;
+// A host that hears nobody, though others are known, is probably cut off.
+constexpr duration isolated_wait = 3s;
+constexpr duration catalogue_ask_interval = 300ms;
+
+std::string seconds_text(duration time) {
+    return std::to_string(to_ms(time));
+}
+
+} // namespace
+
+dispatcher::dispatcher(const dispatch_settings& settings,
+                       const dispatch_ports& ports)
+    : settings_(settings), ports_(ports), views_(settings.failure_domain),
+      directory_(settings_),
+      holder_(settings_, ports.endpoints, ports.observer, *this),
+      coordinator_(settings_, views_, ports.callers, ports.observer, *this),
+      sessions_(settings_, ports.peers, *this) {}
+
+void dispatcher::start(timestamp now) {
+    now_ = now;
+    started_at_ = now;
+    for (const auto& seed : settings_.seeds) {
+        sessions_.add(now, seed);
+    }
+}
+
+void dispatcher::enter(timestamp now) {
+    const auto gap = now - now_;
+    now_ = now;
+    if (gap < suspension_gap) {
+        return;
+    }
+    ports_.observer.log(log_level::warning, "process_stood_still",
+                        {{"gap_ms", seconds_text(gap)}});
+    if (gap >= settings_.resend_after) {
+        coordinator_.abandon_all(now, "process_stood_still");
+    }
+    sessions_.tick(now);
+}
+
+void dispatcher::leave(timestamp now) {
+    deliver_to_self(now);
+    holder_.dispatch(now);
+    deliver_to_self(now);
+    advert own;
+    holder_.fill(own);
+    views_.update(now, settings_.self, settings_.failure_domain, own);
+    sessions_.flush(now);
+}
+
+void dispatcher::tick(timestamp now) {
+    enter(now);
+    sessions_.tick(now);
+    holder_.tick(now);
+    coordinator_.tick(now);
+    if (now >= next_check_) {
+        next_check_ = now + check_interval;
+        check_holders(now);
+        if (!holder_.queue().empty()) {
+            holder_.return_queued(now, views_.rooms_elsewhere(settings_.self));
+        }
+    }
+    leave(now);
+}
+
+// --- membership -------------------------------------------------------------
+
+void dispatcher::add_member(timestamp now, const std::string& address) {
+    sessions_.add(now, address);
+}
+
+void dispatcher::remove_member(const std::string& address) {
+    sessions_.remove(address);
+}
+
+void dispatcher::handle_envelope(timestamp now, const envelope& message) {
+    enter(now);
+    sessions_.handle_envelope(now, message);
+    leave(now);
+}
+
+void dispatcher::handle_link_refused(timestamp now, const std::string& address,
+                                     timestamp begun) {
+    enter(now);
+    sessions_.handle_link_refused(now, address, begun);
+    check_holders(now);
+    leave(now);
+}
+
+void dispatcher::handle_link_restored(timestamp now,
+                                      const std::string& address) {
+    enter(now);
+    sessions_.handle_link_restored(now, address);
+    leave(now);
+}
+
+std::vector<candidate> dispatcher::live_hosts() const {
+    std::vector<candidate> live{{settings_.self, settings_.failure_domain,
+                                 settings_.cpu_share, draining_}};
+    for (const auto& [address, peer] : sessions_.peers()) {
+        if (!peer.lost) {
+            live.push_back({peer.id, peer.failure_domain, peer.about.cpu_share,
+                            peer.about.draining});
+        }
+    }
+    return live;
+}
+
+void dispatcher::on_lost(const process_id& peer, bool restarted) {
+    // A silent holder drops our tasks when it has not heard us for
+    // `abandon_after`; a dead one loses them with their lease.
+    const auto lease = settings_.lease_limit +
+                       std::chrono::duration_cast<duration>(
+                           settings_.lease_limit * settings_.clock_drift) +
+                       2 * settings_.stop_limit;
+    const auto over_by =
+        now_ + lease + (restarted ? duration{0} : settings_.abandon_after);
+    ports_.observer.log(
+        log_level::warning, "peer_lost",
+        {{"peer", peer.address},
+         {"restarted", restarted ? "yes" : "no"},
+         {"holds", std::to_string(directory_.held_by(peer).size())}});
+    coordinator_.handle_holder_lost(now_, peer, directory_.held_by(peer),
+                                    over_by);
+    next_check_ = timestamp{0};
+}
+
+void dispatcher::on_out_of_contact(const process_id& peer) {
+    holder_.abandon(now_, peer);
+}
+
+void dispatcher::on_advert(const process_id& from,
+                           const std::string& failure_domain,
+                           const advert& about) {
+    views_.update(now_, from, failure_domain, about);
+    if (about.catalogue_version > catalogue_version_) {
+        auto& asked = catalogue_asked_[from.address];
+        if (now_ - asked >= catalogue_ask_interval) {
+            asked = now_;
+            if (auto* box = outbox(from)) {
+                box->catalogue_wanted_list.push_back({catalogue_version_});
+            }
+        }
+    }
+}
+
+advert dispatcher::make_advert() {
+    advert about;
+    about.catalogue_version = catalogue_version_;
+    about.draining = draining_;
+    about.cpu_share = settings_.cpu_share;
+    holder_.fill(about);
+    return about;
+}
+
+// --- messages ---------------------------------------------------------------
+
+payload* dispatcher::outbox(const process_id& peer) {
+    return peer == settings_.self ? &to_self_ : sessions_.pending_for(peer);
+}
+
+void dispatcher::deliver_to_self(timestamp /*now*/) {
+    while (!to_self_.empty()) {
+        const auto content = std::exchange(to_self_, {});
+        handle_payload(settings_.self, content, true);
+    }
+}
+
+void dispatcher::on_payload(const process_id& from, const payload& content,
+                            bool fresh) {
+    handle_payload(from, content, fresh);
+}
+
+void dispatcher::handle_payload(const process_id& from, const payload& content,
+                                bool fresh) {
+    for (const auto& wanted : content.catalogue_wanted_list) {
+        auto* box = outbox(from);
+        if (box != nullptr && wanted.have < catalogue_version_) {
+            box->catalogues.push_back({catalogue_text_});
+        }
+    }
+    for (const auto& catalogue : content.catalogues) {
+        if (on_catalogue_text) {
+            on_catalogue_text(catalogue.text);
+        }
+    }
+    for (const auto& assignment : content.assignments) {
+        if (fresh) {
+            holder_.assign(now_, from, assignment);
+            continue;
+        }
+        for (const auto& item : assignment.items) {
+            send_update(from, {item.run, update_kind::returned, {}});
+        }
+    }
+    for (const auto& withdrawal : content.withdrawals) {
+        holder_.withdraw(now_, from, withdrawal.job);
+    }
+    for (const auto& adoption : content.adoptions) {
+        coordinator_.handle_adoption(now_, from, adoption);
+    }
+    for (const auto& claim : content.claims) {
+        holder_.claim(now_, from, claim);
+    }
+    for (const auto& update : content.updates) {
+        coordinator_.handle_update(now_, from, update);
+    }
+}
+
+void dispatcher::send_update(const process_id& coordinator,
+                             const task_update& update) {
+    if (auto* box = outbox(coordinator)) {
+        box->updates.push_back(update);
+    }
+}
+
+void dispatcher::announce(const endpoint_adoption& adoption) {
+    for (const auto& [address, peer] : sessions_.peers()) {
+        if (auto* box = sessions_.pending_for(peer.id);
+            box != nullptr && !peer.lost) {
+            box->adoptions.push_back(adoption);
+        }
+    }
+    to_self_.adoptions.push_back(adoption);
+}
+
+void dispatcher::send_assignment(const process_id& holder,
+                                 const task_assignment& assignment) {
+    if (auto* box = outbox(holder)) {
+        box->assignments.push_back(assignment);
+    }
+}
+
+void dispatcher::send_withdrawal(const process_id& holder,
+                                 const job_withdrawal& withdrawal) {
+    if (auto* box = outbox(holder)) {
+        box->withdrawals.push_back(withdrawal);
+    }
+}
+
+void dispatcher::send_claim(const process_id& holder,
+                            const adoption_claim& claim) {
+    if (auto* box = outbox(holder)) {
+        box->claims.push_back(claim);
+    }
+}
+
+// --- holding ----------------------------------------------------------------
+
+void dispatcher::check_holders(timestamp now) {
+    for (const auto& endpoint : holder_.take_fenced()) {
+        ports_.observer.log(log_level::info, "endpoint_lost_to_other_holder",
+                            {{"endpoint", endpoint}});
+    }
+    const bool settled = now - started_at_ >= settings_.settle_time;
+    const bool alone =
+        sessions_.live_count() == 0 && !sessions_.peers().empty();
+    const bool isolated = alone && now - started_at_ < isolated_wait;
+    if (draining_ || !has_endpoints_ || !settled || isolated) {
+        return;
+    }
+    std::vector<std::string> ready;
+    for (const auto& id :
+         directory_.wanted(now, settings_.self, live_hosts())) {
+        if (being_taken_.contains(id)) {
+            continue;
+        }
+        const auto* row = directory_.holder_of(id);
+        const auto answered = answered_probes_.find(id);
+        const bool reachable = answered != answered_probes_.end() &&
+                               now - answered->second < probe_validity;
+        if (row == nullptr || reachable) {
+            ready.push_back(id);
+            continue;
+        }
+        if (auto& sent = probed_[id]; now - sent >= probe_interval) {
+            sent = now;
+            const auto& endpoint = directory_.endpoints().at(id);
+            ports_.endpoints.hold(
+                {{id, endpoint.address, row->token}, 0, std::nullopt, 0});
+        }
+    }
+    if (!ready.empty()) {
+        take_over(now, ready);
+    }
+}
+
+void dispatcher::take_over(timestamp /*now*/,
+                           const std::vector<std::string>& endpoints) {
+    std::map<std::string, takeover> by_domain;
+    for (const auto& id : endpoints) {
+        const auto& endpoint = directory_.endpoints().at(id);
+        const auto* row = directory_.holder_of(id);
+        holder_record fresh;
+        fresh.endpoint = id;
+        fresh.failure_domain = endpoint.failure_domain;
+        fresh.holder = settings_.self;
+        fresh.token = (row == nullptr ? 0 : row->token) + 1;
+        fresh.version = row == nullptr ? 0 : row->version;
+        auto& batch = by_domain[endpoint.failure_domain];
+        if (batch.rows.size() >= max_rows_per_transaction) {
+            continue; // with the next check
+        }
+        if (row != nullptr) {
+            batch.former[id] = row->holder;
+        }
+        batch.rows.push_back(fresh);
+        being_taken_.insert(id);
+    }
+    for (auto& [domain, batch] : by_domain) {
+        const auto request = next_request_++;
+        ports_.observer.log(log_level::info, "takeover_begun",
+                            {{"failure_domain", domain},
+                             {"endpoints", std::to_string(batch.rows.size())},
+                             {"request", std::to_string(request)}});
+        const auto rows = batch.rows;
+        open_takeovers_[request] = std::move(batch);
+        ports_.store.replace(request, rows);
+    }
+}
+
+void dispatcher::handle_stored(timestamp now, std::uint64_t request,
+                               store_status status) {
+    enter(now);
+    const auto found = open_takeovers_.find(request);
+    if (found == open_takeovers_.end()) {
+        return;
+    }
+    const auto batch = std::move(found->second);
+    open_takeovers_.erase(found);
+    ports_.observer.log(
+        status == store_status::ok ? log_level::info : log_level::warning,
+        "takeover_stored",
+        {{"request", std::to_string(request)},
+         {"outcome", status == store_status::ok            ? "ok"
+                     : status == store_status::conflict    ? "conflict"
+                     : status == store_status::unavailable ? "unavailable"
+                                                           : "unknown"}});
+    for (auto row : batch.rows) {
+        being_taken_.erase(row.endpoint);
+        const auto endpoint = directory_.endpoints().find(row.endpoint);
+        if (status != store_status::ok ||
+            endpoint == directory_.endpoints().end()) {
+            continue;
+        }
+        const auto former = batch.former.find(row.endpoint);
+        directory_.set_holder(now, row);
+        holder_.take(now, endpoint->second, row.token,
+                     former == batch.former.end() ? process_id{}
+                                                  : former->second);
+    }
+    leave(now);
+}
+
+void dispatcher::set_holder(timestamp now, const holder_record& record) {
+    enter(now);
+    const auto* known = directory_.holder_of(record.endpoint);
+    const auto former = known == nullptr ? process_id{} : known->holder;
+    if (known != nullptr && known->token > record.token) {
+        return;
+    }
+    directory_.set_holder(now, record);
+    const bool ours = record.holder == settings_.self;
+    if (!ours && holder_.token_of(record.endpoint) < record.token) {
+        holder_.release(now, record.endpoint);
+    }
+    // A write whose answer was lost shows here.
+    const auto endpoint = directory_.endpoints().find(record.endpoint);
+    if (ours && !holder_.holds(record.endpoint) &&
+        !being_taken_.contains(record.endpoint) &&
+        endpoint != directory_.endpoints().end()) {
+        holder_.take(now, endpoint->second, record.token, former);
+    }
+    leave(now);
+}
+
+void dispatcher::remove_holder(timestamp now, const std::string& endpoint) {
+    enter(now);
+    directory_.remove_holder(endpoint);
+    holder_.release(now, endpoint);
+    leave(now);
+}
+
+void dispatcher::set_endpoint(timestamp now, const endpoint_record& endpoint) {
+    enter(now);
+    directory_.set_endpoint(endpoint);
+    holder_.update_endpoint(now, endpoint);
+    leave(now);
+}
+
+void dispatcher::set_endpoints(timestamp now,
+                               const std::vector<endpoint_record>& all) {
+    enter(now);
+    has_endpoints_ = true;
+    std::set<std::string> listed;
+    for (const auto& endpoint : all) {
+        listed.insert(endpoint.id);
+        directory_.set_endpoint(endpoint);
+        holder_.update_endpoint(now, endpoint);
+    }
+    std::vector<std::string> gone;
+    for (const auto& [id, endpoint] : directory_.endpoints()) {
+        if (!listed.contains(id)) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone) {
+        directory_.remove_endpoint(id);
+        holder_.mark_gone(now, id);
+    }
+    leave(now);
+}
+
+void dispatcher::remove_endpoint(timestamp now, const std::string& endpoint) {
+    enter(now);
+    directory_.remove_endpoint(endpoint);
+    holder_.mark_gone(now, endpoint);
+    leave(now);
+}
+
+void dispatcher::set_catalogue(std::uint64_t version, const std::string& text) {
+    catalogue_version_ = version;
+    catalogue_text_ = text;
+    sessions_.announce();
+}
+
+// --- endpoints --------------------------------------------------------------
+
+void dispatcher::handle_hold(timestamp now, const call_target& target,
+                             const hold_reply& reply) {
+    enter(now);
+    if (holder_.token_of(target.endpoint) == target.token) {
+        holder_.handle_hold(now, target.endpoint, target.token, reply);
+    } else if (reply.call.status != call_status::not_sent &&
+               reply.call.status != call_status::unanswered) {
+        answered_probes_[target.endpoint] = now;
+        next_check_ = timestamp{0};
+        check_holders(now);
+    }
+    leave(now);
+}
+
+void dispatcher::handle_start(timestamp now, const call_target& target,
+                              const task_run& run, const call_reply& reply) {
+    enter(now);
+    holder_.handle_start(now, target.endpoint, target.token, run, reply);
+    leave(now);
+}
+
+void dispatcher::handle_stop(timestamp now, const call_target& target,
+                             const task_run& run, const call_reply& reply) {
+    enter(now);
+    holder_.handle_stop(now, target.endpoint, target.token, run, reply);
+    leave(now);
+}
+
+// --- callers ----------------------------------------------------------------
+
+void dispatcher::submit(timestamp now, caller_token token,
+                        job_submission submission) {
+    enter(now);
+    coordinator_.submit(now, token, std::move(submission));
+    leave(now);
+}
+
+void dispatcher::drop_caller(timestamp now, caller_token token) {
+    enter(now);
+    coordinator_.drop_caller(now, token);
+    leave(now);
+}
+
+std::size_t dispatcher::waiting(const std::string& queue) const {
+    return coordinator_.waiting(queue);
+}
+
+void dispatcher::drain(timestamp now) {
+    enter(now);
+    draining_ = true;
+    sessions_.announce();
+    leave(now);
+}
+
+bool dispatcher::is_drained() const {
+    return draining_ && coordinator_.job_count() == 0 &&
+           holder_.running_tasks() == 0 && holder_.queue().empty();
+}
+
+bool dispatcher::is_ready(timestamp /*now*/) const {
+    return !draining_ && catalogue_version_ != 0 && !views_.empty();
+}
+
+bool dispatcher::follows_endpoints() const {
+    return !has_endpoints_ || !holder_.sessions().empty() ||
+           !open_takeovers_.empty();
+}
+
+} // namespace figridge::dispatch
--- /dev/null
+++ b/src/core/dispatch/dispatcher.hpp
@@ -0,0 +1,141 @@
+// The decisions of one host of the dispatcher.
+//
+// Feed it inputs, each with the present time on a clock that counts
+// suspension; it calls the ports with what has to be done. It reads no clock
+// and opens no socket, so several run in one process in virtual time:
+//
+//     dispatcher host(settings, ports);
+//     host.start(now);
+//     host.set_endpoints(now, list);         // from the platform
+//     host.submit(now, token, submission);   // answered by caller_port
+//     host.tick(now);                        // every 25 ms
+//
+// Not thread-safe. `now` never goes back.
+#ifndef FIGRIDGE_CORE_DISPATCH_DISPATCHER_HPP
+#define FIGRIDGE_CORE_DISPATCH_DISPATCHER_HPP
+
+#include <functional>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "core/dispatch/endpoint_holder.hpp"
+#include "core/dispatch/holder_directory.hpp"
+#include "core/dispatch/job_coordinator.hpp"
+#include "core/dispatch/peer_sessions.hpp"
+
+namespace figridge::dispatch {
+
+class dispatcher final : holder_events,
+                         coordinator_events,
+                         peer_session_events {
+public:
+    dispatcher(const dispatch_settings& settings, const dispatch_ports& ports);
+
+    void start(timestamp now);
+    void tick(timestamp now);
+
+    // --- membership and peers ---
+    void add_member(timestamp now, const std::string& address);
+    void remove_member(const std::string& address);
+    void handle_envelope(timestamp now, const envelope& message);
+    void handle_link_refused(timestamp now, const std::string& address,
+                             timestamp begun);
+    void handle_link_restored(timestamp now, const std::string& address);
+
+    // --- the platform's rows ---
+    // The whole list: what it lacks is gone.
+    void set_endpoints(timestamp now, const std::vector<endpoint_record>& all);
+    void set_endpoint(timestamp now, const endpoint_record& endpoint);
+    void remove_endpoint(timestamp now, const std::string& endpoint);
+    void set_holder(timestamp now, const holder_record& record);
+    void remove_holder(timestamp now, const std::string& endpoint);
+    void handle_stored(timestamp now, std::uint64_t request,
+                       store_status status);
+    // A catalogue version has been put in force here.
+    void set_catalogue(std::uint64_t version, const std::string& text);
+    // Called with the text of a newer version that a peer has.
+    std::function<void(const std::string& text)> on_catalogue_text;
+
+    // --- endpoints' replies ---
+    void handle_hold(timestamp now, const call_target& target,
+                     const hold_reply& reply);
+    void handle_start(timestamp now, const call_target& target,
+                      const task_run& run, const call_reply& reply);
+    void handle_stop(timestamp now, const call_target& target,
+                     const task_run& run, const call_reply& reply);
+
+    // --- callers and operators ---
+    void submit(timestamp now, caller_token token, job_submission submission);
+    void drop_caller(timestamp now, caller_token token);
+    [[nodiscard]] std::size_t waiting(const std::string& queue) const;
+    void drain(timestamp now);
+    // Nothing is left to do after a drain.
+    [[nodiscard]] bool is_drained() const;
+    // Whether new callers should be sent here.
+    [[nodiscard]] bool is_ready(timestamp now) const;
+    // Whether this host has to follow the list of endpoints closely.
+    [[nodiscard]] bool follows_endpoints() const;
+    [[nodiscard]] nlohmann::json dump_state(timestamp now) const;
+
+private:
+    struct takeover {
+        std::vector<holder_record> rows;
+        std::map<std::string, process_id> former;
+    };
+
+    // Every input begins here: notices that the process stood still.
+    void enter(timestamp now);
+    // Every input ends here: starts what fits and sends what was collected.
+    void leave(timestamp now);
+    void check_holders(timestamp now);
+    void take_over(timestamp now, const std::vector<std::string>& endpoints);
+    [[nodiscard]] std::vector<candidate> live_hosts() const;
+    payload* outbox(const process_id& peer);
+    void deliver_to_self(timestamp now);
+    void handle_payload(const process_id& from, const payload& content,
+                        bool fresh);
+
+    void send_update(const process_id& coordinator,
+                     const task_update& update) override;
+    void announce(const endpoint_adoption& adoption) override;
+    void send_assignment(const process_id& holder,
+                         const task_assignment& assignment) override;
+    void send_withdrawal(const process_id& holder,
+                         const job_withdrawal& withdrawal) override;
+    void send_claim(const process_id& holder,
+                    const adoption_claim& claim) override;
+    void on_payload(const process_id& from, const payload& content,
+                    bool fresh) override;
+    void on_advert(const process_id& from, const std::string& failure_domain,
+                   const advert& about) override;
+    void on_lost(const process_id& peer, bool restarted) override;
+    void on_out_of_contact(const process_id& peer) override;
+    advert make_advert() override;
+
+    const dispatch_settings settings_;
+    dispatch_ports ports_;
+    holder_views views_;
+    holder_directory directory_;
+    endpoint_holder holder_;
+    job_coordinator coordinator_;
+    peer_sessions sessions_;
+    timestamp now_{0};
+    timestamp started_at_{0};
+    timestamp next_check_{0};
+    payload to_self_;
+    std::map<std::uint64_t, takeover> open_takeovers_;
+    std::set<std::string> being_taken_;
+    // Endpoints probed before a takeover; the time of the last answer.
+    std::map<std::string, timestamp> probed_;
+    std::map<std::string, timestamp> answered_probes_;
+    std::uint64_t next_request_ = 1;
+    std::uint64_t catalogue_version_ = 0;
+    std::string catalogue_text_;
+    std::map<std::string, timestamp> catalogue_asked_;
+    bool draining_ = false;
+    bool has_endpoints_ = false;
+};
+
+} // namespace figridge::dispatch
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/endpoint_health.cpp
@@ -0,0 +1,49 @@
+#include "core/dispatch/endpoint_health.hpp"
+
+#include <algorithm>
+
+namespace figridge::dispatch {
+namespace {
+
+// About ten tasks tell the speed: estimates are off by some 40% each.
+constexpr double speed_weight = 0.12;
+constexpr double least_slowness = 0.2;
+constexpr double most_slowness = 20.0;
+// A task fails by its own fault in about one of 500 runs; two in a row on one
+// endpoint are the endpoint's.
+constexpr std::uint32_t faults_to_eject = 2;
+constexpr duration first_ejection = 400ms;
+constexpr duration longest_ejection = 3s;
+
+} // namespace
+
+void endpoint_health::record_done(timestamp /*now*/, duration run_time,
+                                  duration estimate) {
+    faults_ = 0;
+    ejections_ = 0;
+    if (estimate <= duration{0}) {
+        return;
+    }
+    const double ratio = std::clamp(to_seconds(run_time) / to_seconds(estimate),
+                                    least_slowness, most_slowness);
+    slowness_ += speed_weight * (ratio - slowness_);
+}
+
+void endpoint_health::record_fault(timestamp now) {
+    ++faults_;
+    if (faults_ < faults_to_eject && ejections_ == 0) {
+        return;
+    }
+    duration pause = first_ejection;
+    for (std::uint32_t i = 0; i < ejections_ && pause < longest_ejection; ++i) {
+        pause *= 2;
+    }
+    ++ejections_;
+    ejected_until_ = now + std::min(pause, longest_ejection);
+}
+
+bool endpoint_health::takes_work(timestamp now) const {
+    return now >= ejected_until_;
+}
+
+} // namespace figridge::dispatch
--- /dev/null
+++ b/src/core/dispatch/endpoint_health.hpp
@@ -0,0 +1,40 @@
+// How well an endpoint serves, judged by what it did with tasks.
+//
+// Speed is the run time against the caller's estimate, smoothed, so it means
+// something only in comparison with other endpoints. An endpoint that fails
+// task after task is ejected and probed back with one task at a time.
+#ifndef FIGRIDGE_CORE_DISPATCH_ENDPOINT_HEALTH_HPP
+#define FIGRIDGE_CORE_DISPATCH_ENDPOINT_HEALTH_HPP
+
+#include <cstdint>
+
+#include "figridge/time.hpp"
+
+namespace figridge::dispatch {
+
+// Owned by an `endpoint_session`. Not thread-safe.
+class endpoint_health {
+public:
+    void record_done(timestamp now, duration run_time, duration estimate);
+    // A task failed, was refused without a reason of ours, or got no answer.
+    void record_fault(timestamp now);
+
+    // Whether new tasks may be sent now.
+    [[nodiscard]] bool takes_work(timestamp now) const;
+    // After an ejection, tasks are tried one at a time until one is done.
+    [[nodiscard]] bool is_on_trial() const { return ejections_ > 0; }
+
+    // Run time against estimate, 1.0 as long as nothing is known.
+    [[nodiscard]] double slowness() const { return slowness_; }
+    [[nodiscard]] std::uint32_t faults_in_a_row() const { return faults_; }
+
+private:
+    double slowness_ = 1.0;
+    std::uint32_t faults_ = 0;
+    std::uint32_t ejections_ = 0;
+    timestamp ejected_until_{0};
+};
+
+} // namespace figridge::dispatch
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -0,0 +1,387 @@
+#include "core/dispatch/endpoint_holder.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace figridge::dispatch {
+namespace {
+
+// A thousandth of a core left over on an endpoint weighs as much as this many
+// milliseconds of run time: tight fits first, but not on a slow endpoint.
+constexpr double leftover_weight_ms = 0.002;
+
+} // namespace
+
+endpoint_holder::endpoint_holder(const dispatch_settings& settings,
+                                 endpoint_port& port, observer_port& observer,
+                                 holder_events& events)
+    : settings_(settings), port_(port), observer_(observer), events_(events) {}
+
+// --- what is held -----------------------------------------------------------
+
+void endpoint_holder::take(timestamp now, const endpoint_record& endpoint,
+                           std::uint64_t token, const process_id& former) {
+    now_ = now;
+    if (const auto found = sessions_.find(endpoint.id);
+        found != sessions_.end()) {
+        if (found->second->token() >= token) {
+            return;
+        }
+        disown(*found->second);
+        sessions_.erase(found);
+    }
+    session_events& events = *this;
+    auto session = std::make_unique<endpoint_session>(
+        settings_, port_, events, endpoint, token, former);
+    auto& added = *session;
+    sessions_[endpoint.id] = std::move(session);
+    added.begin(now);
+}
+
+void endpoint_holder::release(timestamp now, const std::string& endpoint) {
+    now_ = now;
+    if (const auto found = sessions_.find(endpoint); found != sessions_.end()) {
+        disown(*found->second);
+        sessions_.erase(found);
+    }
+    if (sessions_.empty()) {
+        return_all(now);
+    }
+}
+
+void endpoint_holder::disown(endpoint_session& session) {
+    const auto entries = session.ledger().entries();
+    for (const auto& [run, entry] : entries) {
+        if (!entry.coordinator.address.empty()) {
+            events_.send_update(entry.coordinator, {run, update_kind::disowned,
+                                                    session.endpoint().id});
+        }
+    }
+    session.ledger().entries().clear();
+}
+
+void endpoint_holder::update_endpoint(timestamp now,
+                                      const endpoint_record& endpoint) {
+    now_ = now;
+    if (const auto found = sessions_.find(endpoint.id);
+        found != sessions_.end()) {
+        found->second->update(now, endpoint);
+    }
+}
+
+void endpoint_holder::mark_gone(timestamp now, const std::string& endpoint) {
+    now_ = now;
+    if (const auto found = sessions_.find(endpoint); found != sessions_.end()) {
+        found->second->mark_gone(now);
+    }
+}
+
+bool endpoint_holder::holds(const std::string& endpoint) const {
+    return sessions_.contains(endpoint);
+}
+
+std::uint64_t endpoint_holder::token_of(const std::string& endpoint) const {
+    const auto found = sessions_.find(endpoint);
+    return found == sessions_.end() ? 0 : found->second->token();
+}
+
+std::vector<std::string> endpoint_holder::take_fenced() {
+    return std::exchange(fenced_, {});
+}
+
+// --- coordinators -----------------------------------------------------------
+
+void endpoint_holder::assign(timestamp now, const process_id& coordinator,
+                             const task_assignment& assignment) {
+    const auto payload =
+        std::make_shared<const std::string>(assignment.payload);
+    for (const auto& item : assignment.items) {
+        queued_task task;
+        task.run = item.run;
+        task.need = item.need;
+        task.avoid = item.avoid;
+        task.coordinator = coordinator;
+        task.payload = payload;
+        task.pool = assignment.pool;
+        task.priority = assignment.priority;
+        task.queued_at = now;
+        task.answer_by = now + duration(assignment.objective_us);
+        task.caller_leaves = now + duration(assignment.patience_us);
+        queue_.push(std::move(task));
+    }
+    if (sessions_.empty()) {
+        return_all(now);
+    }
+}
+
+void endpoint_holder::withdraw(timestamp now, const process_id& coordinator,
+                               const std::string& job) {
+    now_ = now;
+    queue_.extract([&](const queued_task& task) {
+        return task.run.task.job == job && task.coordinator == coordinator;
+    });
+    for (auto& [id, session] : sessions_) {
+        std::vector<task_run> runs;
+        for (const auto& [run, entry] : session->ledger().entries()) {
+            if (run.task.job == job && entry.coordinator == coordinator) {
+                runs.push_back(run);
+            }
+        }
+        for (const auto& run : runs) {
+            session->stop(now, run);
+        }
+    }
+}
+
+void endpoint_holder::abandon(timestamp now, const process_id& coordinator) {
+    now_ = now;
+    std::size_t stopped = 0;
+    const auto dropped = queue_.extract([&](const queued_task& task) {
+        return task.coordinator == coordinator;
+    });
+    for (auto& [id, session] : sessions_) {
+        std::vector<task_run> runs;
+        for (const auto& [run, entry] : session->ledger().entries()) {
+            if (entry.coordinator == coordinator && !entry.stop_wanted) {
+                runs.push_back(run);
+            }
+        }
+        stopped += runs.size();
+        for (const auto& run : runs) {
+            session->stop(now, run);
+        }
+    }
+    if (!dropped.empty() || stopped > 0) {
+        observer_.log(log_level::warning, "coordinator_abandoned",
+                      {{"coordinator", coordinator.address},
+                       {"dropped", std::to_string(dropped.size())},
+                       {"stopped", std::to_string(stopped)}});
+    }
+}
+
+void endpoint_holder::claim(timestamp now, const process_id& coordinator,
+                            const adoption_claim& claim) {
+    now_ = now;
+    if (const auto found = sessions_.find(claim.endpoint);
+        found != sessions_.end()) {
+        found->second->claim(now, coordinator, claim);
+    }
+}
+
+void endpoint_holder::give_back(const queued_task& task) {
+    events_.send_update(task.coordinator,
+                        {task.run, update_kind::returned, {}});
+}
+
+void endpoint_holder::return_queued(timestamp /*now*/,
+                                    std::vector<std::uint32_t> rooms) {
+    const auto returned = queue_.extract([&](const queued_task& task) {
+        const auto cpu = task.need.room.cpu_millis;
+        const auto room =
+            std::find_if(rooms.begin(), rooms.end(),
+                         [cpu](std::uint32_t free) { return free >= cpu; });
+        if (room == rooms.end()) {
+            return false;
+        }
+        *room -= cpu;
+        return true;
+    });
+    for (const auto& task : returned) {
+        give_back(task);
+    }
+}
+
+void endpoint_holder::return_all(timestamp /*now*/) {
+    for (const auto& task :
+         queue_.extract([](const queued_task&) { return true; })) {
+        give_back(task);
+    }
+}
+
+// --- endpoints' replies -----------------------------------------------------
+
+endpoint_session* endpoint_holder::find(const std::string& endpoint,
+                                        std::uint64_t token) {
+    const auto found = sessions_.find(endpoint);
+    const bool current =
+        found != sessions_.end() && found->second->token() == token;
+    return current ? found->second.get() : nullptr;
+}
+
+void endpoint_holder::handle_hold(timestamp now, const std::string& endpoint,
+                                  std::uint64_t token,
+                                  const hold_reply& reply) {
+    now_ = now;
+    if (auto* session = find(endpoint, token)) {
+        session->handle_hold(now, reply);
+    }
+}
+
+void endpoint_holder::handle_start(timestamp now, const std::string& endpoint,
+                                   std::uint64_t token, const task_run& run,
+                                   const call_reply& reply) {
+    now_ = now;
+    if (auto* session = find(endpoint, token)) {
+        session->handle_start(now, run, reply);
+    }
+}
+
+void endpoint_holder::handle_stop(timestamp now, const std::string& endpoint,
+                                  std::uint64_t token, const task_run& run,
+                                  const call_reply& reply) {
+    now_ = now;
+    if (auto* session = find(endpoint, token)) {
+        session->handle_stop(now, run, reply);
+    }
+}
+
+void endpoint_holder::tick(timestamp now) {
+    now_ = now;
+    for (auto& [id, session] : sessions_) {
+        session->tick(now);
+    }
+    std::erase_if(sessions_, [](const auto& item) {
+        return item.second->phase() == session_phase::fenced;
+    });
+    queue_.extract(
+        [now](const queued_task& task) { return now > task.caller_leaves; });
+}
+
+// --- placement --------------------------------------------------------------
+
+void endpoint_holder::dispatch(timestamp now) {
+    now_ = now;
+    if (queue_.empty()) {
+        return;
+    }
+    queue_.drain(now, [&](const queued_task& task) {
+        auto* session = choose(now, task);
+        if (session == nullptr) {
+            return false;
+        }
+        run_entry entry;
+        entry.run = task.run;
+        entry.need = task.need;
+        entry.coordinator = task.coordinator;
+        session->start(now, std::move(entry), *task.payload);
+        return true;
+    });
+}
+
+endpoint_session* endpoint_holder::choose(timestamp now,
+                                          const queued_task& task) {
+    endpoint_session* best = nullptr;
+    double best_cost = std::numeric_limits<double>::max();
+    for (auto& [id, session] : sessions_) {
+        const auto& endpoint = session->endpoint();
+        const auto& health = session->health();
+        if (!session->takes_work() || !health.takes_work(now) ||
+            endpoint.pool != task.pool ||
+            (health.is_on_trial() && !session->ledger().empty())) {
+            continue;
+        }
+        const auto room = session->room();
+        if (!fits(task.need.room, room) ||
+            session->ledger().find(task.run) != nullptr) {
+            continue;
+        }
+        const auto& label = task.need.required_label;
+        if (!label.empty() &&
+            std::find(endpoint.labels.begin(), endpoint.labels.end(), label) ==
+                endpoint.labels.end()) {
+            continue;
+        }
+        if (std::find(task.avoid.begin(), task.avoid.end(), id) !=
+            task.avoid.end()) {
+            continue;
+        }
+        const bool far = !task.need.preferred_rack.empty() &&
+                         task.need.preferred_rack != endpoint.rack;
+        const double run_ms = task.need.estimate_ms * health.slowness() *
+                              (far ? settings_.far_factor : 1.0);
+        const double leftover = room.cpu_millis - task.need.room.cpu_millis;
+        const double cost = run_ms + leftover * leftover_weight_ms;
+        if (cost < best_cost) {
+            best = session.get();
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+void endpoint_holder::fill(advert& about) const {
+    about.queued_cpu_ms = queue_.queued_cpu_ms();
+    about.queued_tasks = static_cast<std::uint32_t>(queue_.size());
+    for (const auto& [id, session] : sessions_) {
+        if (!session->takes_work()) {
+            continue;
+        }
+        const auto& capacity = session->ledger().capacity();
+        about.capacity_cpu += capacity.cpu_millis;
+        about.largest_cpu = std::max(about.largest_cpu, capacity.cpu_millis);
+        about.largest_memory_mb =
+            std::max(about.largest_memory_mb, capacity.memory_mb);
+        if (!session->health().is_on_trial()) {
+            about.free_cpu.push_back(session->room().cpu_millis);
+        }
+    }
+}
+
+std::size_t endpoint_holder::running_tasks() const {
+    std::size_t count = 0;
+    for (const auto& [id, session] : sessions_) {
+        count += session->ledger().size();
+    }
+    return count;
+}
+
+// --- sessions' events -------------------------------------------------------
+
+void endpoint_holder::on_adopted(endpoint_session& /*session*/,
+                                 const endpoint_adoption& found) {
+    events_.announce(found);
+}
+
+void endpoint_holder::on_run_over(endpoint_session& session,
+                                  const run_entry& entry, update_kind kind) {
+    auto& health = session.health();
+    const auto run_time = now_ - entry.confirmed_at;
+    if (kind == update_kind::done) {
+        health.record_done(now_, run_time,
+                           std::chrono::milliseconds(entry.need.estimate_ms));
+        observer_.record(measure::task_time, run_time);
+    } else if (kind == update_kind::failed) {
+        health.record_fault(now_);
+    }
+    if (kind != update_kind::done && !entry.coordinator.address.empty()) {
+        observer_.log(
+            log_level::info, "run_over",
+            {{"job", entry.run.task.job},
+             {"task", std::to_string(entry.run.task.index)},
+             {"run", std::to_string(entry.run.run)},
+             {"endpoint", session.endpoint().id},
+             {"outcome", std::string(to_string(kind))},
+             {"age_ms", std::to_string(to_ms(now_ - entry.entered_at))},
+             {"faults", std::to_string(health.faults_in_a_row())}});
+    }
+    if (!entry.coordinator.address.empty()) {
+        events_.send_update(entry.coordinator,
+                            {entry.run, kind, session.endpoint().id});
+    }
+}
+
+void endpoint_holder::on_started(endpoint_session& session,
+                                 const run_entry& entry) {
+    events_.send_update(entry.coordinator, {entry.run, update_kind::started,
+                                            session.endpoint().id});
+}
+
+void endpoint_holder::on_fenced(endpoint_session& session) {
+    observer_.log(log_level::warning, "endpoint_fenced",
+                  {{"endpoint", session.endpoint().id},
+                   {"token", std::to_string(session.token())}});
+    disown(session);
+    fenced_.push_back(session.endpoint().id);
+}
+
+} // namespace figridge::dispatch
--- /dev/null
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -0,0 +1,105 @@
+// Everything a host does as the holder of endpoints.
+//
+// Coordinators assign tasks; the holder queues them, starts each on the
+// endpoint that suits it best, and reports what becomes of them. It talks to
+// coordinators only through `holder_events`.
+#ifndef FIGRIDGE_CORE_DISPATCH_ENDPOINT_HOLDER_HPP
+#define FIGRIDGE_CORE_DISPATCH_ENDPOINT_HOLDER_HPP
+
+#include <set>
+
+#include "core/dispatch/endpoint_session.hpp"
+#include "core/dispatch/task_queue.hpp"
+
+namespace figridge::dispatch {
+
+class holder_events {
+public:
+    virtual ~holder_events() = default;
+    virtual void send_update(const process_id& coordinator,
+                             const task_update& update) = 0;
+    virtual void announce(const endpoint_adoption& adoption) = 0;
+};
+
+// Owned by a `dispatcher`. Not thread-safe.
+class endpoint_holder final : session_events {
+public:
+    endpoint_holder(const dispatch_settings& settings, endpoint_port& port,
+                    observer_port& observer, holder_events& events);
+
+    // --- what is held ---
+    // Begins to hold an endpoint whose row names this host with `token`.
+    void take(timestamp now, const endpoint_record& endpoint,
+              std::uint64_t token, const process_id& former);
+    // Another host holds it now.
+    void release(timestamp now, const std::string& endpoint);
+    void update_endpoint(timestamp now, const endpoint_record& endpoint);
+    void mark_gone(timestamp now, const std::string& endpoint);
+    [[nodiscard]] bool holds(const std::string& endpoint) const;
+    [[nodiscard]] std::uint64_t token_of(const std::string& endpoint) const;
+    [[nodiscard]] const std::map<std::string,
+                                 std::unique_ptr<endpoint_session>>&
+    sessions() const {
+        return sessions_;
+    }
+
+    // --- coordinators ---
+    void assign(timestamp now, const process_id& coordinator,
+                const task_assignment& assignment);
+    void withdraw(timestamp now, const process_id& coordinator,
+                  const std::string& job);
+    void claim(timestamp now, const process_id& coordinator,
+               const adoption_claim& claim);
+    // Drops and stops what a coordinator that is not heard any more asked for.
+    void abandon(timestamp now, const process_id& coordinator);
+    // Gives tasks back unstarted: up to `cpu_budget` of them, those that wait
+    // longest behind the others first.
+    void return_queued(timestamp now, std::vector<std::uint32_t> rooms);
+    void return_all(timestamp now);
+
+    // --- endpoints' replies ---
+    void handle_hold(timestamp now, const std::string& endpoint,
+                     std::uint64_t token, const hold_reply& reply);
+    void handle_start(timestamp now, const std::string& endpoint,
+                      std::uint64_t token, const task_run& run,
+                      const call_reply& reply);
+    void handle_stop(timestamp now, const std::string& endpoint,
+                     std::uint64_t token, const task_run& run,
+                     const call_reply& reply);
+    void tick(timestamp now);
+
+    // Starts what fits. Called after inputs, once for each batch of them.
+    void dispatch(timestamp now);
+
+    void fill(advert& about) const;
+    [[nodiscard]] const task_queue& queue() const { return queue_; }
+    [[nodiscard]] std::size_t running_tasks() const;
+    // Endpoints whose token was refused since the last call.
+    std::vector<std::string> take_fenced();
+
+private:
+    void on_adopted(endpoint_session& session,
+                    const endpoint_adoption& found) override;
+    void on_run_over(endpoint_session& session, const run_entry& entry,
+                     update_kind kind) override;
+    void on_started(endpoint_session& session, const run_entry& entry) override;
+    void on_fenced(endpoint_session& session) override;
+
+    endpoint_session* find(const std::string& endpoint, std::uint64_t token);
+    endpoint_session* choose(timestamp now, const queued_task& task);
+    void disown(endpoint_session& session);
+    void give_back(const queued_task& task);
+
+    const dispatch_settings& settings_;
+    endpoint_port& port_;
+    observer_port& observer_;
+    holder_events& events_;
+    std::map<std::string, std::unique_ptr<endpoint_session>> sessions_;
+    std::vector<std::string> fenced_;
+    task_queue queue_;
+    timestamp now_{0}; // of the input being handled
+};
+
+} // namespace figridge::dispatch
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -0,0 +1,429 @@
+#include "core/dispatch/endpoint_session.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include "core/name_table.hpp"
+
+namespace figridge::dispatch {
+namespace {
+
+// A call that failed is repeated after this.
+constexpr duration retry_pause = 100ms;
+// Coordinators answer an adoption within a round trip between domains and
+// their own wake-up time.
+constexpr duration claim_window = 60ms;
+// Ends are acknowledged with the next renewal, or after this on an idle
+// endpoint.
+constexpr duration idle_acknowledgement = 300ms;
+// Added to the end of a lease before a silent endpoint is taken to be empty.
+constexpr std::int64_t lapse_margin_ms = 20;
+
+constexpr name_table<session_phase, 4> session_phase_names{{
+    {session_phase::adopting, "adopting"},
+    {session_phase::claiming, "claiming"},
+    {session_phase::active, "active"},
+    {session_phase::fenced, "fenced"},
+}};
+
+update_kind to_update(end_kind kind) {
+    switch (kind) {
+    case end_kind::done:
+        return update_kind::done;
+    case end_kind::failed:
+        return update_kind::failed;
+    case end_kind::stopped:
+        return update_kind::stopped;
+    case end_kind::lapsed:
+        break;
+    }
+    return update_kind::lost;
+}
+
+} // namespace
+
+std::string_view to_string(session_phase phase) {
+    return find_name(session_phase_names, phase);
+}
+
+endpoint_session::endpoint_session(const dispatch_settings& settings,
+                                   endpoint_port& port, session_events& events,
+                                   const endpoint_record& endpoint,
+                                   std::uint64_t token, process_id former)
+    : settings_(settings), port_(port), events_(events), endpoint_(endpoint),
+      token_(token), former_(std::move(former)), clock_(settings.clock_drift) {
+    ledger_.set_capacity(endpoint.capacity);
+}
+
+call_target endpoint_session::target() const {
+    return {endpoint_.id, endpoint_.address, token_};
+}
+
+void endpoint_session::begin(timestamp now) {
+    poll(now);
+}
+
+void endpoint_session::update(timestamp now, const endpoint_record& endpoint) {
+    const bool reborn =
+        endpoint.born_ms > endpoint_.born_ms && endpoint_.born_ms != 0;
+    endpoint_ = endpoint;
+    gone_ = false;
+    ledger_.set_capacity(endpoint.capacity);
+    if (reborn) {
+        end_life(now);
+    }
+}
+
+void endpoint_session::mark_gone(timestamp /*now*/) {
+    gone_ = true;
+}
+
+bool endpoint_session::takes_work() const {
+    return phase_ == session_phase::active && !gone_ && failed_calls_ == 0 &&
+           clock_.is_known() && endpoint_.state == endpoint_state::ready;
+}
+
+std::int64_t endpoint_session::renew_deadline(timestamp now) {
+    const auto deadline = clock_.earliest(now) + to_ms(settings_.lease_limit);
+    latest_deadline_ms_ = std::max(latest_deadline_ms_, deadline);
+    return deadline;
+}
+
+// --- long poll ------------------------------------------------------------
+
+void endpoint_session::poll(timestamp now) {
+    if (poll_sent_ || now < next_poll_ || phase_ == session_phase::fenced ||
+        phase_ == session_phase::claiming) {
+        return;
+    }
+    hold_call call{target(), acknowledged_, std::nullopt, 0};
+    if (phase_ == session_phase::active) {
+        const bool occupied =
+            std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
+                        [](const auto& item) {
+                            return item.second.state != run_state::starting;
+                        });
+        const bool acknowledge = ledger_.empty() &&
+                                 acknowledged_ > acknowledged_sent_ &&
+                                 now - idle_since_ >= idle_acknowledgement;
+        if (!occupied && !acknowledge) {
+            return;
+        }
+        // A lease is not renewed on an endpoint that may be out of reach, so
+        // that its end can be awaited.
+        if (occupied && failed_calls_ == 0 && clock_.is_known()) {
+            call.lease_deadline_ms = renew_deadline(now);
+            call.wait_ms =
+                static_cast<std::uint32_t>(to_ms(settings_.renew_interval));
+        }
+    }
+    acknowledged_sent_ = acknowledged_;
+    poll_sent_ = now;
+    port_.hold(call);
+}
+
+bool endpoint_session::take_call(timestamp now, const call_reply& reply) {
+    switch (reply.status) {
+    case call_status::stale_token:
+        fence();
+        return false;
+    case call_status::other_instance:
+        end_life(now);
+        failed_calls_ = 1;
+        return false;
+    case call_status::not_sent:
+    case call_status::unanswered:
+        ++failed_calls_;
+        return false;
+    default:
+        failed_calls_ = 0;
+        if (reply.clock_ms >= 0) {
+            clock_.read(now, reply.clock_ms);
+        }
+        return true;
+    }
+}
+
+void endpoint_session::handle_hold(timestamp now, const hold_reply& reply) {
+    const auto sent = poll_sent_.value_or(now);
+    poll_sent_.reset();
+    if (phase_ == session_phase::fenced) {
+        return;
+    }
+    if (reply.call.status != call_status::ok) {
+        take_call(now, reply.call);
+        next_poll_ = now + retry_pause;
+        return;
+    }
+    if (endpoint_.born_ms != 0 && reply.born_ms != 0 &&
+        reply.born_ms != endpoint_.born_ms && !clock_.is_known()) {
+        endpoint_.born_ms = reply.born_ms;
+    } else if (reply.born_ms != 0 && endpoint_.born_ms != 0 &&
+               reply.born_ms != endpoint_.born_ms) {
+        end_life(now);
+        endpoint_.born_ms = reply.born_ms;
+    } else if (endpoint_.born_ms == 0) {
+        endpoint_.born_ms = reply.born_ms;
+    }
+    take_call(now, reply.call);
+    if (phase_ == session_phase::adopting) {
+        adopt(now, reply);
+    } else {
+        take_ends(now, reply);
+        poll_sent_ = sent; // compared with the times of starts and stops
+        take_running(now, reply);
+        poll_sent_.reset();
+    }
+    if (ledger_.empty()) {
+        idle_since_ = now;
+    }
+    poll(now);
+}
+
+void endpoint_session::take_ends(timestamp /*now*/, const hold_reply& reply) {
+    for (const auto& ended : reply.ended) {
+        if (ended.number <= acknowledged_) {
+            continue;
+        }
+        acknowledged_ = ended.number;
+        if (const auto* entry = ledger_.find(ended.run)) {
+            over(*entry, to_update(ended.kind));
+        }
+    }
+}
+
+void endpoint_session::take_running(timestamp now, const hold_reply& reply) {
+    const auto sent = *poll_sent_;
+    std::set<task_run> listed;
+    for (const auto& running : reply.running) {
+        listed.insert(running.run);
+        auto* entry = ledger_.find(running.run);
+        if (entry == nullptr) {
+            run_entry found;
+            found.run = running.run;
+            found.state = run_state::unclaimed;
+            found.entered_at = now;
+            found.stop_wanted = true;
+            ledger_.enter(found);
+            continue;
+        }
+        if (entry->state == run_state::uncertain) {
+            entry->state = run_state::running;
+            entry->confirmed_at = now;
+        }
+        if (running.percent != entry->percent) {
+            entry->percent = running.percent;
+            entry->progress_at = now;
+        }
+    }
+    std::vector<run_entry> missing;
+    for (const auto& [run, entry] : ledger_.entries()) {
+        if (listed.contains(run) || entry.state == run_state::starting) {
+            continue;
+        }
+        const bool stopped_before =
+            entry.stop_answered_at &&
+            *entry.stop_answered_at + settings_.stop_limit < sent;
+        const bool cannot_start =
+            reply.call.clock_ms > entry.lease_deadline_ms &&
+            entry.state == run_state::uncertain;
+        const bool was_there =
+            entry.state != run_state::uncertain && entry.confirmed_at < sent;
+        if (stopped_before || cannot_start || was_there) {
+            missing.push_back(entry);
+        }
+    }
+    for (const auto& entry : missing) {
+        over(entry, update_kind::lost);
+    }
+    send_stops(now);
+}
+
+// --- takeover -------------------------------------------------------------
+
+void endpoint_session::adopt(timestamp now, const hold_reply& reply) {
+    endpoint_adoption found{endpoint_.id, former_, token_, {}, {}};
+    for (const auto& running : reply.running) {
+        run_entry entry;
+        entry.run = running.run;
+        entry.state = run_state::unclaimed;
+        entry.entered_at = now;
+        entry.confirmed_at = now;
+        entry.progress_at = now;
+        ledger_.enter(entry);
+        found.running.push_back(running.run);
+    }
+    for (const auto& ended : reply.ended) {
+        acknowledged_ = std::max(acknowledged_, ended.number);
+        found.ended.push_back({ended.run, to_update(ended.kind), endpoint_.id});
+    }
+    phase_ = ledger_.empty() ? session_phase::active : session_phase::claiming;
+    claims_until_ = now + claim_window;
+    idle_since_ = now;
+    events_.on_adopted(*this, found);
+}
+
+void endpoint_session::claim(timestamp now, const process_id& coordinator,
+                             const adoption_claim& claim) {
+    for (const auto& item : claim.items) {
+        auto* entry = ledger_.find(item.run);
+        if (entry == nullptr || entry->state != run_state::unclaimed) {
+            continue;
+        }
+        entry->need = item.need;
+        entry->coordinator = coordinator;
+        entry->state = run_state::running;
+    }
+    const bool complete =
+        std::none_of(ledger_.entries().begin(), ledger_.entries().end(),
+                     [](const auto& item) {
+                         return item.second.state == run_state::unclaimed;
+                     });
+    if (complete && phase_ == session_phase::claiming) {
+        phase_ = session_phase::active;
+        poll(now);
+    }
+}
+
+void endpoint_session::end_life(timestamp now) {
+    auto entries = ledger_.entries();
+    for (const auto& [run, entry] : entries) {
+        over(entry, update_kind::lost);
+    }
+    acknowledged_ = 0;
+    acknowledged_sent_ = 0;
+    latest_deadline_ms_ = 0;
+    clock_.reset();
+    if (phase_ != session_phase::fenced) {
+        phase_ = session_phase::adopting;
+        next_poll_ = now;
+    }
+}
+
+void endpoint_session::fence() {
+    if (phase_ == session_phase::fenced) {
+        return;
+    }
+    phase_ = session_phase::fenced;
+    events_.on_fenced(*this);
+}
+
+// --- runs -----------------------------------------------------------------
+
+void endpoint_session::start(timestamp now, run_entry entry,
+                             const std::string& payload) {
+    entry.state = run_state::starting;
+    entry.entered_at = now;
+    entry.lease_deadline_ms = renew_deadline(now);
+    const auto& entered = ledger_.enter(std::move(entry));
+    port_.start({target(), entered.run, payload, entered.lease_deadline_ms});
+}
+
+void endpoint_session::handle_start(timestamp now, const task_run& run,
+                                    const call_reply& reply) {
+    const bool answered = take_call(now, reply);
+    auto* entry = ledger_.find(run);
+    if (entry == nullptr) {
+        return;
+    }
+    switch (reply.status) {
+    case call_status::ok:
+        entry->state = run_state::running;
+        entry->confirmed_at = now;
+        entry->progress_at = now;
+        events_.on_started(*this, *entry);
+        break;
+    case call_status::unanswered:
+        if (entry->state == run_state::starting) {
+            entry->state = run_state::uncertain;
+        }
+        entry->stop_wanted = true;
+        health_.record_fault(now);
+        break;
+    case call_status::outdated_run:
+        over(*entry, update_kind::outdated);
+        break;
+    default:
+        if (answered || reply.status == call_status::not_sent) {
+            health_.record_fault(now);
+        }
+        over(*entry, update_kind::refused);
+        break;
+    }
+    send_stops(now);
+    poll(now);
+}
+
+void endpoint_session::stop(timestamp now, const task_run& run) {
+    if (auto* entry = ledger_.find(run)) {
+        entry->stop_wanted = true;
+        send_stops(now);
+    }
+}
+
+void endpoint_session::send_stops(timestamp now) {
+    if (phase_ == session_phase::fenced || phase_ == session_phase::adopting) {
+        return;
+    }
+    for (auto& [run, entry] : ledger_.entries()) {
+        const bool due = entry.stop_wanted && !entry.stop_in_flight &&
+                         !entry.stop_answered_at && now >= entry.next_stop &&
+                         entry.state != run_state::starting;
+        if (due) {
+            entry.stop_in_flight = true;
+            port_.stop({target(), run});
+        }
+    }
+}
+
+void endpoint_session::handle_stop(timestamp now, const task_run& run,
+                                   const call_reply& reply) {
+    take_call(now, reply);
+    auto* entry = ledger_.find(run);
+    if (entry == nullptr) {
+        return;
+    }
+    entry->stop_in_flight = false;
+    if (reply.status == call_status::ok) {
+        entry->stop_answered_at = now;
+    } else {
+        entry->next_stop = now + retry_pause;
+    }
+    poll(now);
+}
+
+void endpoint_session::over(const run_entry& entry, update_kind kind) {
+    const run_entry ended = entry;
+    ledger_.remove(ended.run);
+    events_.on_run_over(*this, ended, kind);
+}
+
+// --- time -----------------------------------------------------------------
+
+void endpoint_session::check_lapse(timestamp now) {
+    if (ledger_.empty() ||
+        !clock_.surely_past(now, latest_deadline_ms_ + lapse_margin_ms)) {
+        return;
+    }
+    auto entries = ledger_.entries();
+    for (const auto& [run, entry] : entries) {
+        over(entry, update_kind::lost);
+    }
+}
+
+void endpoint_session::tick(timestamp now) {
+    if (phase_ == session_phase::fenced) {
+        return;
+    }
+    if (phase_ == session_phase::claiming && now >= claims_until_) {
+        phase_ = session_phase::active;
+        for (auto& [run, entry] : ledger_.entries()) {
+            entry.stop_wanted |= entry.state == run_state::unclaimed;
+        }
+    }
+    check_lapse(now);
+    send_stops(now);
+    poll(now);
+}
+
+} // namespace figridge::dispatch
--- /dev/null
+++ b/src/core/dispatch/holder_directory.hpp
@@ -0,0 +1,71 @@
+// Which endpoints exist, who holds each, and which this host should take.
+//
+// Endpoints come from the platform's list, holders from the stored rows. An
+// endpoint stays with its holder as long as that process is heard and serves
+// the endpoint's failure domain; otherwise every host picks the same successor
+// from the hosts it hears.
+#ifndef FIGRIDGE_CORE_DISPATCH_HOLDER_DIRECTORY_HPP
+#define FIGRIDGE_CORE_DISPATCH_HOLDER_DIRECTORY_HPP
+
+#include <map>
+#include <optional>
+
+#include "core/dispatch/settings.hpp"
+
+namespace figridge::dispatch {
+
+// A host as a candidate for holding endpoints.
+struct candidate {
+    process_id id;
+    std::string failure_domain;
+    double cpu_share = 0.0;
+    bool draining = false;
+};
+
+// Owned by a `dispatcher`. Not thread-safe.
+class holder_directory {
+public:
+    explicit holder_directory(const dispatch_settings& settings)
+        : settings_(settings) {}
+
+    void set_endpoint(const endpoint_record& endpoint);
+    void remove_endpoint(const std::string& endpoint);
+    void set_holder(timestamp now, const holder_record& record);
+    void remove_holder(const std::string& endpoint);
+    // A row was written by this host; the version is told by the feed later.
+    void forget_version(const std::string& endpoint);
+
+    [[nodiscard]] const std::map<std::string, endpoint_record>&
+    endpoints() const {
+        return endpoints_;
+    }
+    [[nodiscard]] const holder_record* holder_of(const std::string& id) const;
+    [[nodiscard]] std::vector<std::string>
+    held_by(const process_id& holder) const;
+    // Rows of endpoints that the platform does not list any more.
+    [[nodiscard]] std::vector<holder_record> orphans() const;
+
+    // The endpoints that the host `self` should take over now, given the
+    // processes it hears (itself included). Endpoints that changed hands a
+    // moment ago are left alone, the longer the more often they did.
+    [[nodiscard]] std::vector<std::string>
+    wanted(timestamp now, const process_id& self,
+           const std::vector<candidate>& live) const;
+
+private:
+    struct row {
+        holder_record record;
+        timestamp changed_at{0};
+        duration calm_time{0}; // no takeover before it has passed
+    };
+
+    [[nodiscard]] bool may_change(timestamp now, const row& current) const;
+
+    const dispatch_settings& settings_;
+    std::map<std::string, endpoint_record> endpoints_;
+    std::map<std::string, row> rows_;
+};
+
+} // namespace figridge::dispatch
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -0,0 +1,502 @@
+#include "core/dispatch/job_coordinator.hpp"
+
+#include <algorithm>
+
+namespace figridge::dispatch {
+namespace {
+
+// A caller that lost an answer asks again within this.
+constexpr duration answer_retention = 5s;
+// A holder that reports a run as disowned may do so after the adoption.
+constexpr duration adoption_retention = 3s;
+// A run that lost its holder ends with its lease at the latest.
+constexpr duration disowned_limit = 1300ms;
+// Enough endpoints to avoid; a task that failed on so many is to blame.
+constexpr std::size_t max_avoided = 4;
+// A refusal for want of endpoints or room: a takeover lasts about this long.
+constexpr duration retry_after_takeover = 1s;
+// Beyond this share of the caller's patience a queue is too long to join.
+constexpr double hopeless_wait_share = 1.0;
+
+} // namespace
+
+job_coordinator::job_coordinator(const dispatch_settings& settings,
+                                 holder_views& views, caller_port& callers,
+                                 observer_port& observer,
+                                 coordinator_events& events)
+    : settings_(settings), views_(views), callers_(callers),
+      observer_(observer), events_(events) {}
+
+// --- arrival ----------------------------------------------------------------
+
+void job_coordinator::refuse(timestamp /*now*/, caller_token token,
+                             const job_submission& submission,
+                             job_answer answer) {
+    observer_.log(
+        log_level::info, "job_refused",
+        {{"job", submission.work.id},
+         {"request", submission.request_id},
+         {"queue", submission.queue.name},
+         {"reason", answer.reason},
+         {"holders_known", views_.empty() ? "no" : "yes"},
+         {"queue_wait_ms", std::to_string(to_ms(views_.shortest_wait()))},
+         {"retry_after_ms", std::to_string(to_ms(answer.retry_after))}});
+    callers_.answer(token, answer);
+}
+
+void job_coordinator::submit(timestamp now, caller_token token,
+                             job_submission submission) {
+    const auto id = submission.work.id;
+    if (const auto kept = answers_.find(id); kept != answers_.end()) {
+        callers_.answer(token, kept->second.answer);
+        return;
+    }
+    if (const auto running = jobs_.find(id); running != jobs_.end()) {
+        // The same job again: its new connection gets the answer.
+        tokens_.erase(running->second.token);
+        running->second.token = token;
+        running->second.caller_leaves = now + submission.patience;
+        tokens_[token] = id;
+        return;
+    }
+    if (views_.empty()) {
+        return refuse(
+            now, token, submission,
+            {job_outcome::refused, "no_endpoints", retry_after_takeover});
+    }
+    duration longest{0};
+    for (const auto& step : submission.work.steps) {
+        if (!views_.can_ever_fit(step.need)) {
+            return refuse(now, token, submission,
+                          {job_outcome::refused, "task_fits_no_endpoint",
+                           retry_after_takeover});
+        }
+        longest += std::chrono::milliseconds(step.need.estimate_ms);
+    }
+    const auto wait = views_.shortest_wait();
+    if (submission.queue.priority > 0 &&
+        to_seconds(wait) >
+            hopeless_wait_share * to_seconds(submission.patience)) {
+        return refuse(now, token, submission,
+                      {job_outcome::refused, "queue_too_long", wait});
+    }
+    auto& state = jobs_[id];
+    state.token = token;
+    state.arrived = now;
+    state.answer_by =
+        now + submission.queue.latency_target +
+        duration(static_cast<std::int64_t>(
+            submission.queue.stretch * static_cast<double>(longest.count())));
+    state.caller_leaves = now + submission.patience;
+    for (const auto& step : submission.work.steps) {
+        step_state fresh;
+        fresh.tasks.resize(step.count);
+        fresh.remaining = step.count;
+        state.steps.push_back(std::move(fresh));
+    }
+    state.submission = std::move(submission);
+    tokens_[token] = id;
+    unblock_steps(state);
+    place(now, state);
+}
+
+void job_coordinator::unblock_steps(job_state& state) {
+    for (std::size_t i = 0; i < state.steps.size(); ++i) {
+        const auto& after = state.submission.work.steps[i].after;
+        const bool open = std::all_of(
+            after.begin(), after.end(), [&state](std::uint32_t earlier) {
+                return state.steps[earlier].remaining == 0;
+            });
+        if (!open) {
+            continue;
+        }
+        for (auto& task : state.steps[i].tasks) {
+            if (task.phase == task_phase::blocked) {
+                task.phase = task_phase::unplaced;
+            }
+        }
+    }
+}
+
+void job_coordinator::place(timestamp now, job_state& state) {
+    const auto& submission = state.submission;
+    std::map<process_id, task_assignment> assignments;
+    for (std::uint32_t s = 0; s < state.steps.size(); ++s) {
+        auto& tasks = state.steps[s].tasks;
+        for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+            auto& task = tasks[i];
+            if (task.phase != task_phase::unplaced) {
+                continue;
+            }
+            const auto& need = submission.work.steps[s].need;
+            const auto holder = views_.place(now, need);
+            if (!holder) {
+                continue;
+            }
+            task.phase = task_phase::placed;
+            task.holder = *holder;
+            task.endpoint.clear();
+            task.holder_lost = false;
+            assignments[*holder].items.push_back(
+                {{{submission.work.id, s, i}, task.run}, need, task.avoid});
+        }
+    }
+    for (auto& [holder, assignment] : assignments) {
+        assignment.job = submission.work.id;
+        assignment.payload = submission.work.payload;
+        assignment.pool = submission.queue.pool;
+        assignment.priority = submission.queue.priority;
+        assignment.objective_us = (state.answer_by - now).count();
+        assignment.patience_us = (state.caller_leaves - now).count();
+        events_.send_assignment(holder, assignment);
+    }
+}
+
+// --- ends -------------------------------------------------------------------
+
+job_coordinator::task_state* job_coordinator::find(const task_key& key,
+                                                   job_state** owner) {
+    const auto found = jobs_.find(key.job);
+    if (found == jobs_.end() || key.step >= found->second.steps.size() ||
+        key.index >= found->second.steps[key.step].tasks.size()) {
+        return nullptr;
+    }
+    if (owner != nullptr) {
+        *owner = &found->second;
+    }
+    return &found->second.steps[key.step].tasks[key.index];
+}
+
+void job_coordinator::handle_update(timestamp now, const process_id& holder,
+                                    const task_update& update) {
+    job_state* state = nullptr;
+    auto* task = find(update.run.task, &state);
+    const bool current = task != nullptr && task->run == update.run.run &&
+                         task->phase == task_phase::placed &&
+                         task->holder == holder;
+    if (current) {
+        apply_update(now, *state, *task, update);
+    }
+}
+
+void job_coordinator::apply_update(timestamp now, job_state& state,
+                                   task_state& task,
+                                   const task_update& update) {
+    const auto id = state.submission.work.id;
+    switch (update.kind) {
+    case update_kind::started:
+        task.endpoint = update.endpoint;
+        state.any_started = true;
+        return;
+    case update_kind::done: {
+        task.phase = task_phase::done;
+        auto& step = state.steps[update.run.task.step];
+        if (--step.remaining > 0) {
+            return;
+        }
+        const bool complete =
+            std::all_of(state.steps.begin(), state.steps.end(),
+                        [](const step_state& s) { return s.remaining == 0; });
+        if (complete) {
+            return finish(now, id, {job_outcome::completed, {}, {}});
+        }
+        unblock_steps(state);
+        break;
+    }
+    case update_kind::failed:
+        if (++task.failures >= state.submission.queue.attempts) {
+            return finish(now, id,
+                          {job_outcome::failed, "attempts_used_up", {}});
+        }
+        place_again(task, update.kind, update.endpoint);
+        break;
+    case update_kind::disowned: {
+        task.endpoint = update.endpoint;
+        task.holder_lost = true;
+        task.over_by = now + disowned_limit;
+        const auto kept = adoptions_.find(update.endpoint);
+        if (kept != adoptions_.end()) {
+            adoption_claim claim{update.endpoint, {}};
+            resolve_adopted(now, kept->second.holder, kept->second.adoption,
+                            state, update.run.task.step, update.run.task.index,
+                            claim);
+            if (!claim.items.empty()) {
+                events_.send_claim(kept->second.holder, claim);
+            }
+        }
+        break;
+    }
+    default:
+        place_again(task, update.kind, update.endpoint);
+        break;
+    }
+    // The update may have ended the job.
+    if (const auto found = jobs_.find(id); found != jobs_.end()) {
+        place(now, found->second);
+    }
+}
+
+void job_coordinator::place_again(task_state& task, update_kind cause,
+                                  const std::string& endpoint) {
+    task.phase = task_phase::unplaced;
+    task.holder_lost = false;
+    ++task.moves;
+    if (cause != update_kind::returned) {
+        ++task.run;
+    }
+    const bool blame = cause == update_kind::failed ||
+                       cause == update_kind::refused ||
+                       cause == update_kind::lost;
+    if (blame && !endpoint.empty()) {
+        task.avoid.push_back(endpoint);
+        if (task.avoid.size() > max_avoided) {
+            task.avoid.erase(task.avoid.begin());
+        }
+    }
+}
+
+void job_coordinator::withdraw(const job_state& state) {
+    std::set<process_id> holders;
+    for (const auto& step : state.steps) {
+        for (const auto& task : step.tasks) {
+            if (task.phase == task_phase::placed) {
+                holders.insert(task.holder);
+            }
+        }
+    }
+    for (const auto& holder : holders) {
+        events_.send_withdrawal(holder, {state.submission.work.id});
+    }
+}
+
+void job_coordinator::finish(timestamp now, const std::string& id,
+                             job_answer answer) {
+    const auto found = jobs_.find(id);
+    auto& state = found->second;
+    withdraw(state);
+    if (answer.outcome != job_outcome::completed) {
+        log_job(log_level::info, "job_failed", state, answer, now);
+    } else {
+        observer_.record(measure::response_time, now - state.arrived);
+        answers_[id] = {answer, now + answer_retention};
+    }
+    callers_.answer(state.token, answer);
+    tokens_.erase(state.token);
+    jobs_.erase(found);
+}
+
+void job_coordinator::log_job(log_level level, std::string_view event,
+                              const job_state& state, const job_answer& answer,
+                              timestamp now) {
+    std::size_t open = 0;
+    std::string waits_for;
+    for (const auto& step : state.steps) {
+        open += step.remaining;
+        for (const auto& task : step.tasks) {
+            if (task.phase == task_phase::placed && waits_for.empty()) {
+                waits_for = task.holder.address + "/" +
+                            (task.endpoint.empty() ? "queued" : task.endpoint);
+            }
+        }
+    }
+    observer_.log(level, event,
+                  {{"job", state.submission.work.id},
+                   {"request", state.submission.request_id},
+                   {"queue", state.submission.queue.name},
+                   {"outcome", std::string(to_string(answer.outcome))},
+                   {"reason", answer.reason},
+                   {"tasks_open", std::to_string(open)},
+                   {"waits_for", waits_for},
+                   {"age_ms", std::to_string(to_ms(now - state.arrived))},
+                   {"answer_by_ms",
+                    std::to_string(to_ms(state.answer_by - state.arrived))}});
+}
+
+void job_coordinator::drop_caller(timestamp now, caller_token token) {
+    const auto found = tokens_.find(token);
+    if (found == tokens_.end()) {
+        return;
+    }
+    const auto id = found->second;
+    finish(now, id, {job_outcome::gave_up, "caller_left", {}});
+}
+
+void job_coordinator::abandon_all(timestamp now, std::string_view reason) {
+    while (!jobs_.empty()) {
+        finish(now, jobs_.begin()->first,
+               {job_outcome::gave_up, std::string(reason), {}});
+    }
+    lost_holders_.clear();
+}
+
+// --- holders come and go ----------------------------------------------------
+
+void job_coordinator::handle_holder_lost(
+    timestamp now, const process_id& holder,
+    const std::vector<std::string>& endpoints, timestamp over_by) {
+    views_.forget(holder);
+    lost_holder lost{{endpoints.begin(), endpoints.end()}, over_by};
+    for (const auto& endpoint : endpoints) {
+        const auto kept = adoptions_.find(endpoint);
+        if (kept != adoptions_.end() &&
+            kept->second.adoption.former == holder) {
+            lost.unadopted.erase(endpoint);
+        }
+    }
+    for (auto& [id, state] : jobs_) {
+        for (auto& step : state.steps) {
+            for (auto& task : step.tasks) {
+                if (task.phase == task_phase::placed && task.holder == holder) {
+                    task.holder_lost = true;
+                    task.over_by = over_by;
+                }
+            }
+        }
+    }
+    const bool adopted = lost.unadopted.empty();
+    lost_holders_[holder] = std::move(lost);
+    if (adopted) {
+        place_tasks_of(now, holder);
+    }
+}
+
+void job_coordinator::handle_adoption(timestamp now, const process_id& holder,
+                                      const endpoint_adoption& adoption) {
+    adoptions_[adoption.endpoint] = {holder, adoption, now};
+    adoption_claim claim{adoption.endpoint, {}};
+    std::vector<std::string> ids;
+    for (const auto& [id, state] : jobs_) {
+        ids.push_back(id);
+    }
+    for (const auto& id : ids) {
+        const auto found = jobs_.find(id);
+        if (found == jobs_.end()) {
+            continue;
+        }
+        auto& state = found->second;
+        for (std::uint32_t s = 0; s < state.steps.size(); ++s) {
+            for (std::uint32_t i = 0; i < state.steps[s].tasks.size(); ++i) {
+                resolve_adopted(now, holder, adoption, state, s, i, claim);
+                if (!jobs_.contains(id)) {
+                    break;
+                }
+            }
+            if (!jobs_.contains(id)) {
+                break;
+            }
+        }
+        if (const auto still = jobs_.find(id); still != jobs_.end()) {
+            place(now, still->second);
+        }
+    }
+    if (!claim.items.empty()) {
+        events_.send_claim(holder, claim);
+    }
+    if (const auto lost = lost_holders_.find(adoption.former);
+        lost != lost_holders_.end()) {
+        lost->second.unadopted.erase(adoption.endpoint);
+        if (lost->second.unadopted.empty()) {
+            place_tasks_of(now, adoption.former);
+        }
+    }
+}
+
+void job_coordinator::resolve_adopted(timestamp now, const process_id& holder,
+                                      const endpoint_adoption& adoption,
+                                      job_state& state, std::uint32_t step,
+                                      std::uint32_t index,
+                                      adoption_claim& claim) {
+    auto& task = state.steps[step].tasks[index];
+    const bool there = task.endpoint == adoption.endpoint;
+    const bool maybe_there = task.holder == adoption.former &&
+                             task.endpoint.empty() && task.holder_lost;
+    if (task.phase != task_phase::placed || task.holder == holder ||
+        (!there && !maybe_there)) {
+        return;
+    }
+    const task_run run{{state.submission.work.id, step, index}, task.run};
+    if (std::find(adoption.running.begin(), adoption.running.end(), run) !=
+        adoption.running.end()) {
+        task.holder = holder;
+        task.endpoint = adoption.endpoint;
+        task.holder_lost = false;
+        claim.items.push_back({run, state.submission.work.steps[step].need});
+        return;
+    }
+    const auto ended = std::find_if(
+        adoption.ended.begin(), adoption.ended.end(),
+        [&run](const task_update& update) { return update.run == run; });
+    if (ended != adoption.ended.end()) {
+        task.holder = holder;
+        apply_update(now, state, task, *ended);
+        return;
+    }
+    if (there) {
+        place_again(task, update_kind::lost, {});
+    }
+}
+
+void job_coordinator::place_tasks_of(timestamp now, const process_id& lost) {
+    lost_holders_.erase(lost);
+    for (auto& [id, state] : jobs_) {
+        bool moved = false;
+        for (auto& step : state.steps) {
+            for (auto& task : step.tasks) {
+                if (task.phase == task_phase::placed && task.holder == lost &&
+                    task.holder_lost) {
+                    place_again(task, update_kind::lost, {});
+                    moved = true;
+                }
+            }
+        }
+        if (moved) {
+            place(now, state);
+        }
+    }
+}
+
+// --- time -------------------------------------------------------------------
+
+void job_coordinator::tick(timestamp now) {
+    std::vector<std::string> expired;
+    for (auto& [id, state] : jobs_) {
+        if (now > state.caller_leaves) {
+            expired.push_back(id);
+            continue;
+        }
+        bool unplaced = false;
+        for (auto& step : state.steps) {
+            for (auto& task : step.tasks) {
+                if (task.phase == task_phase::placed && task.holder_lost &&
+                    now > task.over_by) {
+                    place_again(task, update_kind::lost, {});
+                }
+                unplaced |= task.phase == task_phase::unplaced;
+            }
+        }
+        if (unplaced) {
+            place(now, state);
+        }
+    }
+    for (const auto& id : expired) {
+        finish(now, id, {job_outcome::gave_up, "deadline_passed", {}});
+    }
+    std::erase_if(answers_,
+                  [now](const auto& item) { return now > item.second.until; });
+    std::erase_if(adoptions_, [now](const auto& item) {
+        return now - item.second.at > adoption_retention;
+    });
+    std::erase_if(lost_holders_, [now](const auto& item) {
+        return now > item.second.over_by;
+    });
+}
+
+std::size_t job_coordinator::waiting(const std::string& queue) const {
+    return static_cast<std::size_t>(
+        std::count_if(jobs_.begin(), jobs_.end(), [&queue](const auto& item) {
+            return item.second.submission.queue.name == queue &&
+                   !item.second.any_started;
+        }));
+}
+
+} // namespace figridge::dispatch
--- /dev/null
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -0,0 +1,145 @@
+// Jobs from their arrival to their one answer.
+//
+// The coordinator keeps a record of each job in memory, places its tasks with
+// holders, counts attempts, and answers when all tasks are done or one has
+// failed too often. A task is placed again only when its earlier run is
+// certainly over.
+#ifndef FIGRIDGE_CORE_DISPATCH_JOB_COORDINATOR_HPP
+#define FIGRIDGE_CORE_DISPATCH_JOB_COORDINATOR_HPP
+
+#include <set>
+
+#include "core/dispatch/holder_views.hpp"
+#include "core/dispatch/ports.hpp"
+#include "core/dispatch/settings.hpp"
+
+namespace figridge::dispatch {
+
+class coordinator_events {
+public:
+    virtual ~coordinator_events() = default;
+    virtual void send_assignment(const process_id& holder,
+                                 const task_assignment& assignment) = 0;
+    virtual void send_withdrawal(const process_id& holder,
+                                 const job_withdrawal& withdrawal) = 0;
+    virtual void send_claim(const process_id& holder,
+                            const adoption_claim& claim) = 0;
+};
+
+struct job_submission {
+    job work;
+    queue_policy queue;
+    duration patience{0}; // how long the caller waits
+    std::string request_id;
+};
+
+// Owned by a `dispatcher`. Not thread-safe.
+class job_coordinator {
+public:
+    job_coordinator(const dispatch_settings& settings, holder_views& views,
+                    caller_port& callers, observer_port& observer,
+                    coordinator_events& events);
+
+    void submit(timestamp now, caller_token token, job_submission submission);
+    // The caller has closed its connection.
+    void drop_caller(timestamp now, caller_token token);
+    void handle_update(timestamp now, const process_id& holder,
+                       const task_update& update);
+    void handle_adoption(timestamp now, const process_id& holder,
+                         const endpoint_adoption& adoption);
+    // A holder is not heard any more. `endpoints` are those it held; the runs
+    // it may have started are over at `over_by` at the latest.
+    void handle_holder_lost(timestamp now, const process_id& holder,
+                            const std::vector<std::string>& endpoints,
+                            timestamp over_by);
+    void tick(timestamp now);
+    // Gives up every job: this process stood still for so long that others
+    // may have run them again.
+    void abandon_all(timestamp now, std::string_view reason);
+
+    [[nodiscard]] std::size_t job_count() const { return jobs_.size(); }
+    // Jobs of a queue none of whose tasks has started.
+    [[nodiscard]] std::size_t waiting(const std::string& queue) const;
+
+private:
+    enum class task_phase { blocked, unplaced, placed, done };
+
+    struct task_state {
+        task_phase phase = task_phase::blocked;
+        process_id holder;
+        std::string endpoint; // known once started there
+        std::uint32_t run = 1;
+        std::uint32_t failures = 0;
+        std::uint32_t moves = 0;
+        std::vector<std::string> avoid;
+        timestamp over_by{0}; // if the holder is lost
+        bool holder_lost = false;
+    };
+
+    struct step_state {
+        std::vector<task_state> tasks;
+        std::size_t remaining = 0;
+    };
+
+    struct job_state {
+        caller_token token = 0;
+        job_submission submission;
+        timestamp arrived{0};
+        timestamp answer_by{0};
+        timestamp caller_leaves{0};
+        std::vector<step_state> steps;
+        bool any_started = false;
+    };
+
+    // Endpoints of a lost holder that nobody has taken over yet.
+    struct lost_holder {
+        std::set<std::string> unadopted;
+        timestamp over_by{0};
+    };
+
+    struct kept_answer {
+        job_answer answer;
+        timestamp until{0};
+    };
+
+    struct kept_adoption {
+        process_id holder;
+        endpoint_adoption adoption;
+        timestamp at{0};
+    };
+
+    task_state* find(const task_key& key, job_state** owner = nullptr);
+    void unblock_steps(job_state& state);
+    void place(timestamp now, job_state& state);
+    void place_again(task_state& task, update_kind cause,
+                     const std::string& endpoint);
+    void apply_update(timestamp now, job_state& state, task_state& task,
+                      const task_update& update);
+    void resolve_adopted(timestamp now, const process_id& holder,
+                         const endpoint_adoption& adoption, job_state& state,
+                         std::uint32_t step, std::uint32_t index,
+                         adoption_claim& claim);
+    void withdraw(const job_state& state);
+    void finish(timestamp now, const std::string& id, job_answer answer);
+    void refuse(timestamp now, caller_token token,
+                const job_submission& submission, job_answer answer);
+    void place_tasks_of(timestamp now, const process_id& lost);
+    void log_job(log_level level, std::string_view event,
+                 const job_state& state, const job_answer& answer,
+                 timestamp now);
+
+    const dispatch_settings& settings_;
+    holder_views& views_;
+    caller_port& callers_;
+    observer_port& observer_;
+    coordinator_events& events_;
+    std::map<std::string, job_state> jobs_;
+    std::map<caller_token, std::string> tokens_;
+    std::map<std::string, kept_answer> answers_;
+    std::map<process_id, lost_holder> lost_holders_;
+    std::map<std::string, kept_adoption> adoptions_;
+};
+
+} // namespace figridge::dispatch
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/messages.hpp
@@ -0,0 +1,153 @@
+// Messages between the dispatchers of two hosts.
+//
+// Payloads are delivered once and in order to one incarnation of a peer; see
+// `peer_sessions`. An advert travels on every envelope and only the newest
+// counts.
+#ifndef FIGRIDGE_CORE_DISPATCH_MESSAGES_HPP
+#define FIGRIDGE_CORE_DISPATCH_MESSAGES_HPP
+
+#include <string_view>
+
+#include "core/dispatch/types.hpp"
+
+namespace figridge::dispatch {
+
+// What a process says of itself. `free_cpu` has the unused processor share of
+// each endpoint it holds that takes work, in thousandths of a core.
+struct advert {
+    std::uint64_t catalogue_version = 0;
+    bool draining = false;
+    double cpu_share = 0.0;
+    std::uint32_t capacity_cpu = 0;
+    std::uint64_t queued_cpu_ms = 0; // processor time asked by queued tasks
+    std::uint32_t queued_tasks = 0;
+    std::uint32_t largest_cpu = 0; // of one endpoint
+    std::uint32_t largest_memory_mb = 0;
+    std::vector<std::uint32_t> free_cpu;
+
+    MSGPACK_DEFINE(catalogue_version, draining, cpu_share, capacity_cpu,
+                   queued_cpu_ms, queued_tasks, largest_cpu, largest_memory_mb,
+                   free_cpu);
+};
+
+// Gives tasks of one job to a holder. Times count from the sending.
+struct task_assignment {
+    struct item {
+        task_run run;
+        task_need need;
+        std::vector<std::string> avoid; // endpoints this task failed on
+        MSGPACK_DEFINE(run, need, avoid);
+    };
+    std::string job;
+    std::string payload;
+    std::string pool;
+    std::uint32_t priority = 0;
+    std::int64_t objective_us = 0; // time left to answer in time
+    std::int64_t patience_us = 0;  // time left until the caller gives up
+    std::vector<item> items;
+
+    MSGPACK_DEFINE(job, payload, pool, priority, objective_us, patience_us,
+                   items);
+};
+
+// Takes a whole job back: queued tasks are dropped, running ones stopped.
+struct job_withdrawal {
+    std::string job;
+    MSGPACK_DEFINE(job);
+};
+
+enum class update_kind {
+    started,
+    done,
+    failed,   // ran, and failed
+    stopped,  // ran, and was stopped
+    lost,     // may have run; it does not run any more
+    refused,  // the endpoint did not start it
+    outdated, // the endpoint has seen this run or a higher one
+    returned, // never sent to an endpoint
+    disowned, // may run on an endpoint that now has another holder
+};
+
+struct task_update {
+    task_run run;
+    update_kind kind = update_kind::returned;
+    std::string endpoint;
+    MSGPACK_DEFINE(run, kind, endpoint);
+};
+
+// What a new holder found on an endpoint when it took it over.
+struct endpoint_adoption {
+    std::string endpoint;
+    process_id former;
+    std::uint64_t token = 0;
+    std::vector<task_run> running;
+    std::vector<task_update> ended;
+    MSGPACK_DEFINE(endpoint, former, token, running, ended);
+};
+
+// Answers an adoption: these runs are still wanted by the sender.
+struct adoption_claim {
+    struct item {
+        task_run run;
+        task_need need;
+        MSGPACK_DEFINE(run, need);
+    };
+    std::string endpoint;
+    std::vector<item> items;
+    MSGPACK_DEFINE(endpoint, items);
+};
+
+struct catalogue_wanted {
+    std::uint64_t have = 0;
+    MSGPACK_DEFINE(have);
+};
+
+// The text of a catalogue version as the platform stores it.
+struct catalogue_text {
+    std::string text;
+    MSGPACK_DEFINE(text);
+};
+
+struct payload {
+    std::vector<catalogue_wanted> catalogue_wanted_list;
+    std::vector<catalogue_text> catalogues;
+    std::vector<task_assignment> assignments;
+    std::vector<job_withdrawal> withdrawals;
+    std::vector<endpoint_adoption> adoptions;
+    std::vector<adoption_claim> claims;
+    std::vector<task_update> updates;
+
+    [[nodiscard]] bool empty() const {
+        return catalogue_wanted_list.empty() && catalogues.empty() &&
+               assignments.empty() && withdrawals.empty() &&
+               adoptions.empty() && claims.empty() && updates.empty();
+    }
+    MSGPACK_DEFINE(catalogue_wanted_list, catalogues, assignments, withdrawals,
+                   adoptions, claims, updates);
+};
+
+// `sequence` is that of the payload, 0 without one. `to_incarnation` is 0 as
+// long as the sender does not know the receiver's. `stamp_us` is the sender's
+// clock; `echo_us` the latest stamp it has received from the receiver.
+struct envelope {
+    process_id from;
+    std::string failure_domain;
+    std::uint64_t to_incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t ack = 0;
+    std::int64_t stamp_us = 0;
+    std::int64_t echo_us = 0;
+    advert about;
+    payload content;
+
+    MSGPACK_DEFINE(from, failure_domain, to_incarnation, sequence, ack,
+                   stamp_us, echo_us, about, content);
+};
+
+std::string_view to_string(update_kind kind);
+
+} // namespace figridge::dispatch
+
+MSGPACK_ADD_ENUM(figridge::dispatch::update_kind);
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -0,0 +1,199 @@
+#include "core/dispatch/peer_sessions.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace figridge::dispatch {
+namespace {
+
+// A payload not acknowledged by a few heartbeats is sent again.
+constexpr duration resend_pause = 500ms;
+// A peer that is not heard is still greeted, for it may hear us.
+constexpr duration lost_heartbeat_interval = 500ms;
+// What a peer that is out of reach may keep waiting here.
+constexpr std::size_t max_unacknowledged = 4096;
+
+} // namespace
+
+peer_sessions::peer_sessions(const dispatch_settings& settings, peer_port& port,
+                             peer_session_events& events)
+    : settings_(settings), port_(port), events_(events) {}
+
+void peer_sessions::add(timestamp /*now*/, const std::string& address) {
+    if (address == settings_.self.address || peers_.contains(address)) {
+        return;
+    }
+    peers_[address].id.address = address;
+    port_.connect(address);
+}
+
+void peer_sessions::remove(const std::string& address) {
+    const auto found = peers_.find(address);
+    if (found != peers_.end() && found->second.lost) {
+        port_.disconnect(address);
+        peers_.erase(found);
+    }
+}
+
+// --- sending ----------------------------------------------------------------
+
+payload* peer_sessions::pending_for(const process_id& peer) {
+    const auto found = peers_.find(peer.address);
+    const bool reachable = found != peers_.end() && found->second.id == peer;
+    return reachable ? &found->second.pending : nullptr;
+}
+
+void peer_sessions::send(timestamp now, const std::string& address, peer& to,
+                         std::uint64_t sequence, const payload& content) {
+    envelope message;
+    message.from = settings_.self;
+    message.failure_domain = settings_.failure_domain;
+    message.to_incarnation = to.id.incarnation;
+    message.sequence = sequence;
+    message.ack = to.received;
+    message.stamp_us = now.count();
+    message.echo_us = to.peer_stamp_us;
+    message.about = events_.make_advert();
+    message.content = content;
+    to.sent_at = now;
+    port_.send(address, message);
+}
+
+void peer_sessions::flush(timestamp now) {
+    for (auto& [address, to] : peers_) {
+        if (to.pending.empty()) {
+            continue;
+        }
+        if (to.unacknowledged.size() >= max_unacknowledged) {
+            to.pending = {};
+            continue;
+        }
+        const auto sequence = to.next_sequence++;
+        if (to.unacknowledged.empty()) {
+            to.resend_at = now + resend_pause;
+        }
+        to.unacknowledged.emplace_back(sequence, std::exchange(to.pending, {}));
+        send(now, address, to, sequence, to.unacknowledged.back().second);
+    }
+}
+
+void peer_sessions::resend(timestamp now, const std::string& address,
+                           peer& to) {
+    to.resend_at = now + resend_pause;
+    for (const auto& [sequence, content] : to.unacknowledged) {
+        send(now, address, to, sequence, content);
+    }
+}
+
+// --- receiving --------------------------------------------------------------
+
+void peer_sessions::handle_envelope(timestamp now, const envelope& message) {
+    if (message.from.address == settings_.self.address) {
+        return;
+    }
+    add(now, message.from.address);
+    auto& from = peers_.at(message.from.address);
+    if (from.former_incarnations.contains(message.from.incarnation)) {
+        return;
+    }
+    if (from.id.incarnation != message.from.incarnation) {
+        if (from.id.incarnation != 0) {
+            from.former_incarnations.insert(from.id.incarnation);
+            lose(from, true);
+            if (!std::exchange(from.out_of_contact, true)) {
+                events_.on_out_of_contact(from.id);
+            }
+        }
+        from.id = message.from;
+        from.received = 0;
+        from.unacknowledged.clear();
+        from.pending = {};
+        from.next_sequence = 1;
+        from.echoed_at = timestamp{0};
+        from.peer_stamp_us = 0;
+    }
+    from.failure_domain = message.failure_domain;
+    from.about = message.about;
+    from.heard_at = now;
+    from.lost = false;
+    from.peer_stamp_us = std::max(from.peer_stamp_us, message.stamp_us);
+    const bool for_us = message.to_incarnation == settings_.self.incarnation;
+    if (for_us) {
+        from.echoed_at = std::max(from.echoed_at, timestamp(message.echo_us));
+        from.out_of_contact = false;
+        while (!from.unacknowledged.empty() &&
+               from.unacknowledged.front().first <= message.ack) {
+            from.unacknowledged.pop_front();
+            from.resend_at = now + resend_pause;
+        }
+    }
+    events_.on_advert(from.id, from.failure_domain, from.about);
+    if (for_us && message.sequence == from.received + 1) {
+        from.received = message.sequence;
+        const bool fresh =
+            now - timestamp(message.echo_us) < settings_.abandon_after;
+        events_.on_payload(from.id, message.content, fresh);
+    }
+}
+
+void peer_sessions::lose(peer& gone, bool restarted) {
+    if (!gone.lost) {
+        gone.lost = true;
+        events_.on_lost(gone.id, restarted);
+    }
+}
+
+void peer_sessions::handle_link_refused(timestamp /*now*/,
+                                        const std::string& address,
+                                        timestamp begun) {
+    const auto found = peers_.find(address);
+    if (found != peers_.end() && found->second.heard_at < begun) {
+        lose(found->second, false);
+    }
+}
+
+void peer_sessions::handle_link_restored(timestamp now,
+                                         const std::string& address) {
+    const auto found = peers_.find(address);
+    if (found == peers_.end()) {
+        return;
+    }
+    send(now, address, found->second, 0, {});
+    resend(now, address, found->second);
+}
+
+void peer_sessions::tick(timestamp now) {
+    for (auto& [address, peer] : peers_) {
+        if (now - peer.heard_at > settings_.suspect_after) {
+            lose(peer, false);
+        }
+        if (!peer.out_of_contact &&
+            now - peer.echoed_at > settings_.abandon_after) {
+            peer.out_of_contact = true;
+            events_.on_out_of_contact(peer.id);
+        }
+        if (!peer.unacknowledged.empty() && now >= peer.resend_at) {
+            resend(now, address, peer);
+        }
+        const auto interval =
+            peer.lost ? lost_heartbeat_interval : settings_.heartbeat_interval;
+        if (announce_ || now - peer.sent_at >= interval) {
+            send(now, address, peer, 0, {});
+        }
+    }
+    announce_ = false;
+}
+
+bool peer_sessions::is_live(const process_id& peer) const {
+    const auto found = peers_.find(peer.address);
+    return found != peers_.end() && found->second.id == peer &&
+           !found->second.lost;
+}
+
+std::size_t peer_sessions::live_count() const {
+    return static_cast<std::size_t>(
+        std::count_if(peers_.begin(), peers_.end(),
+                      [](const auto& item) { return !item.second.lost; }));
+}
+
+} // namespace figridge::dispatch
--- /dev/null
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -0,0 +1,96 @@
+// Who is heard, and messages that arrive once and in order.
+//
+// Every peer gets a heartbeat unless something else is sent. Payloads are
+// numbered and kept until acknowledged; they are sent again when a connection
+// is back. A payload counts as fresh only if its sender had heard this process
+// shortly before, so that what was held up on the way starts nothing.
+#ifndef FIGRIDGE_CORE_DISPATCH_PEER_SESSIONS_HPP
+#define FIGRIDGE_CORE_DISPATCH_PEER_SESSIONS_HPP
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "core/dispatch/ports.hpp"
+#include "core/dispatch/settings.hpp"
+
+namespace figridge::dispatch {
+
+class peer_session_events {
+public:
+    virtual ~peer_session_events() = default;
+    virtual void on_payload(const process_id& from, const payload& content,
+                            bool fresh) = 0;
+    virtual void on_advert(const process_id& from,
+                           const std::string& failure_domain,
+                           const advert& about) = 0;
+    // Not heard for `suspect_after`, refused a connection, or restarted.
+    virtual void on_lost(const process_id& peer, bool restarted) = 0;
+    // The peer has not heard this process for `abandon_after`, or restarted.
+    virtual void on_out_of_contact(const process_id& peer) = 0;
+    virtual advert make_advert() = 0;
+};
+
+// Owned by a `dispatcher`. Not thread-safe.
+class peer_sessions {
+public:
+    struct peer {
+        process_id id;
+        std::string failure_domain;
+        advert about;
+        timestamp heard_at{0};  // 0: never
+        timestamp echoed_at{0}; // our latest stamp that the peer has heard
+        std::int64_t peer_stamp_us = 0;
+        timestamp sent_at{0};
+        bool lost = true;
+        bool out_of_contact = true;
+        std::uint64_t received = 0;
+        std::uint64_t next_sequence = 1;
+        std::deque<std::pair<std::uint64_t, payload>> unacknowledged;
+        timestamp resend_at{0};
+        payload pending;
+        std::set<std::uint64_t> former_incarnations;
+    };
+
+    peer_sessions(const dispatch_settings& settings, peer_port& port,
+                  peer_session_events& events);
+
+    // Connects to a peer; its failure domain may be unknown yet.
+    void add(timestamp now, const std::string& address);
+    void remove(const std::string& address);
+
+    void handle_envelope(timestamp now, const envelope& message);
+    void handle_link_refused(timestamp now, const std::string& address,
+                             timestamp begun);
+    void handle_link_restored(timestamp now, const std::string& address);
+    void tick(timestamp now);
+
+    // What is collected here goes out with the next `flush()`.
+    payload* pending_for(const process_id& peer);
+    void flush(timestamp now);
+    // Sends the present advert to everyone with the next `tick()`.
+    void announce() { announce_ = true; }
+
+    [[nodiscard]] bool is_live(const process_id& peer) const;
+    [[nodiscard]] const std::map<std::string, peer>& peers() const {
+        return peers_;
+    }
+    [[nodiscard]] std::size_t live_count() const;
+
+private:
+    void send(timestamp now, const std::string& address, peer& to,
+              std::uint64_t sequence, const payload& content);
+    void resend(timestamp now, const std::string& address, peer& to);
+    void lose(peer& gone, bool restarted);
+
+    const dispatch_settings& settings_;
+    peer_port& port_;
+    peer_session_events& events_;
+    std::map<std::string, peer> peers_;
+    bool announce_ = false;
+};
+
+} // namespace figridge::dispatch
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/route_table.hpp
@@ -0,0 +1,64 @@
+// The catalogue as the dispatcher serves it: which request joins which queue.
+//
+// A request belongs to the route of its host whose path prefix is the longest
+// that its path begins with.
+#ifndef FIGRIDGE_CORE_DISPATCH_ROUTE_TABLE_HPP
+#define FIGRIDGE_CORE_DISPATCH_ROUTE_TABLE_HPP
+
+#include <optional>
+#include <string_view>
+
+#include "core/dispatch/types.hpp"
+
+namespace figridge::dispatch {
+
+struct route {
+    std::string host;
+    std::string path_prefix;
+    queue_policy queue;
+};
+
+// What callers may send.
+struct caller_limits {
+    std::size_t max_header_bytes = 16'384;
+    std::size_t max_body_bytes = 262'144;
+    duration header_timeout = 3s;
+    duration idle_timeout = 15s;
+
+    bool operator==(const caller_limits&) const = default;
+};
+
+struct route_catalogue {
+    std::uint64_t version = 0;
+    std::vector<route> routes;
+    caller_limits limits;
+};
+
+// Owned by whoever serves callers. Not thread-safe.
+class route_table {
+public:
+    struct match {
+        const route* found = nullptr;
+        std::string_view rest; // of the path, behind the prefix
+    };
+
+    // Puts a catalogue in force unless its version is not higher; returns
+    // whether it did.
+    bool apply(route_catalogue catalogue);
+
+    // `host` may have a port. The result points into the table and `path`.
+    [[nodiscard]] match find(std::string_view host,
+                             std::string_view path) const;
+
+    [[nodiscard]] std::uint64_t version() const { return catalogue_.version; }
+    [[nodiscard]] const route_catalogue& catalogue() const {
+        return catalogue_;
+    }
+
+private:
+    route_catalogue catalogue_;
+};
+
+} // namespace figridge::dispatch
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/run_ledger.hpp
@@ -0,0 +1,68 @@
+// What occupies an endpoint.
+//
+// A run is entered before its start is sent and leaves only when its end is
+// certain, so the free room that the ledger tells is never more than what the
+// endpoint has.
+#ifndef FIGRIDGE_CORE_DISPATCH_RUN_LEDGER_HPP
+#define FIGRIDGE_CORE_DISPATCH_RUN_LEDGER_HPP
+
+#include <map>
+#include <optional>
+
+#include "core/dispatch/messages.hpp"
+
+namespace figridge::dispatch {
+
+enum class run_state {
+    starting,  // a start is on its way
+    uncertain, // the start got no answer; it may still be carried out
+    running,
+    unclaimed, // found there; nobody has said that the run is wanted
+};
+
+// One run on one endpoint, from before its start is sent to its certain end.
+struct run_entry {
+    task_run run;
+    task_need need;
+    process_id coordinator;
+    run_state state = run_state::starting;
+    timestamp entered_at{0};
+    timestamp confirmed_at{0};          // answer to the start
+    std::int64_t lease_deadline_ms = 0; // latest one sent with its start
+    bool stop_wanted = false;
+    bool stop_in_flight = false;
+    std::optional<timestamp> stop_answered_at;
+    timestamp next_stop{0};
+    std::uint32_t percent = 0;
+    timestamp progress_at{0};
+};
+
+// Owned by an `endpoint_session`. Not thread-safe.
+class run_ledger {
+public:
+    void set_capacity(const resources& capacity) { capacity_ = capacity; }
+    [[nodiscard]] const resources& capacity() const { return capacity_; }
+
+    // What no run occupies. Zero while a run of unknown size is entered.
+    [[nodiscard]] resources free() const;
+
+    // Precondition: the run is not entered.
+    run_entry& enter(run_entry entry);
+    void remove(const task_run& run) { entries_.erase(run); }
+    run_entry* find(const task_run& run);
+    [[nodiscard]] bool empty() const { return entries_.empty(); }
+    [[nodiscard]] std::size_t size() const { return entries_.size(); }
+
+    [[nodiscard]] std::map<task_run, run_entry>& entries() { return entries_; }
+    [[nodiscard]] const std::map<task_run, run_entry>& entries() const {
+        return entries_;
+    }
+
+private:
+    resources capacity_;
+    std::map<task_run, run_entry> entries_;
+};
+
+} // namespace figridge::dispatch
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/settings.hpp
@@ -0,0 +1,41 @@
+// Settings of the dispatcher; the daemon fills them from its INI file.
+#ifndef FIGRIDGE_CORE_DISPATCH_SETTINGS_HPP
+#define FIGRIDGE_CORE_DISPATCH_SETTINGS_HPP
+
+#include "core/dispatch/types.hpp"
+
+namespace figridge::dispatch {
+
+struct dispatch_settings {
+    process_id self;
+    std::string failure_domain;
+    double cpu_share = 1.0;
+    std::vector<std::string> seeds; // peer addresses to begin with
+
+    // Longest lease an endpoint grants (the platform's bound).
+    duration lease_limit = 1000ms;
+    // An endpoint's clock may run this much slow (the platform's bound).
+    double clock_drift = 0.02;
+    // Time an endpoint takes to stop a task (the platform's bound).
+    duration stop_limit = 50ms;
+    // A killed caller comes again after this (the platform's bound).
+    duration resend_after = 1300ms;
+
+    // Leaves 150 ms of a lease of one second for suspicion and takeover
+    // together with `suspect_after`.
+    duration renew_interval = 400ms;
+    duration heartbeat_interval = 150ms;
+    duration suspect_after = 450ms;
+    // Tasks of a coordinator that is not heard are stopped well before its
+    // callers come again.
+    duration abandon_after = 700ms;
+    duration call_timeout = 300ms;
+    // A task runs this much longer away from its data (the platform's bound).
+    double far_factor = 3.0;
+    // Rows not confirmed by a live process are judged after this.
+    duration settle_time = 700ms;
+};
+
+} // namespace figridge::dispatch
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/task_queue.hpp
@@ -0,0 +1,58 @@
+// Tasks that wait at a holder, in the order in which they should start.
+//
+// Urgent work goes first. Within a priority, tasks that can still be answered
+// in time go by the latest moment at which they may start; those that are late
+// already follow, oldest first.
+#ifndef FIGRIDGE_CORE_DISPATCH_TASK_QUEUE_HPP
+#define FIGRIDGE_CORE_DISPATCH_TASK_QUEUE_HPP
+
+#include <functional>
+#include <memory>
+
+#include "core/dispatch/messages.hpp"
+
+namespace figridge::dispatch {
+
+// One task that waits, with what its order depends on.
+struct queued_task {
+    task_run run;
+    task_need need;
+    std::vector<std::string> avoid;
+    process_id coordinator;
+    std::shared_ptr<const std::string> payload;
+    std::string pool;
+    std::uint32_t priority = 0;
+    timestamp queued_at{0};
+    timestamp answer_by{0}; // for the job to count as in time
+    timestamp caller_leaves{0};
+};
+
+// Owned by an `endpoint_holder`. Not thread-safe.
+class task_queue {
+public:
+    void push(queued_task task) { tasks_.push_back(std::move(task)); }
+
+    // Calls `place` for every task, best first; removes those for which it
+    // returns true.
+    void drain(timestamp now,
+               const std::function<bool(const queued_task&)>& place);
+
+    // Removes and returns the tasks that match, keeping the others' order.
+    std::vector<queued_task>
+    extract(const std::function<bool(const queued_task&)>& matches);
+
+    [[nodiscard]] bool empty() const { return tasks_.empty(); }
+    [[nodiscard]] std::size_t size() const { return tasks_.size(); }
+    [[nodiscard]] const std::vector<queued_task>& tasks() const {
+        return tasks_;
+    }
+    // Processor time that the waiting tasks ask for.
+    [[nodiscard]] std::uint64_t queued_cpu_ms() const;
+
+private:
+    std::vector<queued_task> tasks_;
+};
+
+} // namespace figridge::dispatch
+
+#endif
--- /dev/null
+++ b/src/core/dispatch/types.hpp
@@ -0,0 +1,123 @@
+// Values shared by the parts of the dispatcher.
+//
+// A job is a set of steps; a step is a number of equal tasks. A `task_key`
+// names a task for its whole life, a `task_run` one start of it. All types are
+// plain values; nothing here is synchronized.
+#ifndef FIGRIDGE_CORE_DISPATCH_TYPES_HPP
+#define FIGRIDGE_CORE_DISPATCH_TYPES_HPP
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <msgpack.hpp>
+
+#include "figridge/time.hpp"
+
+namespace figridge::dispatch {
+
+// What a task occupies while it runs, and what an endpoint offers.
+struct resources {
+    std::uint32_t cpu_millis = 0;
+    std::uint32_t memory_mb = 0;
+    std::uint32_t accelerators = 0;
+
+    bool operator==(const resources&) const = default;
+    MSGPACK_DEFINE(cpu_millis, memory_mb, accelerators);
+};
+
+inline bool fits(const resources& need, const resources& room) {
+    return need.cpu_millis <= room.cpu_millis &&
+           need.memory_mb <= room.memory_mb &&
+           need.accelerators <= room.accelerators;
+}
+
+struct task_key {
+    std::string job;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    auto operator<=>(const task_key&) const = default;
+    MSGPACK_DEFINE(job, step, index);
+};
+
+struct task_run {
+    task_key task;
+    std::uint32_t run = 0;
+
+    auto operator<=>(const task_run&) const = default;
+    MSGPACK_DEFINE(task, run);
+};
+
+// What a task asks of a place. `estimate` is the caller's guess, off by some
+// 40% either way. An empty label or rack asks for nothing.
+struct task_need {
+    resources room;
+    std::uint32_t estimate_ms = 0;
+    std::string required_label;
+    std::string preferred_rack;
+
+    MSGPACK_DEFINE(room, estimate_ms, required_label, preferred_rack);
+};
+
+struct job_step {
+    std::uint32_t count = 0;
+    task_need need;
+    std::vector<std::uint32_t> after; // earlier steps that must be done first
+};
+
+// A job whose answer is given when it has ended.
+struct job {
+    std::string id;
+    std::string payload; // handed to every task as it is
+    std::vector<job_step> steps;
+};
+
+// What the catalogue says of the queue a job came in on.
+struct queue_policy {
+    std::string name;
+    std::string pool;           // the endpoints that run the queue's tasks
+    std::uint32_t priority = 0; // 0 goes first
+    std::uint32_t attempts = 1;
+    double stretch = 1.0;
+    duration latency_target{0};
+    duration timeout{0};
+};
+
+// One process of figridge. The incarnation is drawn at its start.
+struct process_id {
+    std::string address;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const process_id&) const = default;
+    MSGPACK_DEFINE(address, incarnation);
+};
+
+enum class endpoint_state { ready, draining };
+
+// An endpoint as the platform lists it.
+struct endpoint_record {
+    std::string id;
+    std::string pool;
+    std::string address;
+    std::string failure_domain;
+    std::string rack;
+    std::vector<std::string> labels;
+    endpoint_state state = endpoint_state::ready;
+    resources capacity;
+    std::int64_t born_ms = 0; // start of this life, Unix time
+};
+
+// Who may talk to an endpoint. `version` is that of the stored row.
+struct holder_record {
+    std::string endpoint;
+    std::string failure_domain;
+    process_id holder;
+    std::uint64_t token = 0;
+    std::uint64_t version = 0;
+};
+
+} // namespace figridge::dispatch
+
+#endif
--- a/src/figridged/daemon.cpp
+++ b/src/figridged/daemon.cpp
@@ -18,6 +18,7 @@
 #include "adapters/peer_transport.hpp"
 #include "adapters/platform_http.hpp"
 #include "codec/json_codec.hpp"
+#include "envelope_link.hpp"
 
 namespace figridge {
 namespace {
@@ -57,7 +58,9 @@
 }
 
 // Owns everything of the process; lives for the run of the loop.
-class figridge_daemon final : peer_events, endpoint_events, platform_events {
+class figridge_daemon final : envelope_events,
+                              endpoint_events,
+                              platform_events {
 public:
     explicit figridge_daemon(const daemon_settings& settings)
         : settings_(settings), core_settings_(complete(settings.core)),
@@ -82,7 +85,7 @@
             return cut_peers(body);
         };
         api_.process_gauges = [this] { return gauges(); };
-        for (const auto& status : {peers_.listen(core_settings_.self.address),
+        for (const auto& status : {peers_.transport().listen(core_settings_.self.address),
                                    api_.start(settings_.callers_address)}) {
             if (!status.ok()) {
                 log_event(log_level::error, "start_failed",
@@ -91,7 +94,7 @@
             }
         }
         for (const auto& host : core_settings_.hosts) {
-            peers_.add_peer(host.address);
+            peers_.transport().add_peer(host.address);
         }
         log_event(
             log_level::info, "started",
@@ -186,13 +189,13 @@
             }
             hosts.insert(host.get<std::string>());
         }
-        peers_.set_cut(std::move(hosts));
+        peers_.transport().set_cut(std::move(hosts));
         return absl::OkStatus();
     }
 
     json gauges() const {
         auto values = measure_process();
-        values["peer_bytes_sent"] = static_cast<double>(peers_.bytes_sent());
+        values["peer_bytes_sent"] = static_cast<double>(peers_.transport().bytes_sent());
         return values;
     }
 
@@ -208,7 +211,7 @@
     http_client client_;
     endpoint_http endpoints_;
     platform_http platform_;
-    peer_transport peers_;
+    envelope_link peers_;
     caller_api api_;
     host_core core_;
     timer_watcher ticker_;
--- a/src/figridged/main.cpp
+++ b/src/figridged/main.cpp
@@ -4,6 +4,7 @@
 #include <gflags/gflags.h>
 
 #include "daemon.hpp"
+#include "platform_daemon.hpp"
 
 DEFINE_string(config, "", "Path of the settings file (INI). Required.");
 DEFINE_bool(check_config, false,
@@ -13,6 +14,28 @@
 
 constexpr int exit_usage = 2;
 
+// Prints what is wrong with the settings; returns whether anything is.
+bool report(const std::vector<std::string>& errors) {
+    for (const auto& error : errors) {
+        std::cerr << "figridged: " << FLAGS_config << ": " << error << "\n";
+    }
+    return !errors.empty();
+}
+
+int run_on_platform() {
+    const auto loaded =
+        figridge::platform::load_platform_settings(FLAGS_config);
+    if (report(loaded.errors)) {
+        return exit_usage;
+    }
+    if (FLAGS_check_config) {
+        std::cout << FLAGS_config << ": ok\n";
+        return 0;
+    }
+    return figridge::platform::run_platform_daemon(loaded.settings,
+                                                   FLAGS_config);
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -31,11 +54,11 @@
         std::cerr << "figridged: --config is required\n";
         return exit_usage;
     }
-    const auto loaded = figridge::load_settings(FLAGS_config);
-    for (const auto& error : loaded.errors) {
-        std::cerr << "figridged: " << FLAGS_config << ": " << error << "\n";
+    if (figridge::platform::is_platform_settings(FLAGS_config)) {
+        return run_on_platform();
     }
-    if (!loaded.errors.empty()) {
+    const auto loaded = figridge::load_settings(FLAGS_config);
+    if (report(loaded.errors)) {
         return exit_usage;
     }
     if (FLAGS_check_config) {
