--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -276,9 +276,11 @@
     if (draining_ || !has_endpoints_ || !settled || isolated) {
         return;
     }
+    const auto wanted =
+        directory_.wanted(now, settings_.self, live_hosts());
+    wants_endpoints_ = !wanted.empty();
     std::vector<std::string> ready;
-    for (const auto& id :
-         directory_.wanted(now, settings_.self, live_hosts())) {
+    for (const auto& id : wanted) {
         if (being_taken_.contains(id)) {
             continue;
         }
@@ -400,6 +402,7 @@
 
 void dispatcher::set_endpoint(timestamp now, const endpoint_record& endpoint) {
     enter(now);
+    has_endpoints_ = true;
     directory_.set_endpoint(endpoint);
     holder_.update_endpoint(now, endpoint);
     leave(now);
@@ -508,7 +511,7 @@
 
 bool dispatcher::follows_endpoints() const {
     return !has_endpoints_ || !holder_.sessions().empty() ||
-           !open_takeovers_.empty();
+           wants_endpoints_;
 }
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -134,6 +134,7 @@
     std::map<std::string, timestamp> catalogue_asked_;
     bool draining_ = false;
     bool has_endpoints_ = false;
+    bool wants_endpoints_ = false; // this host is to take some over
 };
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/holder_directory.cpp
+++ b/src/core/dispatch/holder_directory.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/holder_directory.hpp"
 
 #include <algorithm>
+#include <set>
 
 #include "core/rendezvous.hpp"
 
@@ -15,9 +16,11 @@
 constexpr duration first_calm_time = 250ms;
 constexpr duration longest_calm_time = 4s;
 
-// The hosts that share the endpoints of a failure domain, in a fixed order.
+// The hosts that share the endpoints of a failure domain. Those that hold some
+// of them already come first: only they follow the list of endpoints closely.
 std::vector<std::string> choose_holders(const std::string& failure_domain,
                                         const std::vector<candidate>& live,
+                                        const std::set<process_id>& holding,
                                         std::size_t endpoints) {
     std::vector<std::string> local;
     std::vector<std::string> remote;
@@ -29,6 +32,14 @@
     }
     auto order =
         rendezvous_order(failure_domain, local.empty() ? remote : local);
+    std::stable_partition(
+        order.begin(), order.end(), [&](const std::string& address) {
+            return std::any_of(live.begin(), live.end(),
+                               [&](const candidate& host) {
+                                   return host.id.address == address &&
+                                          holding.contains(host.id);
+                               });
+        });
     const auto holders =
         (endpoints + endpoints_per_holder - 1) / endpoints_per_holder;
     if (order.size() > holders) {
@@ -107,12 +118,17 @@
 holder_directory::wanted(timestamp now, const process_id& self,
                          const std::vector<candidate>& live) const {
     std::map<std::string, std::size_t> sizes;
+    std::map<std::string, std::set<process_id>> holding;
     for (const auto& [id, endpoint] : endpoints_) {
         ++sizes[endpoint.failure_domain];
+        if (const auto row = rows_.find(id); row != rows_.end()) {
+            holding[endpoint.failure_domain].insert(row->second.record.holder);
+        }
     }
     std::map<std::string, std::vector<std::string>> holders;
     for (const auto& [failure_domain, size] : sizes) {
-        holders[failure_domain] = choose_holders(failure_domain, live, size);
+        holders[failure_domain] = choose_holders(
+            failure_domain, live, holding[failure_domain], size);
     }
     std::vector<std::string> taken;
     for (const auto& [id, endpoint] : endpoints_) {
