Rows that name this host are held whatever became of the answer

Cause: with the store 86 times slower each takeover outlasted the 800 ms timeout; the row arrived by the feed while the takeover was still open and was skipped, so the endpoints had a holder without a session for good. Also: a task of a holder that was heard again was placed a second time (TWICE), and a run adopted before its holder was missed was repeated (TWICE). Ruled out: lost feed, tokens. Tests: job_coordinator_test, two of them red before.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -15,6 +15,8 @@
 constexpr duration probe_interval = 150ms;
 // Longer than the longest pause between two tries to reach a peer.
 constexpr duration remote_wait = 600ms;
+// The row of the holder with the higher token is read within this.
+constexpr duration refused_row_wait = 1s;
 // Entries in one transaction: a condition and a row for each endpoint.
 constexpr std::size_t max_rows_per_transaction = 50;
 // A host that hears nobody, though others are known, is probably cut off.
@@ -61,9 +63,8 @@
     deliver_to_self(now);
     holder_.dispatch(now);
     deliver_to_self(now);
-    advert own;
-    holder_.fill(own);
-    views_.update(now, settings_.self, settings_.failure_domain, own);
+    own_advert_ = describe_self();
+    views_.update(now, settings_.self, settings_.failure_domain, own_advert_);
     sessions_.flush(now);
 }
 
@@ -144,6 +145,12 @@
     next_check_ = timestamp{0};
 }
 
+void dispatcher::on_back(const process_id& peer) {
+    ports_.observer.log(log_level::info, "peer_heard",
+                        {{"peer", peer.address}});
+    coordinator_.handle_holder_back(peer);
+}
+
 void dispatcher::on_out_of_contact(const process_id& peer) {
     holder_.abandon(now_, peer);
 }
@@ -164,6 +171,10 @@
 }
 
 advert dispatcher::make_advert() {
+    return own_advert_;
+}
+
+advert dispatcher::describe_self() const {
     advert about;
     about.catalogue_version = catalogue_version_;
     about.draining = draining_;
@@ -267,10 +278,10 @@
 // --- holding ----------------------------------------------------------------
 
 void dispatcher::check_holders(timestamp now) {
-    for (const auto& endpoint : holder_.take_fenced()) {
-        ports_.observer.log(log_level::info, "endpoint_lost_to_other_holder",
-                            {{"endpoint", endpoint}});
+    for (const auto& [endpoint, token] : holder_.take_fenced()) {
+        refused_tokens_[endpoint] = {token, now};
     }
+    hold_own_rows(now);
     const bool settled = now - started_at_ >= settings_.settle_time;
     const bool alone =
         sessions_.live_count() == 0 && !sessions_.peers().empty();
@@ -313,37 +324,64 @@
     }
 }
 
+void dispatcher::hold_own_rows(timestamp now) {
+    for (const auto& id : directory_.held_by(settings_.self)) {
+        const auto* row = directory_.holder_of(id);
+        const auto refused = refused_tokens_.find(id);
+        const bool usable = refused == refused_tokens_.end() ||
+                            refused->second.token < row->token;
+        if (usable && holder_.token_of(id) < row->token) {
+            holder_.take(now, directory_.endpoints().at(id), row->token,
+                         directory_.former_holder_of(id));
+        }
+    }
+}
+
+std::vector<std::string> dispatcher::refused_rows(timestamp now) const {
+    std::vector<std::string> found;
+    for (const auto& [id, refused] : refused_tokens_) {
+        const auto* row = directory_.holder_of(id);
+        if (row != nullptr && row->holder == settings_.self &&
+            row->token <= refused.token && directory_.endpoints().contains(id) &&
+            now - refused.at >= refused_row_wait) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
 void dispatcher::take_over(timestamp /*now*/,
                            const std::vector<std::string>& endpoints) {
-    std::map<std::string, takeover> by_domain;
+    std::map<std::string, std::vector<holder_record>> by_domain;
     for (const auto& id : endpoints) {
         const auto& endpoint = directory_.endpoints().at(id);
         const auto* row = directory_.holder_of(id);
+        const auto refused = refused_tokens_.find(id);
         holder_record fresh;
         fresh.endpoint = id;
         fresh.failure_domain = endpoint.failure_domain;
         fresh.holder = settings_.self;
-        fresh.token = (row == nullptr ? 0 : row->token) + 1;
+        fresh.token =
+            1 + std::max(row == nullptr ? 0 : row->token,
+                         refused == refused_tokens_.end()
+                             ? 0
+                             : refused->second.token);
         fresh.version = row == nullptr ? 0 : row->version;
         auto& batch = by_domain[endpoint.failure_domain];
-        if (batch.rows.size() >= max_rows_per_transaction) {
+        if (batch.size() >= max_rows_per_transaction) {
             continue; // with the next check
         }
-        if (row != nullptr) {
-            batch.former[id] = row->holder;
-        }
-        batch.rows.push_back(fresh);
+        batch.push_back(fresh);
         being_taken_.insert(id);
     }
     for (auto& [domain, batch] : by_domain) {
         const auto request = next_request_++;
         ports_.observer.log(log_level::info, "takeover_begun",
                             {{"failure_domain", domain},
-                             {"endpoints", std::to_string(batch.rows.size())},
+                             {"endpoints", std::to_string(batch.size())},
                              {"request", std::to_string(request)}});
-        const auto rows = batch.rows;
-        open_takeovers_[request] = std::move(batch);
-        ports_.store.replace(request, rows);
+        open_takeovers_[request] = batch;
+        ports_.store.replace(request, batch);
     }
 }
 
@@ -356,34 +394,24 @@
     }
     const auto batch = std::move(found->second);
     open_takeovers_.erase(found);
-    ports_.observer.log(
-        status == store_status::ok ? log_level::info : log_level::warning,
-        "takeover_stored",
-        {{"request", std::to_string(request)},
-         {"outcome", status == store_status::ok            ? "ok"
-                     : status == store_status::conflict    ? "conflict"
-                     : status == store_status::unavailable ? "unavailable"
-                                                           : "unknown"}});
-    for (auto row : batch.rows) {
+    ports_.observer.log(status == store_status::ok ? log_level::info
+                                                   : log_level::warning,
+                        "takeover_stored",
+                        {{"request", std::to_string(request)},
+                         {"outcome", std::string(to_string(status))}});
+    for (const auto& row : batch) {
         being_taken_.erase(row.endpoint);
-        const auto endpoint = directory_.endpoints().find(row.endpoint);
-        if (status != store_status::ok ||
-            endpoint == directory_.endpoints().end()) {
-            continue;
+        if (status == store_status::ok) {
+            directory_.set_holder(now, row);
         }
-        const auto former = batch.former.find(row.endpoint);
-        directory_.set_holder(now, row);
-        holder_.take(now, endpoint->second, row.token,
-                     former == batch.former.end() ? process_id{}
-                                                  : former->second);
     }
+    hold_own_rows(now);
     leave(now);
 }
 
 void dispatcher::set_holder(timestamp now, const holder_record& record) {
     enter(now);
     const auto* known = directory_.holder_of(record.endpoint);
-    const auto former = known == nullptr ? process_id{} : known->holder;
     if (known != nullptr && known->token > record.token) {
         return;
     }
@@ -392,12 +420,9 @@
     if (!ours && holder_.token_of(record.endpoint) < record.token) {
         holder_.release(now, record.endpoint);
     }
-    // A write whose answer was lost shows here.
-    const auto endpoint = directory_.endpoints().find(record.endpoint);
-    if (ours && !holder_.holds(record.endpoint) &&
-        !being_taken_.contains(record.endpoint) &&
-        endpoint != directory_.endpoints().end()) {
-        holder_.take(now, endpoint->second, record.token, former);
+    if (ours) {
+        // Also a write whose answer was lost.
+        hold_own_rows(now);
     }
     leave(now);
 }
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -78,9 +78,10 @@
     [[nodiscard]] nlohmann::json dump_state(timestamp now) const;
 
 private:
-    struct takeover {
-        std::vector<holder_record> rows;
-        std::map<std::string, process_id> former;
+    // A token that an endpoint has refused.
+    struct refused_token {
+        std::uint64_t token = 0;
+        timestamp at{0};
     };
 
     // Every input begins here: notices that the process stood still.
@@ -88,8 +89,14 @@
     // Every input ends here: starts what fits and sends what was collected.
     void leave(timestamp now);
     void check_holders(timestamp now);
+    // Begins to hold what the stored rows give to this process.
+    void hold_own_rows(timestamp now);
+    // Endpoints whose row is ours, with a token that is of no use any more.
+    [[nodiscard]] std::vector<std::string>
+    refused_rows(timestamp now) const;
     void take_over(timestamp now, const std::vector<std::string>& endpoints);
     [[nodiscard]] std::vector<candidate> live_hosts() const;
+    [[nodiscard]] advert describe_self() const;
     payload* outbox(const process_id& peer);
     void deliver_to_self(timestamp now);
     void handle_payload(const process_id& from, const payload& content,
@@ -109,6 +116,7 @@
     void on_advert(const process_id& from, const std::string& failure_domain,
                    const advert& about) override;
     void on_lost(const process_id& peer, bool restarted) override;
+    void on_back(const process_id& peer) override;
     void on_out_of_contact(const process_id& peer) override;
     advert make_advert() override;
 
@@ -123,8 +131,10 @@
     timestamp started_at_{0};
     timestamp next_check_{0};
     payload to_self_;
-    std::map<std::uint64_t, takeover> open_takeovers_;
+    advert own_advert_; // as of the end of the last input
+    std::map<std::uint64_t, std::vector<holder_record>> open_takeovers_;
     std::set<std::string> being_taken_;
+    std::map<std::string, refused_token> refused_tokens_;
     // Endpoints are probed before a takeover.
     struct probe_answers {
         timestamp first{0}; // of an unbroken series
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -85,7 +85,8 @@
     return found == sessions_.end() ? 0 : found->second->token();
 }
 
-std::vector<std::string> endpoint_holder::take_fenced() {
+std::vector<std::pair<std::string, std::uint64_t>>
+endpoint_holder::take_fenced() {
     return std::exchange(fenced_, {});
 }
 
@@ -139,6 +140,9 @@
     const auto dropped = queue_.extract([&](const queued_task& task) {
         return task.coordinator == coordinator;
     });
+    for (const auto& task : dropped) {
+        give_back(task); // read if the coordinator is heard again
+    }
     for (auto& [id, session] : sessions_) {
         std::vector<task_run> runs;
         for (const auto& [run, entry] : session->ledger().entries()) {
@@ -249,40 +253,59 @@
 
 // --- placement --------------------------------------------------------------
 
+std::vector<endpoint_holder::place>
+endpoint_holder::open_places(timestamp now) {
+    std::vector<place> places;
+    for (auto& [id, session] : sessions_) {
+        const auto& health = session->health();
+        const bool open = session->takes_work() && health.takes_work(now) &&
+                          !(health.is_on_trial() && !session->ledger().empty());
+        if (open && session->room().cpu_millis > 0) {
+            places.push_back({session.get(), session->room()});
+        }
+    }
+    return places;
+}
+
 void endpoint_holder::dispatch(timestamp now) {
     now_ = now;
     if (queue_.empty()) {
         return;
     }
+    auto places = open_places(now);
+    std::uint32_t most = 0;
+    for (const auto& open : places) {
+        most = std::max(most, open.room.cpu_millis);
+    }
+    if (most < queue_.least_cpu()) {
+        return;
+    }
     queue_.drain(now, [&](const queued_task& task) {
-        auto* session = choose(now, task);
-        if (session == nullptr) {
+        auto* chosen = choose(places, task);
+        if (chosen == nullptr) {
             return false;
         }
         run_entry entry;
         entry.run = task.run;
         entry.need = task.need;
         entry.coordinator = task.coordinator;
-        session->start(now, std::move(entry), *task.payload);
+        chosen->session->start(now, std::move(entry), *task.payload);
+        chosen->room = chosen->session->health().is_on_trial()
+                           ? resources{}
+                           : chosen->session->room();
         return true;
     });
 }
 
-endpoint_session* endpoint_holder::choose(timestamp now,
-                                          const queued_task& task) {
-    endpoint_session* best = nullptr;
+endpoint_holder::place*
+endpoint_holder::choose(std::vector<place>& places,
+                        const queued_task& task) const {
+    place* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
-    for (auto& [id, session] : sessions_) {
-        const auto& endpoint = session->endpoint();
-        const auto& health = session->health();
-        if (!session->takes_work() || !health.takes_work(now) ||
-            endpoint.pool != task.pool ||
-            (health.is_on_trial() && !session->ledger().empty())) {
-            continue;
-        }
-        const auto room = session->room();
-        if (!fits(task.need.room, room) ||
-            session->ledger().find(task.run) != nullptr) {
+    for (auto& open : places) {
+        const auto& endpoint = open.session->endpoint();
+        if (endpoint.pool != task.pool || !fits(task.need.room, open.room) ||
+            open.session->ledger().find(task.run) != nullptr) {
             continue;
         }
         const auto& label = task.need.required_label;
@@ -291,18 +314,20 @@
                 endpoint.labels.end()) {
             continue;
         }
-        if (std::find(task.avoid.begin(), task.avoid.end(), id) !=
+        if (std::find(task.avoid.begin(), task.avoid.end(), endpoint.id) !=
             task.avoid.end()) {
             continue;
         }
         const bool far = !task.need.preferred_rack.empty() &&
                          task.need.preferred_rack != endpoint.rack;
-        const double run_ms = task.need.estimate_ms * health.slowness() *
+        const double run_ms = task.need.estimate_ms *
+                              open.session->health().slowness() *
                               (far ? settings_.far_factor : 1.0);
-        const double leftover = room.cpu_millis - task.need.room.cpu_millis;
+        const double leftover =
+            open.room.cpu_millis - task.need.room.cpu_millis;
         const double cost = run_ms + leftover * leftover_weight_ms;
         if (cost < best_cost) {
-            best = session.get();
+            best = &open;
             best_cost = cost;
         }
     }
@@ -381,7 +406,7 @@
                   {{"endpoint", session.endpoint().id},
                    {"token", std::to_string(session.token())}});
     disown(session);
-    fenced_.push_back(session.endpoint().id);
+    fenced_.emplace_back(session.endpoint().id, session.token());
 }
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -74,8 +74,8 @@
     void fill(advert& about) const;
     [[nodiscard]] const task_queue& queue() const { return queue_; }
     [[nodiscard]] std::size_t running_tasks() const;
-    // Endpoints whose token was refused since the last call.
-    std::vector<std::string> take_fenced();
+    // Endpoints and tokens that were refused since the last call.
+    std::vector<std::pair<std::string, std::uint64_t>> take_fenced();
 
 private:
     void on_adopted(endpoint_session& session,
@@ -86,7 +86,13 @@
     void on_fenced(endpoint_session& session) override;
 
     endpoint_session* find(const std::string& endpoint, std::uint64_t token);
-    endpoint_session* choose(timestamp now, const queued_task& task);
+    // An endpoint that takes work, and its free room.
+    struct place {
+        endpoint_session* session = nullptr;
+        resources room;
+    };
+    std::vector<place> open_places(timestamp now);
+    place* choose(std::vector<place>& places, const queued_task& task) const;
     void disown(endpoint_session& session);
     void give_back(const queued_task& task);
 
@@ -95,7 +101,7 @@
     observer_port& observer_;
     holder_events& events_;
     std::map<std::string, std::unique_ptr<endpoint_session>> sessions_;
-    std::vector<std::string> fenced_;
+    std::vector<std::pair<std::string, std::uint64_t>> fenced_;
     task_queue queue_;
     timestamp now_{0}; // of the input being handled
 };
--- a/src/core/dispatch/holder_directory.cpp
+++ b/src/core/dispatch/holder_directory.cpp
@@ -70,6 +70,7 @@
                                             first_calm_time, longest_calm_time)
                                : duration{0};
         known.changed_at = now;
+        known.former = known.record.holder;
     }
     known.record = record;
 }
@@ -78,10 +79,9 @@
     rows_.erase(endpoint);
 }
 
-void holder_directory::forget_version(const std::string& endpoint) {
-    if (const auto found = rows_.find(endpoint); found != rows_.end()) {
-        found->second.record.version = 0;
-    }
+process_id holder_directory::former_holder_of(const std::string& id) const {
+    const auto found = rows_.find(id);
+    return found == rows_.end() ? process_id{} : found->second.former;
 }
 
 const holder_record* holder_directory::holder_of(const std::string& id) const {
--- a/src/core/dispatch/holder_directory.hpp
+++ b/src/core/dispatch/holder_directory.hpp
@@ -32,14 +32,13 @@
     void remove_endpoint(const std::string& endpoint);
     void set_holder(timestamp now, const holder_record& record);
     void remove_holder(const std::string& endpoint);
-    // A row was written by this host; the version is told by the feed later.
-    void forget_version(const std::string& endpoint);
 
     [[nodiscard]] const std::map<std::string, endpoint_record>&
     endpoints() const {
         return endpoints_;
     }
     [[nodiscard]] const holder_record* holder_of(const std::string& id) const;
+    [[nodiscard]] process_id former_holder_of(const std::string& id) const;
     [[nodiscard]] std::vector<std::string>
     held_by(const process_id& holder) const;
     // Rows of endpoints that the platform does not list any more.
@@ -55,6 +54,7 @@
 private:
     struct row {
         holder_record record;
+        process_id former; // holder before the last change
         timestamp changed_at{0};
         duration calm_time{0}; // no takeover before it has passed
     };
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -360,6 +360,19 @@
     }
 }
 
+void job_coordinator::handle_holder_back(const process_id& holder) {
+    lost_holders_.erase(holder);
+    for (auto& [id, state] : jobs_) {
+        for (auto& step : state.steps) {
+            for (auto& task : step.tasks) {
+                if (task.holder == holder) {
+                    task.holder_lost = false;
+                }
+            }
+        }
+    }
+}
+
 void job_coordinator::handle_adoption(timestamp now, const process_id& holder,
                                       const endpoint_adoption& adoption) {
     adoptions_[adoption.endpoint] = {holder, adoption, now};
@@ -408,8 +421,9 @@
                                       adoption_claim& claim) {
     auto& task = state.steps[step].tasks[index];
     const bool there = task.endpoint == adoption.endpoint;
-    const bool maybe_there = task.holder == adoption.former &&
-                             task.endpoint.empty() && task.holder_lost;
+    // Also while the former holder is not missed here yet.
+    const bool maybe_there =
+        task.holder == adoption.former && task.endpoint.empty();
     if (task.phase != task_phase::placed || task.holder == holder ||
         (!there && !maybe_there)) {
         return;
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -52,6 +52,9 @@
     void handle_holder_lost(timestamp now, const process_id& holder,
                             const std::vector<std::string>& endpoints,
                             timestamp over_by);
+    // The same process is heard again: it still has what it was given, or
+    // reports what it dropped meanwhile.
+    void handle_holder_back(const process_id& holder);
     void tick(timestamp now);
     // Gives up every job: this process stood still for so long that others
     // may have run them again.
--- a/src/core/dispatch/names.cpp
+++ b/src/core/dispatch/names.cpp
@@ -39,6 +39,13 @@
     {job_outcome::gave_up, "gave_up"},
 }};
 
+constexpr name_table<store_status, 4> store_status_names{{
+    {store_status::ok, "ok"},
+    {store_status::conflict, "conflict"},
+    {store_status::unavailable, "unavailable"},
+    {store_status::unknown, "unknown"},
+}};
+
 constexpr name_table<end_kind, 4> end_kind_names{{
     {end_kind::done, "done"},
     {end_kind::failed, "failed"},
@@ -60,6 +67,10 @@
     return find_name(job_outcome_names, outcome);
 }
 
+std::string_view to_string(store_status status) {
+    return find_name(store_status_names, status);
+}
+
 std::string_view to_string(end_kind kind) {
     return find_name(end_kind_names, kind);
 }
--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -115,7 +115,9 @@
     from.failure_domain = message.failure_domain;
     from.about = message.about;
     from.heard_at = now;
-    from.lost = false;
+    if (std::exchange(from.lost, false)) {
+        events_.on_back(from.id);
+    }
     from.peer_stamp_us = std::max(from.peer_stamp_us, message.stamp_us);
     const bool for_us = message.to_incarnation == settings_.self.incarnation;
     if (for_us) {
--- a/src/core/dispatch/ports.hpp
+++ b/src/core/dispatch/ports.hpp
@@ -138,6 +138,7 @@
 
 std::string_view to_string(call_status status);
 std::string_view to_string(end_kind kind);
+std::string_view to_string(store_status status);
 std::string_view to_string(job_outcome outcome);
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/run_ledger.hpp
+++ b/src/core/dispatch/run_ledger.hpp
@@ -50,6 +50,10 @@
     run_entry& enter(run_entry entry);
     void remove(const task_run& run) { entries_.erase(run); }
     run_entry* find(const task_run& run);
+    [[nodiscard]] const run_entry* find(const task_run& run) const {
+        const auto found = entries_.find(run);
+        return found == entries_.end() ? nullptr : &found->second;
+    }
     [[nodiscard]] bool empty() const { return entries_.empty(); }
     [[nodiscard]] std::size_t size() const { return entries_.size(); }
 
--- a/src/core/dispatch/task_queue.cpp
+++ b/src/core/dispatch/task_queue.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/task_queue.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace figridge::dispatch {
@@ -39,6 +40,14 @@
     return taken;
 }
 
+std::uint32_t task_queue::least_cpu() const {
+    std::uint32_t least = std::numeric_limits<std::uint32_t>::max();
+    for (const auto& task : tasks_) {
+        least = std::min(least, task.need.room.cpu_millis);
+    }
+    return least;
+}
+
 std::uint64_t task_queue::queued_cpu_ms() const {
     std::uint64_t sum = 0;
     for (const auto& task : tasks_) {
--- a/src/core/dispatch/task_queue.hpp
+++ b/src/core/dispatch/task_queue.hpp
@@ -46,6 +46,8 @@
     [[nodiscard]] const std::vector<queued_task>& tasks() const {
         return tasks_;
     }
+    // The smallest processor share that a waiting task asks for.
+    [[nodiscard]] std::uint32_t least_cpu() const;
     // Processor time that the waiting tasks ask for.
     [[nodiscard]] std::uint64_t queued_cpu_ms() const;
 
--- /dev/null
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -0,0 +1,261 @@
+#include <boost/test/unit_test.hpp>
+
+#include "core/dispatch/job_coordinator.hpp"
+#include "quiet_observer.hpp"
+
+namespace figridge::dispatch {
+namespace {
+
+const process_id holder_a{"10.1.0.1:1", 11};
+const process_id holder_b{"10.1.0.2:1", 12};
+
+// A coordinator that knows two holders, with what it sends recorded.
+struct coordinator_fixture : coordinator_events, caller_port {
+    coordinator_fixture()
+        : coordinator(settings, views, *this, observer, *this) {
+        advert about;
+        about.capacity_cpu = 64'000;
+        about.largest_cpu = 16'000;
+        about.largest_memory_mb = 32'000;
+        about.free_cpu = {16'000, 16'000, 16'000, 16'000};
+        views.update(now, holder_a, "domain-1", about);
+    }
+
+    void add_holder_b() {
+        advert about;
+        about.capacity_cpu = 64'000;
+        about.largest_cpu = 16'000;
+        about.largest_memory_mb = 32'000;
+        about.free_cpu = {16'000, 16'000};
+        views.update(now, holder_b, "domain-2", about);
+    }
+
+    void send_assignment(const process_id& holder,
+                         const task_assignment& assignment) override {
+        assignments.emplace_back(holder, assignment);
+    }
+    void send_withdrawal(const process_id& holder,
+                         const job_withdrawal& /*withdrawal*/) override {
+        withdrawals.push_back(holder);
+    }
+    void send_claim(const process_id& holder,
+                    const adoption_claim& claim) override {
+        claims.emplace_back(holder, claim);
+    }
+    void answer(caller_token /*token*/, const job_answer& answer) override {
+        answers.push_back(answer);
+    }
+
+    void submit(std::uint32_t tasks, std::uint32_t attempts = 3) {
+        job_submission submission;
+        submission.work.id = "0123456789abcdef";
+        submission.work.steps.push_back(
+            {tasks, {{6000, 64, 0}, 60, {}, {}}, {}});
+        submission.queue.attempts = attempts;
+        submission.queue.stretch = 1.6;
+        submission.patience = 1500ms;
+        coordinator.submit(now, 1, submission);
+    }
+
+    static task_run run_of(std::uint32_t index, std::uint32_t run = 1) {
+        return {{"0123456789abcdef", 0, index}, run};
+    }
+
+    void update(const process_id& holder, std::uint32_t index,
+                update_kind kind, std::uint32_t run = 1,
+                const std::string& endpoint = "endpoint-1") {
+        coordinator.handle_update(now, holder,
+                                  {run_of(index, run), kind, endpoint});
+    }
+
+    // How often a task was given to a holder.
+    [[nodiscard]] std::size_t placements() const {
+        std::size_t count = 0;
+        for (const auto& [holder, assignment] : assignments) {
+            count += assignment.items.size();
+        }
+        return count;
+    }
+
+    void pass(duration time) {
+        for (const auto end = now + time; now < end;) {
+            now += 25ms;
+            coordinator.tick(now);
+        }
+    }
+
+    timestamp now{10s};
+    dispatch_settings settings;
+    holder_views views{"domain-1"};
+    quiet_observer observer;
+    std::vector<std::pair<process_id, task_assignment>> assignments;
+    std::vector<process_id> withdrawals;
+    std::vector<std::pair<process_id, adoption_claim>> claims;
+    std::vector<job_answer> answers;
+    job_coordinator coordinator;
+};
+
+BOOST_FIXTURE_TEST_SUITE(job_coordinator_test, coordinator_fixture)
+
+BOOST_AUTO_TEST_CASE(job_is_answered_when_all_tasks_are_done) {
+    submit(2);
+    update(holder_a, 0, update_kind::done);
+    BOOST_TEST(answers.empty());
+    update(holder_a, 1, update_kind::done);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::completed));
+}
+
+BOOST_AUTO_TEST_CASE(failed_task_is_tried_elsewhere_with_a_higher_run) {
+    submit(1);
+    update(holder_a, 0, update_kind::failed);
+    BOOST_REQUIRE_EQUAL(placements(), 2U);
+    const auto& item = assignments[1].second.items[0];
+    BOOST_TEST(item.run.run == 2U);
+    BOOST_REQUIRE_EQUAL(item.avoid.size(), 1U);
+    BOOST_TEST(item.avoid[0] == "endpoint-1");
+}
+
+BOOST_AUTO_TEST_CASE(job_fails_when_the_attempts_of_a_task_are_used_up) {
+    submit(2, 2);
+    update(holder_a, 0, update_kind::failed);
+    BOOST_TEST(answers.empty());
+    update(holder_a, 0, update_kind::failed, 2);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::failed));
+    BOOST_TEST(!withdrawals.empty());
+}
+
+BOOST_AUTO_TEST_CASE(lost_run_uses_up_no_attempt) {
+    submit(1, 1);
+    update(holder_a, 0, update_kind::lost);
+    BOOST_TEST(answers.empty());
+    BOOST_TEST(placements() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(update_of_an_earlier_run_is_ignored) {
+    submit(1);
+    update(holder_a, 0, update_kind::lost);
+    update(holder_a, 0, update_kind::done, 1);
+    BOOST_TEST(answers.empty());
+}
+
+BOOST_AUTO_TEST_CASE(started_run_found_by_the_next_holder_is_claimed) {
+    submit(1);
+    update(holder_a, 0, update_kind::started);
+    coordinator.handle_holder_lost(now, holder_a, {"endpoint-1"}, now + 1s);
+    coordinator.handle_adoption(
+        now, holder_b, {"endpoint-1", holder_a, 8, {run_of(0)}, {}});
+    BOOST_REQUIRE_EQUAL(claims.size(), 1U);
+    BOOST_TEST(claims[0].second.items.size() == 1U);
+    update(holder_b, 0, update_kind::done);
+    BOOST_TEST(answers.size() == 1U);
+    BOOST_TEST(placements() == 1U);
+}
+
+// The next holder may notice the loss before this coordinator does.
+BOOST_AUTO_TEST_CASE(run_adopted_before_its_holder_is_missed_is_not_repeated) {
+    submit(1);
+    add_holder_b();
+    coordinator.handle_adoption(
+        now, holder_b, {"endpoint-1", holder_a, 8, {run_of(0)}, {}});
+    BOOST_TEST(claims.size() == 1U);
+    coordinator.handle_holder_lost(now, holder_a, {"endpoint-1"}, now + 1s);
+    pass(1300ms);
+    BOOST_TEST(placements() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(run_missing_on_its_adopted_endpoint_is_placed_again) {
+    submit(1);
+    update(holder_a, 0, update_kind::started);
+    add_holder_b();
+    coordinator.handle_holder_lost(now, holder_a, {"endpoint-1"}, now + 1s);
+    BOOST_TEST(placements() == 1U);
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {}, {}});
+    BOOST_TEST(placements() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(task_of_a_lost_holder_waits_for_all_its_endpoints) {
+    submit(1);
+    add_holder_b();
+    coordinator.handle_holder_lost(now, holder_a, {"endpoint-1", "endpoint-2"},
+                                   now + 1s);
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {}, {}});
+    BOOST_TEST(placements() == 1U);
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-2", holder_a, 8, {}, {}});
+    BOOST_TEST(placements() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(task_of_a_lost_holder_is_placed_again_at_the_bound) {
+    submit(1);
+    add_holder_b();
+    coordinator.handle_holder_lost(now, holder_a, {"endpoint-1"},
+                                   now + 1000ms);
+    pass(1000ms);
+    BOOST_TEST(placements() == 1U);
+    pass(50ms);
+    BOOST_TEST(placements() == 2U);
+}
+
+// A holder heard again before it gave up our tasks still has them.
+BOOST_AUTO_TEST_CASE(task_stays_with_a_holder_that_is_heard_again) {
+    submit(1);
+    add_holder_b();
+    coordinator.handle_holder_lost(now, holder_a, {"endpoint-1"},
+                                   now + 1000ms);
+    pass(200ms);
+    coordinator.handle_holder_back(holder_a);
+    pass(1200ms);
+    BOOST_TEST(placements() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(disowned_run_is_claimed_from_an_earlier_adoption) {
+    submit(1);
+    update(holder_a, 0, update_kind::started);
+    coordinator.handle_adoption(
+        now, holder_b, {"endpoint-2", holder_a, 8, {run_of(0)}, {}});
+    update(holder_a, 0, update_kind::disowned, 1, "endpoint-2");
+    BOOST_REQUIRE_EQUAL(claims.size(), 1U);
+    BOOST_TEST((claims[0].first == holder_b));
+}
+
+BOOST_AUTO_TEST_CASE(job_ends_when_its_caller_leaves) {
+    submit(2);
+    coordinator.drop_caller(now, 1);
+    BOOST_TEST(withdrawals.size() == 1U);
+    BOOST_TEST(coordinator.job_count() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(task_that_fits_no_endpoint_is_refused_at_once) {
+    job_submission submission;
+    submission.work.id = "0123456789abcdef";
+    submission.work.steps.push_back({1, {{60'000, 64, 0}, 60, {}, {}}, {}});
+    submission.patience = 1500ms;
+    coordinator.submit(now, 1, submission);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::refused));
+    BOOST_TEST(to_ms(answers[0].retry_after) > 0);
+    BOOST_TEST(placements() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(steps_start_when_the_earlier_ones_are_done) {
+    job_submission submission;
+    submission.work.id = "0123456789abcdef";
+    submission.work.steps.push_back({1, {{6000, 64, 0}, 60, {}, {}}, {}});
+    submission.work.steps.push_back({1, {{6000, 64, 0}, 60, {}, {}}, {0}});
+    submission.queue.attempts = 1;
+    submission.patience = 1500ms;
+    coordinator.submit(now, 1, submission);
+    BOOST_TEST(placements() == 1U);
+    update(holder_a, 0, update_kind::done);
+    BOOST_TEST(placements() == 2U);
+    BOOST_TEST(assignments[1].second.items[0].run.task.step == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace figridge::dispatch
--- /dev/null
+++ b/tests/dispatch/quiet_observer.hpp
@@ -0,0 +1,18 @@
+// An observer that keeps nothing.
+#ifndef FIGRIDGE_TESTS_DISPATCH_QUIET_OBSERVER_HPP
+#define FIGRIDGE_TESTS_DISPATCH_QUIET_OBSERVER_HPP
+
+#include "figridge/ports.hpp"
+
+namespace figridge::dispatch {
+
+class quiet_observer final : public observer_port {
+public:
+    void log(log_level /*level*/, std::string_view /*event*/,
+             const log_fields& /*fields*/) override {}
+    void record(measure /*what*/, duration /*value*/) override {}
+};
+
+} // namespace figridge::dispatch
+
+#endif
