--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -15,6 +15,8 @@
 constexpr duration probe_interval = 150ms;
 // Longer than the longest pause between two tries to reach a peer.
 constexpr duration remote_wait = 600ms;
+// After the loss of a holder everyone may have to take over for a while.
+constexpr duration successor_window = 3s;
 // The row of the holder with the higher token is read within this.
 constexpr duration refused_row_wait = 1s;
 // Entries in one transaction: a condition and a row for each endpoint.
@@ -143,6 +145,9 @@
     coordinator_.handle_holder_lost(now_, peer, directory_.held_by(peer),
                                     over_by);
     next_check_ = timestamp{0};
+    if (!directory_.held_by(peer).empty()) {
+        holder_lost_at_ = now_;
+    }
 }
 
 void dispatcher::on_back(const process_id& peer) {
@@ -289,8 +294,7 @@
     if (draining_ || !has_endpoints_ || !settled || isolated) {
         return;
     }
-    const auto wanted =
-        directory_.wanted(now, settings_.self, live_hosts());
+    const auto wanted = directory_.wanted(now, settings_.self, live_hosts());
     wants_endpoints_ = !wanted.empty();
     std::vector<std::string> ready;
     for (const auto& id : wanted) {
@@ -330,7 +334,8 @@
         const auto refused = refused_tokens_.find(id);
         const bool usable = refused == refused_tokens_.end() ||
                             refused->second.token < row->token;
-        if (usable && holder_.token_of(id) < row->token) {
+        if (usable && directory_.endpoints().contains(id) &&
+            holder_.token_of(id) < row->token) {
             holder_.take(now, directory_.endpoints().at(id), row->token,
                          directory_.former_holder_of(id));
         }
@@ -342,7 +347,8 @@
     for (const auto& [id, refused] : refused_tokens_) {
         const auto* row = directory_.holder_of(id);
         if (row != nullptr && row->holder == settings_.self &&
-            row->token <= refused.token && directory_.endpoints().contains(id) &&
+            row->token <= refused.token &&
+            directory_.endpoints().contains(id) &&
             now - refused.at >= refused_row_wait) {
             found.push_back(id);
         }
@@ -361,11 +367,10 @@
         fresh.endpoint = id;
         fresh.failure_domain = endpoint.failure_domain;
         fresh.holder = settings_.self;
-        fresh.token =
-            1 + std::max(row == nullptr ? 0 : row->token,
-                         refused == refused_tokens_.end()
-                             ? 0
-                             : refused->second.token);
+        fresh.token = 1 + std::max(row == nullptr ? 0 : row->token,
+                                   refused == refused_tokens_.end()
+                                       ? 0
+                                       : refused->second.token);
         fresh.version = row == nullptr ? 0 : row->version;
         auto& batch = by_domain[endpoint.failure_domain];
         if (batch.size() >= max_rows_per_transaction) {
@@ -548,9 +553,11 @@
     return !draining_ && catalogue_version_ != 0 && !views_.empty();
 }
 
-bool dispatcher::follows_endpoints() const {
-    return !has_endpoints_ || !holder_.sessions().empty() ||
-           wants_endpoints_;
+bool dispatcher::follows_endpoints(timestamp now) const {
+    const bool successor = holder_lost_at_ != timestamp{0} &&
+                           now - holder_lost_at_ < successor_window;
+    return !has_endpoints_ || !holder_.sessions().empty() || wants_endpoints_ ||
+           successor;
 }
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -74,7 +74,7 @@
     // Whether new callers should be sent here.
     [[nodiscard]] bool is_ready(timestamp now) const;
     // Whether this host has to follow the list of endpoints closely.
-    [[nodiscard]] bool follows_endpoints() const;
+    [[nodiscard]] bool follows_endpoints(timestamp now) const;
     [[nodiscard]] nlohmann::json dump_state(timestamp now) const;
 
 private:
@@ -92,8 +92,7 @@
     // Begins to hold what the stored rows give to this process.
     void hold_own_rows(timestamp now);
     // Endpoints whose row is ours, with a token that is of no use any more.
-    [[nodiscard]] std::vector<std::string>
-    refused_rows(timestamp now) const;
+    [[nodiscard]] std::vector<std::string> refused_rows(timestamp now) const;
     void take_over(timestamp now, const std::vector<std::string>& endpoints);
     [[nodiscard]] std::vector<candidate> live_hosts() const;
     [[nodiscard]] advert describe_self() const;
@@ -150,6 +149,7 @@
     bool draining_ = false;
     bool has_endpoints_ = false;
     bool wants_endpoints_ = false; // this host is to take some over
+    timestamp holder_lost_at_{0};
 };
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -31,8 +31,8 @@
         sessions_.erase(found);
     }
     session_events& events = *this;
-    auto session = std::make_unique<endpoint_session>(
-        settings_, port_, events, endpoint, token, former);
+    auto session = std::make_unique<endpoint_session>(settings_, port_, events,
+                                                      endpoint, token, former);
     auto& added = *session;
     sessions_[endpoint.id] = std::move(session);
     added.begin(now);
@@ -297,9 +297,8 @@
     });
 }
 
-endpoint_holder::place*
-endpoint_holder::choose(std::vector<place>& places,
-                        const queued_task& task) const {
+endpoint_holder::place* endpoint_holder::choose(std::vector<place>& places,
+                                                const queued_task& task) const {
     place* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
     for (auto& open : places) {
--- a/src/core/dispatch/holder_directory.cpp
+++ b/src/core/dispatch/holder_directory.cpp
@@ -93,7 +93,7 @@
 holder_directory::held_by(const process_id& holder) const {
     std::vector<std::string> held;
     for (const auto& [id, row] : rows_) {
-        if (row.record.holder == holder && endpoints_.contains(id)) {
+        if (row.record.holder == holder) {
             held.push_back(id);
         }
     }
@@ -127,8 +127,8 @@
     }
     std::map<std::string, std::vector<std::string>> holders;
     for (const auto& [failure_domain, size] : sizes) {
-        holders[failure_domain] = choose_holders(
-            failure_domain, live, holding[failure_domain], size);
+        holders[failure_domain] =
+            choose_holders(failure_domain, live, holding[failure_domain], size);
     }
     std::vector<std::string> taken;
     for (const auto& [id, endpoint] : endpoints_) {
--- a/src/core/dispatch/holder_directory.hpp
+++ b/src/core/dispatch/holder_directory.hpp
@@ -39,6 +39,7 @@
     }
     [[nodiscard]] const holder_record* holder_of(const std::string& id) const;
     [[nodiscard]] process_id former_holder_of(const std::string& id) const;
+    // Also endpoints that are not listed here, or not yet.
     [[nodiscard]] std::vector<std::string>
     held_by(const process_id& holder) const;
     // Rows of endpoints that the platform does not list any more.
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -20,7 +20,8 @@
     BOOST_TEST(session->room().cpu_millis == 0U);
     BOOST_TEST(!session->takes_work());
 
-    adoption_claim claim{endpoint.id, {{run_of(0), {{6000, 64, 0}, 60, {}, {}}}}};
+    adoption_claim claim{endpoint.id,
+                         {{run_of(0), {{6000, 64, 0}, 60, {}, {}}}}};
     session->claim(now, {"10.1.0.2:1", 9}, claim);
     BOOST_TEST(session->takes_work());
     BOOST_TEST(session->room().cpu_millis == 10'000U);
@@ -29,7 +30,8 @@
 // The former holder may have renewed the lease just before it was replaced.
 BOOST_AUTO_TEST_CASE(adopted_run_outlives_no_lease_of_this_holder) {
     answer_hold({run_of(0)});
-    adoption_claim claim{endpoint.id, {{run_of(0), {{6000, 64, 0}, 60, {}, {}}}}};
+    adoption_claim claim{endpoint.id,
+                         {{run_of(0), {{6000, 64, 0}, 60, {}, {}}}}};
     session->claim(now, {"10.1.0.2:1", 9}, claim);
     pass(100ms);
     BOOST_TEST(events.ends.empty());
@@ -59,8 +61,7 @@
     session->handle_stop(now, run_of(0), {call_status::ok, clock_ms()});
     answer_hold({}, {{1, run_of(0), end_kind::stopped}});
     BOOST_REQUIRE_EQUAL(events.ends.size(), 1U);
-    BOOST_TEST(
-        (events.ends[0] == std::pair(run_of(0), update_kind::stopped)));
+    BOOST_TEST((events.ends[0] == std::pair(run_of(0), update_kind::stopped)));
     BOOST_TEST(session->room().cpu_millis == 16'000U);
 }
 
@@ -83,7 +84,8 @@
     answer_hold({});
     start(0);
     answer_start(0);
-    session->handle_hold(now, {{call_status::stale_token, clock_ms()}, 0, {}, {}});
+    session->handle_hold(now,
+                         {{call_status::stale_token, clock_ms()}, 0, {}, {}});
     BOOST_TEST(events.fenced == 1);
     const auto holds = port.holds.size();
     pass(2s);
@@ -114,7 +116,8 @@
     BOOST_TEST(session->room().cpu_millis == 10'000U);
 }
 
-BOOST_AUTO_TEST_CASE(silent_endpoint_is_empty_when_its_slow_clock_passed_the_lease) {
+BOOST_AUTO_TEST_CASE(
+    silent_endpoint_is_empty_when_its_slow_clock_passed_the_lease) {
     answer_hold({});
     start(0);
     answer_start(0);
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -61,8 +61,8 @@
         return {{"0123456789abcdef", 0, index}, run};
     }
 
-    void update(const process_id& holder, std::uint32_t index,
-                update_kind kind, std::uint32_t run = 1,
+    void update(const process_id& holder, std::uint32_t index, update_kind kind,
+                std::uint32_t run = 1,
                 const std::string& endpoint = "endpoint-1") {
         coordinator.handle_update(now, holder,
                                   {run_of(index, run), kind, endpoint});
@@ -144,8 +144,8 @@
     submit(1);
     update(holder_a, 0, update_kind::started);
     coordinator.handle_holder_lost(now, holder_a, {"endpoint-1"}, now + 1s);
-    coordinator.handle_adoption(
-        now, holder_b, {"endpoint-1", holder_a, 8, {run_of(0)}, {}});
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {run_of(0)}, {}});
     BOOST_REQUIRE_EQUAL(claims.size(), 1U);
     BOOST_TEST(claims[0].second.items.size() == 1U);
     update(holder_b, 0, update_kind::done);
@@ -157,8 +157,8 @@
 BOOST_AUTO_TEST_CASE(run_adopted_before_its_holder_is_missed_is_not_repeated) {
     submit(1);
     add_holder_b();
-    coordinator.handle_adoption(
-        now, holder_b, {"endpoint-1", holder_a, 8, {run_of(0)}, {}});
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {run_of(0)}, {}});
     BOOST_TEST(claims.size() == 1U);
     coordinator.handle_holder_lost(now, holder_a, {"endpoint-1"}, now + 1s);
     pass(1300ms);
@@ -192,8 +192,7 @@
 BOOST_AUTO_TEST_CASE(task_of_a_lost_holder_is_placed_again_at_the_bound) {
     submit(1);
     add_holder_b();
-    coordinator.handle_holder_lost(now, holder_a, {"endpoint-1"},
-                                   now + 1000ms);
+    coordinator.handle_holder_lost(now, holder_a, {"endpoint-1"}, now + 1000ms);
     pass(1000ms);
     BOOST_TEST(placements() == 1U);
     pass(50ms);
@@ -204,8 +203,7 @@
 BOOST_AUTO_TEST_CASE(task_stays_with_a_holder_that_is_heard_again) {
     submit(1);
     add_holder_b();
-    coordinator.handle_holder_lost(now, holder_a, {"endpoint-1"},
-                                   now + 1000ms);
+    coordinator.handle_holder_lost(now, holder_a, {"endpoint-1"}, now + 1000ms);
     pass(200ms);
     coordinator.handle_holder_back(holder_a);
     pass(1200ms);
@@ -215,8 +213,8 @@
 BOOST_AUTO_TEST_CASE(disowned_run_is_claimed_from_an_earlier_adoption) {
     submit(1);
     update(holder_a, 0, update_kind::started);
-    coordinator.handle_adoption(
-        now, holder_b, {"endpoint-2", holder_a, 8, {run_of(0)}, {}});
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-2", holder_a, 8, {run_of(0)}, {}});
     update(holder_a, 0, update_kind::disowned, 1, "endpoint-2");
     BOOST_REQUIRE_EQUAL(claims.size(), 1U);
     BOOST_TEST((claims[0].first == holder_b));
