Stand-in of the users' platform and a process test on it

Change: a store with feeds, endpoints with leases and tokens, callers that send again, and a judge in one process; tests/platform_test.sh runs five hosts through kills, a planned stop, bad endpoints, a standstill and a silent store, and checks that no task has two runs at a time, no endpoint is overfilled, refusals are true and every caller gets an end.

--- /dev/null
+++ b/scripts/platform_cluster.sh
@@ -0,0 +1,153 @@
+# Functions to start and stop hosts on the stand-in of the users' platform.
+# Source it; it needs bash and curl.
+#
+# Set before `cluster_start`: build (programs), hosts, endpoints, domains,
+# base_port.
+
+cluster_dir=""
+declare -A host_pid=()
+system_pid=""
+
+host_port() { echo $((base_port + 10 + 4 * $1)); }
+host_peers() { echo "127.0.0.1:$(host_port "$1")"; }
+host_callers() { echo "127.0.0.1:$(($(host_port "$1") + 1))"; }
+host_ready() { echo "127.0.0.1:$(($(host_port "$1") + 2))"; }
+host_operators() { echo "127.0.0.1:$(($(host_port "$1") + 3))"; }
+host_domain() {
+    local names
+    IFS=, read -ra names <<<"$domains"
+    echo "${names[$(($1 % ${#names[@]}))]}"
+}
+store() { echo "127.0.0.1:$base_port"; }
+control() { echo "http://127.0.0.1:$((base_port + 1))"; }
+all_callers() { # as a JSON list
+    local list="" i
+    for ((i = 0; i < hosts; i++)); do
+        list+="${list:+,}\"$(host_callers "$i")\""
+    done
+    echo "[$list]"
+}
+
+write_config() { # index
+    sed -e "s|{{listen.control}}|$(host_peers "$1")|" \
+        -e "s|{{zone}}|$(host_domain "$1")|" \
+        -e "s|{{listen.front}}|$(host_callers "$1")|" \
+        -e "s|{{listen.ready}}|$(host_ready "$1")|" \
+        -e "s|{{ip}}:{{port-range.0}}|$(host_operators "$1")|" \
+        -e "s|{{limits.cpu-share}}|1|" \
+        -e "s|{{seeds}}|$(host_peers 0)|" \
+        -e "s|{{#zones}}.*{{/zones}}|$domains|" \
+        -e "s|{{platform.address}}|$(store)|" \
+        -e "s|{{platform.[a-z-]*}}|2000|" \
+        -e "s|{{bounds.hold-max-ms}}|1000|" \
+        -e "s|{{bounds.stop-ms}}|50|" \
+        -e "s|{{bounds.resend-ms}}|1300|" \
+        -e "s|{{bounds.far-x}}|3|" \
+        deploy/settings.ini.in >"$cluster_dir/host$1.ini"
+}
+
+start_host() { # index
+    "$build/figridged" --config "$cluster_dir/host$1.ini" \
+        >>"$cluster_dir/host$1.log" 2>&1 &
+    host_pid[$1]=$!
+}
+
+wait_for() { # url, seconds
+    local tries=$(($2 * 20))
+    while ! curl -sf -m 1 -o "$cluster_dir/curl.out" "$1"; do
+        tries=$((tries - 1))
+        [ $tries -gt 0 ] || { echo "no answer from $1" >&2; return 1; }
+        sleep 0.05
+    done
+}
+
+# Waits until hosts hold every endpoint between them.
+wait_for_endpoints() { # seconds
+    local tries=$(($1 * 10)) held i
+    while true; do
+        held=0
+        for i in "${!host_pid[@]}"; do
+            curl -s -m 1 "http://$(host_operators "$i")/state" \
+                >"$cluster_dir/state.out" 2>/dev/null || continue
+            held=$((held + $(grep -c '"phase": "active"' \
+                "$cluster_dir/state.out")))
+        done
+        [ "$held" -ge "$endpoints" ] && return 0
+        tries=$((tries - 1))
+        [ $tries -gt 0 ] || { echo "only $held endpoints held" >&2; return 1; }
+        sleep 0.1
+    done
+}
+
+cluster_start() {
+    local i
+    cluster_dir=$(mktemp -d)
+    "$build/system_stand_in" --store "$(store)" \
+        --control "127.0.0.1:$((base_port + 1))" \
+        --first_endpoint_port $((base_port + 100)) \
+        --endpoints "$endpoints" --domains "$domains" \
+        >"$cluster_dir/system.log" 2>&1 &
+    system_pid=$!
+    wait_for "$(control)/report" 10 || return 1
+    for ((i = 0; i < hosts; i++)); do
+        write_config "$i"
+        start_host "$i"
+    done
+    for ((i = 0; i < hosts; i++)); do
+        wait_for "http://$(host_ready "$i")/ready" 20 || return 1
+    done
+    wait_for_endpoints 20
+}
+
+report() { curl -s "$(control)/report"; }
+report_field() { # name
+    report | sed "s/.*\"$1\":\([^,}]*\).*/\1/"
+}
+order() { # path, body
+    curl -s -o "$cluster_dir/order.out" -X PUT -d "$2" "$(control)$1"
+}
+begin_load() { # further fields of the plan, as JSON members
+    order /load "{\"hosts\":$(all_callers),$1}"
+}
+wait_for_load() { # seconds
+    local tries=$(($1 * 10))
+    while [ "$(report_field load_done)" != true ]; do
+        tries=$((tries - 1))
+        [ $tries -gt 0 ] || { echo "the load does not end" >&2; return 1; }
+        sleep 0.1
+    done
+}
+
+stop_host() { # index; returns the exit code of the daemon
+    local pid=${host_pid[$1]}
+    unset "host_pid[$1]"
+    kill -TERM "$pid"
+    wait "$pid"
+}
+kill_host() { # index
+    local pid=${host_pid[$1]}
+    unset "host_pid[$1]"
+    kill -KILL "$pid"
+    wait "$pid" 2>/dev/null
+    return 0
+}
+
+cluster_stop() { # returns 0 if every process ended with 0
+    local result=0 i
+    for i in "${!host_pid[@]}"; do kill -TERM "${host_pid[$i]}"; done
+    for i in "${!host_pid[@]}"; do wait "${host_pid[$i]}" || result=1; done
+    host_pid=()
+    kill -TERM "$system_pid" && { wait "$system_pid" || result=1; }
+    system_pid=""
+    return $result
+}
+
+# Ends what is left; for traps.
+cluster_abort() {
+    local pid
+    for pid in "${host_pid[@]}" $system_pid; do
+        kill -CONT "$pid" 2>/dev/null
+        kill -KILL "$pid" 2>/dev/null
+    done
+    [ -z "$cluster_dir" ] || [ -n "${keep_logs:-}" ] || rm -rf "$cluster_dir"
+}
--- /dev/null
+++ b/testing/platform/job_callers.cpp
@@ -0,0 +1,102 @@
+#include "platform/job_callers.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+namespace figridge::testing {
+namespace {
+
+constexpr duration resend_after = 1300ms;
+constexpr int http_ok = 200;
+constexpr int http_too_many = 429;
+constexpr int http_unavailable = 503;
+
+} // namespace
+
+job_callers::job_callers(event_loop& loop, run_judge& judge)
+    : loop_(loop), judge_(judge), client_(loop),
+      timer_(loop, [this] { send_next(); }) {}
+
+void job_callers::begin(load_plan plan) {
+    plan_ = std::move(plan);
+    result_ = {};
+    sent_ = 0;
+    timer_.start_repeating(duration(1'000'000 / plan_.jobs_per_s));
+}
+
+void job_callers::send_next() {
+    if (sent_ == plan_.jobs) {
+        timer_.stop();
+        return;
+    }
+    ++sent_;
+    ++result_.sent;
+    auto open = std::make_shared<call>();
+    open->id = absl::StrFormat("%016x", random_());
+    const json step{{"count", plan_.tasks},
+                    {"cpu", plan_.task_cpu},
+                    {"mem-mb", 64},
+                    {"estimate-ms", plan_.task_ms}};
+    open->body = dump_json(
+        {{"spec", absl::StrCat("ms=", plan_.task_ms, " cpu=", plan_.task_cpu)},
+         {"steps", json::array({step})},
+         {"best-effort", true}});
+    open->leaves = event_loop::now() + plan_.patience;
+    open_.push_back(open);
+    send(open);
+}
+
+void job_callers::send(const std::shared_ptr<call>& open) {
+    const auto left = open->leaves - event_loop::now();
+    if (left <= 50ms) {
+        ++result_.unanswered;
+        return finish(open);
+    }
+    std::uniform_int_distribution<std::size_t> pick(0, plan_.hosts.size() - 1);
+    http_call request;
+    request.method = "POST";
+    request.url =
+        absl::StrCat("http://", plan_.hosts[pick(random_)], "/jobs/", open->id);
+    request.body = open->body;
+    request.timeout = left;
+    request.headers = {"Host: figridge.example",
+                       absl::StrCat("X-Deadline-Ms: ", to_ms(left)),
+                       "Request-Id: " + open->id};
+    client_.send(std::move(request), [this, open](const http_result& result) {
+        handle(open, result);
+    });
+}
+
+void job_callers::handle(const std::shared_ptr<call>& open,
+                         const http_result& result) {
+    if (result.outcome == http_outcome::answered && result.status == http_ok) {
+        const auto body = parse_json(result.body);
+        const bool completed =
+            body.ok() && body->value("state", "") == "completed";
+        ++(completed ? result_.completed : result_.failed);
+        return finish(open);
+    }
+    const bool refused =
+        result.outcome == http_outcome::answered &&
+        (result.status == http_unavailable || result.status == http_too_many);
+    if (refused) {
+        if (open->only_refused && judge_.has_started(open->id)) {
+            judge_.complain("refused, though it had started: " + open->id);
+        }
+        ++result_.refused;
+        return finish(open);
+    }
+    if (result.outcome != http_outcome::not_sent) {
+        open->only_refused = false;
+    }
+    ++result_.resent;
+    open->again =
+        std::make_unique<timer_watcher>(loop_, [this, open] { send(open); });
+    open->again->start_once(resend_after);
+}
+
+void job_callers::finish(const std::shared_ptr<call>& open) {
+    open_.remove(open);
+}
+
+} // namespace figridge::testing
--- /dev/null
+++ b/testing/platform/job_callers.hpp
@@ -0,0 +1,72 @@
+// Callers of jobs: they send, wait, and send again as the platform's do.
+#ifndef FIGRIDGE_TESTING_PLATFORM_JOB_CALLERS_HPP
+#define FIGRIDGE_TESTING_PLATFORM_JOB_CALLERS_HPP
+
+#include <list>
+#include <random>
+
+#include "adapters/http_client.hpp"
+#include "codec/json_codec.hpp"
+#include "platform/run_judge.hpp"
+
+namespace figridge::testing {
+
+struct load_plan {
+    std::vector<std::string> hosts; // callers' addresses
+    std::uint32_t jobs = 0;
+    std::uint32_t jobs_per_s = 100;
+    std::uint32_t tasks = 4;
+    std::uint32_t task_ms = 60;
+    std::uint32_t task_cpu = 6000;
+    duration patience{1500ms};
+};
+
+struct load_result {
+    std::uint32_t sent = 0;
+    std::uint32_t completed = 0;
+    std::uint32_t failed = 0;
+    std::uint32_t refused = 0;
+    std::uint32_t unanswered = 0;
+    std::uint32_t resent = 0;
+};
+
+// Plays one load at a time. Owned by the program's main object. Not
+// thread-safe.
+class job_callers {
+public:
+    job_callers(event_loop& loop, run_judge& judge);
+
+    void begin(load_plan plan);
+    [[nodiscard]] bool is_done() const {
+        return sent_ == plan_.jobs && open_.empty();
+    }
+    [[nodiscard]] const load_result& result() const { return result_; }
+
+private:
+    struct call {
+        std::string id;
+        std::string body;
+        timestamp leaves{0};
+        bool only_refused = true;
+        std::unique_ptr<timer_watcher> again;
+    };
+
+    void send_next();
+    void send(const std::shared_ptr<call>& open);
+    void handle(const std::shared_ptr<call>& open, const http_result& result);
+    void finish(const std::shared_ptr<call>& open);
+
+    event_loop& loop_;
+    run_judge& judge_;
+    http_client client_;
+    timer_watcher timer_;
+    std::mt19937_64 random_{7};
+    load_plan plan_;
+    load_result result_;
+    std::uint32_t sent_ = 0;
+    std::list<std::shared_ptr<call>> open_;
+};
+
+} // namespace figridge::testing
+
+#endif
--- /dev/null
+++ b/testing/platform/leased_endpoint.cpp
@@ -0,0 +1,262 @@
+#include "platform/leased_endpoint.hpp"
+
+#include <algorithm>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
+
+namespace figridge::testing {
+namespace {
+
+constexpr std::size_t max_body_bytes = 1U << 20;
+constexpr std::uint32_t capacity_cpu = 16'000;
+constexpr std::uint32_t capacity_memory_mb = 32'768;
+constexpr std::int64_t lease_limit_ms = 1000;
+constexpr duration tick_interval = 5ms;
+constexpr int http_ok = 200;
+constexpr int http_bad_request = 400;
+constexpr int http_conflict = 409;
+constexpr int http_other_instance = 421;
+constexpr int http_unavailable = 503;
+
+// Reads NAME=NUMBER from a payload.
+std::uint32_t field_of(const std::string& payload, const std::string& name) {
+    for (const auto part : absl::StrSplit(payload, ' ')) {
+        std::string text(part);
+        if (text.rfind(name + "=", 0) == 0) {
+            std::uint32_t number = 0;
+            if (absl::SimpleAtoi(text.substr(name.size() + 1), &number)) {
+                return number;
+            }
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+leased_endpoint::leased_endpoint(event_loop& loop, std::string id,
+                                 std::string address,
+                                 std::string failure_domain, run_judge& judge)
+    : loop_(loop), id_(std::move(id)), address_(std::move(address)),
+      failure_domain_(std::move(failure_domain)), judge_(judge),
+      server_(
+          loop, max_body_bytes,
+          [this](const http_request& request) { handle(request); },
+          [this](http_token token) {
+              holds_.remove_if([token](const waiting_hold& held) {
+                  return held.token == token;
+              });
+          }),
+      ticker_(loop, [this] { tick(); }) {
+    crash();
+}
+
+absl::Status leased_endpoint::start() {
+    server_.keep_headers({"X-Target-Instance"});
+    ticker_.start_repeating(tick_interval);
+    return server_.start(address_);
+}
+
+void leased_endpoint::crash() {
+    for (const auto& [task, run] : runs_) {
+        judge_.ended(task);
+    }
+    runs_.clear();
+    highest_.clear();
+    ends_.clear();
+    token_ = 0;
+    next_end_ = 1;
+    born_ = event_loop::now();
+    born_ms_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+                   .count();
+}
+
+json leased_endpoint::describe() const {
+    return {
+        {"service", "pool-1"},
+        {"address", address_},
+        {"zone", failure_domain_},
+        {"version", "v1"},
+        {"slots", 8},
+        {"state", draining_ ? "draining" : "ready"},
+        {"cold-left-ms", 0},
+        {"capacity",
+         {{"cpu", capacity_cpu}, {"mem-mb", capacity_memory_mb}, {"gpu", 0}}},
+        {"labels", {"a", "r1-1"}},
+        {"born", born_ms_},
+        {"clock-ms", clock_ms()}};
+}
+
+std::int64_t leased_endpoint::clock_ms() const {
+    return to_ms(event_loop::now() - born_) + 1;
+}
+
+void leased_endpoint::respond(http_token token, int status, json body) {
+    if (mode_ == "mute") {
+        return server_.abort(token);
+    }
+    body["clock-ms"] = clock_ms();
+    server_.respond(token, {status, dump_json(body)});
+}
+
+void leased_endpoint::handle(const http_request& request) {
+    const auto named = request.headers.find("X-Target-Instance");
+    if (named != request.headers.end() && named->second != id_) {
+        return respond(request.token, http_other_instance, json::object());
+    }
+    const auto body = parse_json(request.body);
+    if (!body.ok() || !body->is_object()) {
+        return respond(request.token, http_bad_request, json::object());
+    }
+    if (refuse_token(request.token, *body)) {
+        return;
+    }
+    if (request.path == "/run-start") {
+        return start_run(request.token, *body);
+    }
+    if (request.path == "/run-stop") {
+        return stop_run(request.token, *body);
+    }
+    hold(request.token, *body);
+}
+
+bool leased_endpoint::refuse_token(http_token token, const json& body) {
+    const auto given = body.value("fencing-token", std::uint64_t{0});
+    if (given < token_) {
+        respond(token, http_conflict, {{"reason", "fence"}});
+        return true;
+    }
+    token_ = given;
+    return false;
+}
+
+void leased_endpoint::renew(const json& body) {
+    const auto deadline = body.value("deadline-ms", std::int64_t{0});
+    lease_ms_ =
+        std::max(lease_ms_, std::min(deadline, clock_ms() + lease_limit_ms));
+}
+
+void leased_endpoint::start_run(http_token token, const json& body) {
+    if (mode_ == "shed") {
+        return respond(token, http_unavailable, json::object());
+    }
+    if (body.value("deadline-ms", std::int64_t{0}) <= clock_ms()) {
+        return respond(token, http_conflict, {{"reason", "late"}});
+    }
+    renew(body);
+    const auto task = body.value("task", std::string{});
+    const auto number = body.value("run", std::uint32_t{0});
+    const auto same = runs_.find(task);
+    if (same != runs_.end() && same->second.number == number) {
+        return respond(token, http_ok, json::object());
+    }
+    if (number <= highest_[task]) {
+        return respond(token, http_conflict, {{"reason", "old"}});
+    }
+    highest_[task] = number;
+    const auto payload = body.value("spec", std::string{});
+    run fresh;
+    fresh.number = number;
+    fresh.cpu_millis = field_of(payload, "cpu");
+    fresh.started = event_loop::now();
+    fresh.length = std::chrono::milliseconds(field_of(payload, "ms"));
+    fresh.fails =
+        mode_ == "fail_all" || payload.find(" fail") != std::string::npos;
+    std::uint32_t used = fresh.cpu_millis;
+    for (const auto& [name, other] : runs_) {
+        used += other.cpu_millis;
+    }
+    if (used > capacity_cpu) {
+        judge_.complain("more than the capacity on " + id_ + ": " + task);
+    }
+    if (same != runs_.end()) {
+        judge_.complain("a second run on the same endpoint: " + task);
+    }
+    runs_[task] = fresh;
+    judge_.started(task);
+    respond(token, http_ok, json::object());
+}
+
+void leased_endpoint::stop_run(http_token token, const json& body) {
+    const auto task = body.value("task", std::string{});
+    const auto number = body.value("run", std::uint32_t{0});
+    highest_[task] = std::max(highest_[task], number);
+    const auto found = runs_.find(task);
+    if (found != runs_.end() && found->second.number == number) {
+        end_run(task, "stopped");
+    }
+    respond(token, http_ok, json::object());
+    answer_holds(false);
+}
+
+void leased_endpoint::hold(http_token token, const json& body) {
+    if (body.contains("deadline-ms")) {
+        renew(body);
+    }
+    const auto acknowledged = body.value("acked-upto", std::uint64_t{0});
+    ends_.remove_if([acknowledged](const end& item) {
+        return item.number <= acknowledged;
+    });
+    const auto wait = std::chrono::milliseconds(body.value("wait-ms", 0));
+    if (!ends_.empty() || wait == duration{0}) {
+        return respond(token, http_ok, write_lists());
+    }
+    holds_.push_back({token, event_loop::now() + wait});
+}
+
+json leased_endpoint::write_lists() const {
+    json running = json::array();
+    for (const auto& [task, run] : runs_) {
+        const auto share = run.length == duration{0}
+                               ? 0.0
+                               : to_seconds(event_loop::now() - run.started) /
+                                     to_seconds(run.length);
+        running.push_back({task, run.number, "",
+                           static_cast<int>(100 * std::min(1.0, share))});
+    }
+    json ended = json::array();
+    for (const auto& item : ends_) {
+        ended.push_back({item.number, item.task, item.run, item.how, ""});
+    }
+    return {{"running", running}, {"ended", ended}, {"born", born_ms_}};
+}
+
+void leased_endpoint::end_run(const std::string& task, const std::string& how) {
+    const auto found = runs_.find(task);
+    ends_.push_back({next_end_++, task, found->second.number, how});
+    runs_.erase(found);
+    judge_.ended(task);
+}
+
+void leased_endpoint::answer_holds(bool all) {
+    const auto now = event_loop::now();
+    auto waiting = std::exchange(holds_, {});
+    for (const auto& held : waiting) {
+        if (all || !ends_.empty() || now >= held.until) {
+            respond(held.token, http_ok, write_lists());
+        } else {
+            holds_.push_back(held);
+        }
+    }
+}
+
+void leased_endpoint::tick() {
+    const auto now = event_loop::now();
+    std::vector<std::pair<std::string, std::string>> over;
+    for (const auto& [task, run] : runs_) {
+        if (clock_ms() > lease_ms_) {
+            over.emplace_back(task, "lapsed");
+        } else if (now - run.started >= run.length) {
+            over.emplace_back(task, run.fails ? "failed" : "done");
+        }
+    }
+    for (const auto& [task, how] : over) {
+        end_run(task, how);
+    }
+    answer_holds(false);
+}
+
+} // namespace figridge::testing
--- /dev/null
+++ b/testing/platform/leased_endpoint.hpp
@@ -0,0 +1,86 @@
+// Stand-in for an endpoint that runs tasks under a lease and a token.
+//
+// A task's payload says what it is: "ms=60 cpu=6000 [fail]".
+#ifndef FIGRIDGE_TESTING_PLATFORM_LEASED_ENDPOINT_HPP
+#define FIGRIDGE_TESTING_PLATFORM_LEASED_ENDPOINT_HPP
+
+#include <list>
+
+#include "adapters/http_server.hpp"
+#include "codec/json_codec.hpp"
+#include "platform/run_judge.hpp"
+
+namespace figridge::testing {
+
+// Owned by the program's main object. Not thread-safe.
+class leased_endpoint {
+public:
+    leased_endpoint(event_loop& loop, std::string id, std::string address,
+                    std::string failure_domain, run_judge& judge);
+
+    absl::Status start();
+    // The row that it writes about itself.
+    [[nodiscard]] json describe() const;
+    [[nodiscard]] const std::string& id() const { return id_; }
+
+    // "ok", "fail_all", "mute" (carries out, answers nothing) or "shed".
+    void set_mode(const std::string& mode) { mode_ = mode; }
+    void set_draining(bool draining) { draining_ = draining; }
+    // Ends this life: everything that runs is gone, and the token is forgotten.
+    void crash();
+
+private:
+    struct run {
+        std::uint32_t number = 0;
+        std::uint32_t cpu_millis = 0;
+        timestamp started{0};
+        duration length{0};
+        bool fails = false;
+    };
+    struct end {
+        std::uint64_t number = 0;
+        std::string task;
+        std::uint32_t run = 0;
+        std::string how;
+    };
+    struct waiting_hold {
+        http_token token = 0;
+        timestamp until{0};
+    };
+
+    void handle(const http_request& request);
+    void start_run(http_token token, const json& body);
+    void stop_run(http_token token, const json& body);
+    void hold(http_token token, const json& body);
+    void tick();
+    void end_run(const std::string& task, const std::string& how);
+    void answer_holds(bool all);
+    [[nodiscard]] json write_lists() const;
+    [[nodiscard]] std::int64_t clock_ms() const;
+    bool refuse_token(http_token token, const json& body);
+    void renew(const json& body);
+    void respond(http_token token, int status, json body);
+
+    event_loop& loop_;
+    std::string id_;
+    std::string address_;
+    std::string failure_domain_;
+    run_judge& judge_;
+    http_server server_;
+    timer_watcher ticker_;
+    std::string mode_ = "ok";
+    bool draining_ = false;
+    timestamp born_{0};
+    std::int64_t born_ms_ = 0;
+    std::uint64_t token_ = 0;
+    std::int64_t lease_ms_ = 0;
+    std::uint64_t next_end_ = 1;
+    std::map<std::string, run> runs_;
+    std::map<std::string, std::uint32_t> highest_;
+    std::list<end> ends_;
+    std::list<waiting_hold> holds_;
+};
+
+} // namespace figridge::testing
+
+#endif
--- /dev/null
+++ b/testing/platform/run_judge.hpp
@@ -0,0 +1,50 @@
+// What the stand-ins saw of all runs: the evidence for the promises.
+#ifndef FIGRIDGE_TESTING_PLATFORM_RUN_JUDGE_HPP
+#define FIGRIDGE_TESTING_PLATFORM_RUN_JUDGE_HPP
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace figridge::testing {
+
+// Shared by the endpoints of one process. Not thread-safe.
+class run_judge {
+public:
+    void started(const std::string& task) {
+        ++starts_;
+        started_jobs_.insert(task.substr(0, task.find('.')));
+        if (++running_[task] > 1) {
+            complaints_.push_back("two runs at the same time: " + task);
+        }
+    }
+
+    void ended(const std::string& task) {
+        if (--running_[task] <= 0) {
+            running_.erase(task);
+        }
+    }
+
+    void complain(std::string text) { complaints_.push_back(std::move(text)); }
+
+    [[nodiscard]] bool has_started(const std::string& job) const {
+        return started_jobs_.contains(job);
+    }
+    [[nodiscard]] std::uint64_t starts() const { return starts_; }
+    [[nodiscard]] std::size_t running() const { return running_.size(); }
+    [[nodiscard]] const std::vector<std::string>& complaints() const {
+        return complaints_;
+    }
+
+private:
+    std::map<std::string, int> running_;
+    std::set<std::string> started_jobs_;
+    std::vector<std::string> complaints_;
+    std::uint64_t starts_ = 0;
+};
+
+} // namespace figridge::testing
+
+#endif
--- /dev/null
+++ b/testing/platform/table_stand_in.hpp
@@ -0,0 +1,83 @@
+// Stand-in for the platform's table store: rows, transactions and feeds.
+//
+// PUT /control sets how it behaves: {"mode": "up" | "down" | "silent" |
+// "slow", "lose": SHARE, "delay_ms": N}; {"compact": true} drops the history.
+#ifndef FIGRIDGE_TESTING_PLATFORM_TABLE_STAND_IN_HPP
+#define FIGRIDGE_TESTING_PLATFORM_TABLE_STAND_IN_HPP
+
+#include <deque>
+#include <list>
+#include <map>
+#include <random>
+#include <tuple>
+
+#include "adapters/event_loop.hpp"
+#include "adapters/http_server.hpp"
+#include "codec/json_codec.hpp"
+
+namespace figridge::testing {
+
+// Owned by the program's main object. Not thread-safe.
+class table_stand_in {
+public:
+    explicit table_stand_in(event_loop& loop);
+
+    absl::Status start(const std::string& address);
+    // Writes a row as the platform itself does.
+    void put(const std::string& table, const std::string& key,
+             const json& value);
+    void remove(const std::string& table, const std::string& key);
+    [[nodiscard]] std::uint64_t calls() const { return calls_; }
+
+private:
+    using row_key = std::tuple<std::string, std::string, std::string>;
+    struct row {
+        std::string value;
+        std::uint64_t version = 0;
+    };
+    struct change {
+        row_key key;
+        std::uint64_t version = 0;
+        bool removed = false;
+        std::string value;
+    };
+    struct waiting_feed {
+        http_token token = 0;
+        std::string table;
+        std::uint64_t after = 0;
+        std::unique_ptr<timer_watcher> limit;
+    };
+
+    void handle(const http_request& request);
+    void control(const http_request& request);
+    void serve(const http_request& request);
+    void transact(const http_request& request);
+    void read(const http_request& request);
+    void follow(const http_request& request);
+    void answer_feed(http_token token, const std::string& table,
+                     std::uint64_t after);
+    void wake_feeds();
+    void respond(http_token token, int status, const json& body);
+    void set(const row_key& key, std::string value);
+    void erase(const row_key& key);
+    static json write_row(const row_key& key, const std::string& value,
+                          std::uint64_t version, bool removed);
+
+    event_loop& loop_;
+    http_server server_;
+    std::mt19937_64 random_{1};
+    std::map<row_key, row> rows_;
+    std::deque<change> history_;
+    std::uint64_t version_ = 0;
+    std::uint64_t forgotten_ = 0; // versions up to this are not in the history
+    std::list<waiting_feed> feeds_;
+    std::list<std::unique_ptr<timer_watcher>> delayed_;
+    std::string mode_ = "up";
+    double lose_ = 0;
+    duration delay_{2ms};
+    std::uint64_t calls_ = 0;
+};
+
+} // namespace figridge::testing
+
+#endif
--- /dev/null
+++ b/tests/platform_test.sh
@@ -0,0 +1,123 @@
+#!/usr/bin/env bash
+# Invariants of real hosts on the stand-in of the users' platform, under
+# faults; no timings. Usage: platform_test.sh BUILD.
+set -u
+build=$1
+cd "$(dirname "$0")/.."
+hosts=5 endpoints=12 domains=d1,d2,d3 base_port=${BASE_PORT:-26000}
+source scripts/platform_cluster.sh
+trap cluster_abort EXIT
+failures=0
+
+expect() { # name, expected, actual
+    if [ "$2" != "$3" ]; then
+        echo "FAILED $1: expected <$2>, actual <$3>"
+        failures=$((failures + 1))
+    fi
+}
+status() { # curl arguments: prints the status, the body goes to a file
+    curl -s -m 20 -o "$cluster_dir/body" -w '%{http_code}' "$@"
+}
+check_promises() { # name
+    local seen
+    seen=$(report)
+    expect "$1: complaints" '[]' \
+        "$(sed 's/.*"complaints":\(\[[^]]*\]\).*/\1/' <<<"$seen")"
+    expect "$1: all callers got an end" "$(report_field sent)" \
+        $(($(report_field completed) + $(report_field failed) + \
+            $(report_field refused) + $(report_field unanswered)))
+}
+
+cluster_start || exit 1
+front=http://$(host_callers 0)
+
+# Requests that are wrong or unknown.
+as=(-H "Host: figridge.example")
+expect "unknown route" 404 \
+    "$(status "${as[@]}" -X POST -d '{}' "$front/other/0123456789abcdef")"
+expect "unknown host" 404 "$(status -X POST -d '{}' \
+    -H 'Host: other.example' "$front/jobs/0123456789abcdef")"
+expect "bad id" 400 "$(status "${as[@]}" -X POST -d '{}' "$front/jobs/x")"
+expect "no steps" 400 "$(status "${as[@]}" -X POST \
+    -d '{"spec":"","best-effort":true}' "$front/jobs/0123456789abcdef")"
+expect "no steps: names the field" 'steps: expected a list' \
+    "$(sed 's/.*"error":"\([^"]*\)".*/\1/' "$cluster_dir/body")"
+expect "job that must be stored" 503 "$(status "${as[@]}" -X POST \
+    -d '{"spec":"","steps":[{"count":1,"cpu":1}]}' \
+    "$front/jobs/0123456789abcdef")"
+expect "larger than any endpoint" 503 "$(status "${as[@]}" -X POST \
+    -d '{"spec":"","steps":[{"count":1,"cpu":99000}],"best-effort":true}' \
+    "$front/jobs/0123456789abcdef")"
+expect "count" 200 "$(status "${as[@]}" "$front/jobs/")"
+expect "unknown job" 410 "$(status "${as[@]}" "$front/jobs/0123456789abcdee")"
+
+# A calm load is served whole.
+begin_load '"jobs":60,"jobs_per_s":40'
+wait_for_load 30
+expect "calm load completed" 60 "$(report_field completed)"
+check_promises "calm load"
+
+# A new catalogue is in force on every host, with the store away meanwhile on
+# none.
+order /catalogue '{"version":7}'
+for ((i = 0; i < hosts; i++)); do
+    tries=100
+    while [ "$(status "${as[@]}" "http://$(host_callers "$i")/version-7/")" \
+        != 200 ]; do
+        tries=$((tries - 1))
+        [ $tries -gt 0 ] || break
+        sleep 0.05
+    done
+    expect "catalogue on host $i" 200 \
+        "$(status "${as[@]}" "http://$(host_callers "$i")/version-7/")"
+    expect "old route gone on host $i" 404 \
+        "$(status "${as[@]}" "http://$(host_callers "$i")/version-1/")"
+done
+
+# A host is killed under load, another is stopped as planned; both come back.
+begin_load '"jobs":240,"jobs_per_s":60'
+sleep 0.5
+kill_host 1
+sleep 0.8
+start_host 1
+stop_host 2
+expect "planned stop exits with" 0 $?
+start_host 2
+wait_for_load 60
+check_promises "kill and planned stop"
+
+# Endpoints fail, stay silent, and begin another life.
+begin_load '"jobs":180,"jobs_per_s":60'
+sleep 0.3
+order /endpoint '{"index":0,"mode":"fail_all"}'
+order /endpoint '{"index":1,"mode":"mute"}'
+order /endpoint '{"index":2,"crash":true}'
+order /endpoint '{"index":3,"draining":true}'
+sleep 1.5
+order /endpoint '{"mode":"ok","draining":false}'
+wait_for_load 60
+check_promises "bad endpoints"
+
+# A host stands still while the others take over.
+begin_load '"jobs":180,"jobs_per_s":60'
+sleep 0.3
+kill -STOP "${host_pid[0]}"
+sleep 2
+kill -CONT "${host_pid[0]}"
+wait_for_load 60
+check_promises "standstill"
+
+# The store is away, then comes back without its history.
+curl -s -o "$cluster_dir/order.out" -X PUT -d '{"mode":"silent"}' \
+    "http://$(store)/control"
+begin_load '"jobs":120,"jobs_per_s":60'
+wait_for_load 60
+expect "load without the store" 120 "$(report_field completed)"
+curl -s -o "$cluster_dir/order.out" -X PUT -d '{"mode":"up","compact":true}' \
+    "http://$(store)/control"
+check_promises "store away"
+
+cluster_stop
+expect "every process ends with" 0 $?
+[ $failures -eq 0 ] && echo "platform_test ok"
+exit $((failures > 0))
