No early second run: stale rows and held-up assignments

Ruled out: leases, tokens. Change: a lost holder's tasks wait for the bound unless the rows are as many as it said it held; a payload is fresh by what its sender had heard at the first sending; a peer that hears us not is greeted within the time of suspicion and reported once.

--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -336,6 +336,7 @@
 void endpoint_holder::fill(advert& about) const {
     about.queued_cpu_ms = queue_.queued_cpu_ms();
     about.queued_tasks = static_cast<std::uint32_t>(queue_.size());
+    about.endpoints_held = static_cast<std::uint32_t>(sessions_.size());
     for (const auto& [id, session] : sessions_) {
         if (!session->takes_work()) {
             continue;
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -334,8 +334,11 @@
 void job_coordinator::handle_holder_lost(
     timestamp now, const process_id& holder,
     const std::vector<std::string>& endpoints, timestamp over_by) {
+    // Rows known here may lag behind; then only the bound is certain.
+    const bool complete =
+        !endpoints.empty() && endpoints.size() >= views_.endpoints_held(holder);
     views_.forget(holder);
-    lost_holder lost{{endpoints.begin(), endpoints.end()}, over_by};
+    lost_holder lost{{endpoints.begin(), endpoints.end()}, complete, over_by};
     for (const auto& endpoint : endpoints) {
         const auto kept = adoptions_.find(endpoint);
         if (kept != adoptions_.end() &&
@@ -353,7 +356,7 @@
             }
         }
     }
-    const bool adopted = lost.unadopted.empty();
+    const bool adopted = lost.complete && lost.unadopted.empty();
     lost_holders_[holder] = std::move(lost);
     if (adopted) {
         place_tasks_of(now, holder);
@@ -408,7 +411,7 @@
     if (const auto lost = lost_holders_.find(adoption.former);
         lost != lost_holders_.end()) {
         lost->second.unadopted.erase(adoption.endpoint);
-        if (lost->second.unadopted.empty()) {
+        if (lost->second.complete && lost->second.unadopted.empty()) {
             place_tasks_of(now, adoption.former);
         }
     }
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -97,6 +97,7 @@
     // Endpoints of a lost holder that nobody has taken over yet.
     struct lost_holder {
         std::set<std::string> unadopted;
+        bool complete = false; // these are all that it held
         timestamp over_by{0};
     };
 
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -18,6 +18,7 @@
     std::uint64_t catalogue_version = 0;
     bool draining = false;
     double cpu_share = 0.0;
+    std::uint32_t endpoints_held = 0;
     std::uint32_t capacity_cpu = 0;
     std::uint64_t queued_cpu_ms = 0; // processor time asked by queued tasks
     std::uint32_t queued_tasks = 0;
@@ -25,9 +26,9 @@
     std::uint32_t largest_memory_mb = 0;
     std::vector<std::uint32_t> free_cpu;
 
-    MSGPACK_DEFINE(catalogue_version, draining, cpu_share, capacity_cpu,
-                   queued_cpu_ms, queued_tasks, largest_cpu, largest_memory_mb,
-                   free_cpu);
+    MSGPACK_DEFINE(catalogue_version, draining, cpu_share, endpoints_held,
+                   capacity_cpu, queued_cpu_ms, queued_tasks, largest_cpu,
+                   largest_memory_mb, free_cpu);
 };
 
 // Gives tasks of one job to a holder. Times count from the sending.
@@ -128,7 +129,8 @@
 
 // `sequence` is that of the payload, 0 without one. `to_incarnation` is 0 as
 // long as the sender does not know the receiver's. `stamp_us` is the sender's
-// clock; `echo_us` the latest stamp it has received from the receiver.
+// clock; `echo_us` the latest stamp it has received from the receiver;
+// `content_echo_us` what that was when the payload was first sent.
 struct envelope {
     process_id from;
     std::string failure_domain;
@@ -137,11 +139,12 @@
     std::uint64_t ack = 0;
     std::int64_t stamp_us = 0;
     std::int64_t echo_us = 0;
+    std::int64_t content_echo_us = 0;
     advert about;
     payload content;
 
     MSGPACK_DEFINE(from, failure_domain, to_incarnation, sequence, ack,
-                   stamp_us, echo_us, about, content);
+                   stamp_us, echo_us, content_echo_us, about, content);
 };
 
 std::string_view to_string(update_kind kind);
--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -9,7 +9,8 @@
 // A payload not acknowledged by a few heartbeats is sent again.
 constexpr duration resend_pause = 500ms;
 // A peer that is not heard is still greeted, for it may hear us.
-constexpr duration lost_heartbeat_interval = 500ms;
+// Shorter than the time of suspicion.
+constexpr duration lost_heartbeat_interval = 300ms;
 // What a peer that is out of reach may keep waiting here.
 constexpr std::size_t max_unacknowledged = 4096;
 
@@ -44,17 +45,18 @@
 }
 
 void peer_sessions::send(timestamp now, const std::string& address, peer& to,
-                         std::uint64_t sequence, const payload& content) {
+                         const sent_payload& what) {
     envelope message;
     message.from = settings_.self;
     message.failure_domain = settings_.failure_domain;
     message.to_incarnation = to.id.incarnation;
-    message.sequence = sequence;
+    message.sequence = what.sequence;
     message.ack = to.received;
     message.stamp_us = now.count();
     message.echo_us = to.peer_stamp_us;
     message.about = events_.make_advert();
-    message.content = content;
+    message.content_echo_us = what.echo_us;
+    message.content = what.content;
     to.sent_at = now;
     port_.send(address, message);
 }
@@ -72,16 +74,17 @@
         if (to.unacknowledged.empty()) {
             to.resend_at = now + resend_pause;
         }
-        to.unacknowledged.emplace_back(sequence, std::exchange(to.pending, {}));
-        send(now, address, to, sequence, to.unacknowledged.back().second);
+        to.unacknowledged.push_back(
+            {sequence, to.peer_stamp_us, std::exchange(to.pending, {})});
+        send(now, address, to, to.unacknowledged.back());
     }
 }
 
 void peer_sessions::resend(timestamp now, const std::string& address,
                            peer& to) {
     to.resend_at = now + resend_pause;
-    for (const auto& [sequence, content] : to.unacknowledged) {
-        send(now, address, to, sequence, content);
+    for (const auto& waiting : to.unacknowledged) {
+        send(now, address, to, waiting);
     }
 }
 
@@ -122,9 +125,11 @@
     const bool for_us = message.to_incarnation == settings_.self.incarnation;
     if (for_us) {
         from.echoed_at = std::max(from.echoed_at, timestamp(message.echo_us));
-        from.out_of_contact = false;
+        if (now - from.echoed_at <= settings_.abandon_after) {
+            from.out_of_contact = false;
+        }
         while (!from.unacknowledged.empty() &&
-               from.unacknowledged.front().first <= message.ack) {
+               from.unacknowledged.front().sequence <= message.ack) {
             from.unacknowledged.pop_front();
             from.resend_at = now + resend_pause;
         }
@@ -133,7 +138,7 @@
     if (for_us && message.sequence == from.received + 1) {
         from.received = message.sequence;
         const bool fresh =
-            now - timestamp(message.echo_us) < settings_.abandon_after;
+            now - timestamp(message.content_echo_us) < settings_.abandon_after;
         events_.on_payload(from.id, message.content, fresh);
     }
 }
@@ -160,7 +165,7 @@
     if (found == peers_.end()) {
         return;
     }
-    send(now, address, found->second, 0, {});
+    send(now, address, found->second, {});
     resend(now, address, found->second);
 }
 
@@ -180,7 +185,7 @@
         const auto interval =
             peer.lost ? lost_heartbeat_interval : settings_.heartbeat_interval;
         if (announce_ || now - peer.sent_at >= interval) {
-            send(now, address, peer, 0, {});
+            send(now, address, peer, {});
         }
     }
     announce_ = false;
--- a/src/core/dispatch/peer_sessions.hpp
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -37,6 +37,12 @@
 // Owned by a `dispatcher`. Not thread-safe.
 class peer_sessions {
 public:
+    struct sent_payload {
+        std::uint64_t sequence = 0;
+        std::int64_t echo_us = 0; // at the first sending
+        payload content;
+    };
+
     struct peer {
         process_id id;
         std::string failure_domain;
@@ -49,7 +55,7 @@
         bool out_of_contact = true;
         std::uint64_t received = 0;
         std::uint64_t next_sequence = 1;
-        std::deque<std::pair<std::uint64_t, payload>> unacknowledged;
+        std::deque<sent_payload> unacknowledged;
         timestamp resend_at{0};
         payload pending;
         std::set<std::uint64_t> former_incarnations;
@@ -82,7 +88,7 @@
 
 private:
     void send(timestamp now, const std::string& address, peer& to,
-              std::uint64_t sequence, const payload& content);
+              const sent_payload& what);
     void resend(timestamp now, const std::string& address, peer& to);
     void lose(peer& gone, bool restarted);
 
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -199,6 +199,34 @@
     BOOST_TEST(placements() == 2U);
 }
 
+// The rows known here may lag behind what the holder had.
+BOOST_AUTO_TEST_CASE(holder_of_unknown_endpoints_is_waited_for) {
+    submit(1);
+    add_holder_b();
+    coordinator.handle_holder_lost(now, holder_a, {}, now + 1000ms);
+    BOOST_TEST(placements() == 1U);
+    pass(1050ms);
+    BOOST_TEST(placements() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(holder_with_more_endpoints_than_rows_is_waited_for) {
+    advert about;
+    about.capacity_cpu = 64'000;
+    about.largest_cpu = 16'000;
+    about.largest_memory_mb = 32'000;
+    about.free_cpu = {16'000, 16'000};
+    about.endpoints_held = 2;
+    views.update(now, holder_a, "domain-1", about);
+    submit(1);
+    add_holder_b();
+    coordinator.handle_holder_lost(now, holder_a, {"endpoint-1"}, now + 1000ms);
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {}, {}});
+    BOOST_TEST(placements() == 1U);
+    pass(1050ms);
+    BOOST_TEST(placements() == 2U);
+}
+
 // A holder heard again before it gave up our tasks still has them.
 BOOST_AUTO_TEST_CASE(task_stays_with_a_holder_that_is_heard_again) {
     submit(1);
--- /dev/null
+++ b/tests/dispatch/peer_sessions_test.cpp
@@ -0,0 +1,157 @@
+#include <boost/test/unit_test.hpp>
+
+#include "core/dispatch/peer_sessions.hpp"
+
+namespace figridge::dispatch {
+namespace {
+
+// One side of a link; what it sends is kept until the test moves it.
+struct side : peer_port, peer_session_events {
+    side(const std::string& address, std::uint64_t incarnation)
+        : sessions(settings, *this, *this) {
+        settings.self = {address, incarnation};
+    }
+
+    void connect(const std::string& /*address*/) override {}
+    void disconnect(const std::string& /*address*/) override {}
+    void send(const std::string& /*address*/,
+              const envelope& message) override {
+        sent.push_back(message);
+    }
+    void on_payload(const process_id& /*from*/, const payload& content,
+                    bool fresh) override {
+        for (const auto& withdrawal : content.withdrawals) {
+            received.emplace_back(withdrawal.job, fresh);
+        }
+    }
+    void on_advert(const process_id& /*from*/, const std::string& /*domain*/,
+                   const advert& /*about*/) override {}
+    void on_lost(const process_id& /*peer*/, bool restarted) override {
+        lost.push_back(restarted);
+    }
+    void on_back(const process_id& /*peer*/) override { ++back; }
+    void on_out_of_contact(const process_id& /*peer*/) override {
+        ++out_of_contact;
+    }
+    advert make_advert() override { return {}; }
+
+    dispatch_settings settings;
+    std::vector<envelope> sent;
+    std::vector<std::pair<std::string, bool>> received;
+    std::vector<bool> lost;
+    int back = 0;
+    int out_of_contact = 0;
+    peer_sessions sessions;
+};
+
+struct link_fixture {
+    link_fixture() {
+        a.sessions.add(now, "b:1");
+        b.sessions.add(now, "a:1");
+        run(500ms);
+    }
+
+    // Delivers what one side has sent; drops it if the way is cut.
+    void move(side& from, side& to, bool cut) {
+        for (const auto& message : std::exchange(from.sent, {})) {
+            if (!cut) {
+                to.sessions.handle_envelope(now, message);
+            }
+        }
+    }
+
+    void run(duration time, bool cut_to_b = false, bool cut_to_a = false) {
+        for (const auto end = now + time; now < end; now += 25ms) {
+            a.sessions.tick(now);
+            b.sessions.tick(now);
+            a.sessions.flush(now);
+            b.sessions.flush(now);
+            move(a, b, cut_to_b);
+            move(b, a, cut_to_a);
+        }
+    }
+
+    void send_to_b(const std::string& job) {
+        a.sessions.pending_for({"b:1", 2})->withdrawals.push_back({job});
+    }
+
+    timestamp now{10s};
+    side a{"a:1", 1};
+    side b{"b:1", 2};
+};
+
+BOOST_FIXTURE_TEST_SUITE(peer_sessions_test, link_fixture)
+
+BOOST_AUTO_TEST_CASE(payload_arrives_once) {
+    send_to_b("job-1");
+    run(2s);
+    BOOST_REQUIRE_EQUAL(b.received.size(), 1U);
+    BOOST_TEST(b.received[0].second);
+}
+
+BOOST_AUTO_TEST_CASE(payload_lost_on_the_way_is_sent_again_in_order) {
+    send_to_b("job-1");
+    run(100ms, true);
+    send_to_b("job-2");
+    run(2s);
+    BOOST_REQUIRE_EQUAL(b.received.size(), 2U);
+    BOOST_TEST(b.received[0].first == "job-1");
+    BOOST_TEST(b.received[1].first == "job-2");
+}
+
+// What was sent before a long cut must start nothing after it, however often
+// it is sent again.
+BOOST_AUTO_TEST_CASE(payload_held_up_for_long_is_not_fresh) {
+    send_to_b("job-1");
+    run(1s, true, true);
+    run(200ms, true, false); // a hears b again before b hears a
+    run(1s);
+    BOOST_REQUIRE_EQUAL(b.received.size(), 1U);
+    BOOST_TEST(!b.received[0].second);
+}
+
+BOOST_AUTO_TEST_CASE(silent_peer_is_lost_and_heard_again) {
+    run(600ms, false, true);
+    BOOST_REQUIRE_EQUAL(a.lost.size(), 1U);
+    BOOST_TEST(!a.lost[0]);
+    BOOST_TEST(!a.sessions.is_live({"b:1", 2}));
+    const int before = a.back;
+    run(500ms);
+    BOOST_TEST(a.back == before + 1);
+    BOOST_TEST(a.sessions.is_live({"b:1", 2}));
+}
+
+// A peer that hears us not is out of contact, though we hear it.
+BOOST_AUTO_TEST_CASE(one_way_cut_ends_the_contact) {
+    run(1s, true, false);
+    BOOST_TEST(a.lost.empty());
+    BOOST_TEST(a.out_of_contact == 1);
+    BOOST_TEST(a.sessions.is_live({"b:1", 2}));
+}
+
+BOOST_AUTO_TEST_CASE(restarted_peer_is_lost_and_gets_nothing_of_the_old) {
+    send_to_b("job-1");
+    a.sessions.flush(now);
+    a.sent.clear();
+    envelope hello;
+    hello.from = {"b:1", 3};
+    a.sessions.handle_envelope(now, hello);
+    BOOST_REQUIRE_EQUAL(a.lost.size(), 1U);
+    BOOST_TEST(a.lost[0]);
+    run(1s, false, true);
+    BOOST_TEST(b.received.empty());
+}
+
+BOOST_AUTO_TEST_CASE(envelope_of_a_former_incarnation_is_ignored) {
+    envelope hello;
+    hello.from = {"b:1", 3};
+    a.sessions.handle_envelope(now, hello);
+    hello.from = {"b:1", 2};
+    a.sessions.handle_envelope(now, hello);
+    BOOST_TEST(a.sessions.is_live({"b:1", 3}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace figridge::dispatch
