Holders by processor share; rare heartbeats between domains without common work

Cause: on the grown site two hosts of 0.12 cores held 117 endpoints of a failure domain, and each of 32 hosts greeted 31 others every 150 ms. Ruled out: store rates.

--- a/src/core/dispatch/holder_directory.cpp
+++ b/src/core/dispatch/holder_directory.cpp
@@ -1,53 +1,77 @@
 #include "core/dispatch/holder_directory.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
+#include <tuple>
 
 #include "core/rendezvous.hpp"
 
 namespace figridge::dispatch {
 namespace {
 
-// One holder keeps up with about this many endpoints on a quarter of a core.
-constexpr std::size_t endpoints_per_holder = 64;
+// A whole core keeps up with about this many endpoints: 16 at ten tasks a
+// second each took 0.025 of a core, and a short burst three times that.
+constexpr double endpoints_per_core = 72.0;
+// A holder with this many times its part gives some away.
+constexpr double overload_factor = 1.5;
 // An endpoint that changes hands again within the window is left alone for a
 // time that doubles.
 constexpr duration change_window = 5s;
 constexpr duration first_calm_time = 250ms;
 constexpr duration longest_calm_time = 4s;
 
-// The hosts that share the endpoints of a failure domain. Those that hold some
-// of them already come first: only they follow the list of endpoints closely.
-std::vector<std::string> choose_holders(const std::string& failure_domain,
-                                        const std::vector<candidate>& live,
-                                        const std::set<process_id>& holding,
-                                        std::size_t endpoints) {
-    std::vector<std::string> local;
-    std::vector<std::string> remote;
+// The hosts that share the endpoints of a failure domain: as few as can keep
+// up, those that hold some of them already first, since only they follow the
+// list closely, then the largest.
+std::vector<candidate> choose_holders(const std::string& failure_domain,
+                                      const std::vector<candidate>& live,
+                                      const std::set<process_id>& holding,
+                                      std::size_t endpoints) {
+    std::vector<candidate> local;
+    std::vector<candidate> remote;
     for (const auto& host : live) {
         if (!host.draining) {
             (host.failure_domain == failure_domain ? local : remote)
-                .push_back(host.id.address);
+                .push_back(host);
         }
     }
-    auto order =
-        rendezvous_order(failure_domain, local.empty() ? remote : local);
-    std::stable_partition(
-        order.begin(), order.end(), [&](const std::string& address) {
-            return std::any_of(live.begin(), live.end(),
-                               [&](const candidate& host) {
-                                   return host.id.address == address &&
-                                          holding.contains(host.id);
-                               });
-        });
-    const auto holders =
-        (endpoints + endpoints_per_holder - 1) / endpoints_per_holder;
-    if (order.size() > holders) {
-        order.resize(holders);
+    auto order = local.empty() ? remote : local;
+    const auto rank = [&](const candidate& host) {
+        return std::tuple(!holding.contains(host.id), -host.cpu_share,
+                          ~rendezvous_weight(failure_domain, host.id.address));
+    };
+    std::sort(order.begin(), order.end(),
+              [&rank](const candidate& a, const candidate& b) {
+                  return rank(a) < rank(b);
+              });
+    double capacity = 0;
+    std::size_t count = 0;
+    while (count < order.size() && capacity < static_cast<double>(endpoints)) {
+        capacity += order[count++].cpu_share * endpoints_per_core;
     }
+    order.resize(count);
     return order;
 }
 
+// Rendezvous hashing in which each host gets a part by its processor share.
+std::string pick_by_share(const std::string& key,
+                          const std::vector<candidate>& hosts) {
+    constexpr double most = 18446744073709551616.0; // 2^64
+    const candidate* best = nullptr;
+    double best_score = 0;
+    for (const auto& host : hosts) {
+        const auto weight = rendezvous_weight(key, host.id.address);
+        const double uniform = (static_cast<double>(weight) + 1.0) / most;
+        const double score = -host.cpu_share / std::log(uniform);
+        if (best == nullptr || score > best_score) {
+            best = &host;
+            best_score = score;
+        }
+    }
+    return best == nullptr ? std::string{} : best->id.address;
+}
+
 } // namespace
 
 void holder_directory::set_endpoint(const endpoint_record& endpoint) {
@@ -114,6 +138,27 @@
     return now - current.changed_at >= current.calm_time;
 }
 
+bool holder_directory::stays(const row& current,
+                             const endpoint_record& endpoint,
+                             const std::vector<candidate>& live,
+                             const std::vector<candidate>& chosen) const {
+    const auto& record = current.record;
+    const auto holder = std::find_if(
+        live.begin(), live.end(),
+        [&record](const candidate& host) { return host.id == record.holder; });
+    if (holder == live.end() || holder->draining) {
+        return false;
+    }
+    const bool local_chosen =
+        chosen.front().failure_domain == endpoint.failure_domain;
+    if (holder->failure_domain != endpoint.failure_domain && local_chosen) {
+        return false;
+    }
+    const auto part = holder->cpu_share * endpoints_per_core * overload_factor;
+    return static_cast<double>(held_by(record.holder).size()) <= part ||
+           chosen.size() < 2;
+}
+
 std::vector<std::string>
 holder_directory::wanted(timestamp now, const process_id& self,
                          const std::vector<candidate>& live) const {
@@ -125,7 +170,7 @@
             holding[endpoint.failure_domain].insert(row->second.record.holder);
         }
     }
-    std::map<std::string, std::vector<std::string>> holders;
+    std::map<std::string, std::vector<candidate>> holders;
     for (const auto& [failure_domain, size] : sizes) {
         holders[failure_domain] =
             choose_holders(failure_domain, live, holding[failure_domain], size);
@@ -137,29 +182,11 @@
             continue;
         }
         const auto row = rows_.find(id);
-        if (row != rows_.end()) {
-            const auto& record = row->second.record;
-            if (record.holder == self || !may_change(now, row->second)) {
-                continue;
-            }
-            const auto current = std::find_if(
-                live.begin(), live.end(), [&record](const candidate& host) {
-                    return host.id == record.holder;
-                });
-            const bool local_chosen = std::any_of(
-                live.begin(), live.end(), [&](const candidate& host) {
-                    return host.id.address == chosen.front() &&
-                           host.failure_domain == endpoint.failure_domain;
-                });
-            const bool stays =
-                current != live.end() && !current->draining &&
-                (current->failure_domain == endpoint.failure_domain ||
-                 !local_chosen);
-            if (stays) {
-                continue;
-            }
-        }
-        if (rendezvous_pick(id, chosen) == self.address) {
+        const bool settled =
+            row != rows_.end() && (row->second.record.holder == self ||
+                                   !may_change(now, row->second) ||
+                                   stays(row->second, endpoint, live, chosen));
+        if (!settled && pick_by_share(id, chosen) == self.address) {
             taken.push_back(id);
         }
     }
--- a/src/core/dispatch/holder_directory.hpp
+++ b/src/core/dispatch/holder_directory.hpp
@@ -1,9 +1,9 @@
 // Which endpoints exist, who holds each, and which this host should take.
 //
 // Endpoints come from the platform's list, holders from the stored rows. An
-// endpoint stays with its holder as long as that process is heard and serves
-// the endpoint's failure domain; otherwise every host picks the same successor
-// from the hosts it hears.
+// endpoint stays with its holder as long as that process is heard, serves the
+// endpoint's failure domain and has not much more than its part; otherwise
+// every host picks the same successor from the hosts it hears.
 #ifndef FIGRIDGE_CORE_DISPATCH_HOLDER_DIRECTORY_HPP
 #define FIGRIDGE_CORE_DISPATCH_HOLDER_DIRECTORY_HPP
 
@@ -61,6 +61,11 @@
     };
 
     [[nodiscard]] bool may_change(timestamp now, const row& current) const;
+    // Whether an endpoint stays with its holder.
+    [[nodiscard]] bool stays(const row& current,
+                             const endpoint_record& endpoint,
+                             const std::vector<candidate>& live,
+                             const std::vector<candidate>& chosen) const;
 
     const dispatch_settings& settings_;
     std::map<std::string, endpoint_record> endpoints_;
--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -71,6 +71,7 @@
             continue;
         }
         const auto sequence = to.next_sequence++;
+        note_payload(now, to);
         if (to.unacknowledged.empty()) {
             to.resend_at = now + resend_pause;
         }
@@ -125,7 +126,8 @@
     const bool for_us = message.to_incarnation == settings_.self.incarnation;
     if (for_us) {
         from.echoed_at = std::max(from.echoed_at, timestamp(message.echo_us));
-        if (now - from.echoed_at <= settings_.abandon_after) {
+        const auto since = from.close_since.value_or(timestamp{0});
+        if (now - std::max(from.echoed_at, since) <= settings_.abandon_after) {
             from.out_of_contact = false;
         }
         while (!from.unacknowledged.empty() &&
@@ -137,6 +139,7 @@
     events_.on_advert(from.id, from.failure_domain, from.about);
     if (for_us && message.sequence == from.received + 1) {
         from.received = message.sequence;
+        note_payload(now, from);
         const bool fresh =
             now - timestamp(message.content_echo_us) < settings_.abandon_after;
         events_.on_payload(from.id, message.content, fresh);
@@ -169,21 +172,50 @@
     resend(now, address, found->second);
 }
 
+bool peer_sessions::watch_closely(timestamp now, peer& other) const {
+    const bool close = other.failure_domain == settings_.failure_domain ||
+                       (other.payload_at != timestamp{0} &&
+                        now - other.payload_at < settings_.work_in_common);
+    if (!close) {
+        other.close_since.reset();
+    } else if (!other.close_since) {
+        other.close_since = now;
+    }
+    return close;
+}
+
+void peer_sessions::note_payload(timestamp now, peer& other) const {
+    other.payload_at = now;
+    watch_closely(now, other);
+}
+
+void peer_sessions::check_contact(timestamp now, peer& other) {
+    const bool close = watch_closely(now, other);
+    // Heartbeats were rare before; the limits count from the change on.
+    const auto since = other.close_since.value_or(timestamp{0});
+    const auto suspect_after =
+        close ? settings_.suspect_after : settings_.idle_suspect_after;
+    if (now - std::max(other.heard_at, since) > suspect_after) {
+        lose(other, false);
+    }
+    const auto echoed_at = std::max(other.echoed_at, since);
+    if (close && !other.out_of_contact &&
+        now - echoed_at > settings_.abandon_after) {
+        other.out_of_contact = true;
+        events_.on_out_of_contact(other.id);
+    }
+}
+
 void peer_sessions::tick(timestamp now) {
     for (auto& [address, peer] : peers_) {
-        if (now - peer.heard_at > settings_.suspect_after) {
-            lose(peer, false);
-        }
-        if (!peer.out_of_contact &&
-            now - peer.echoed_at > settings_.abandon_after) {
-            peer.out_of_contact = true;
-            events_.on_out_of_contact(peer.id);
-        }
+        check_contact(now, peer);
         if (!peer.unacknowledged.empty() && now >= peer.resend_at) {
             resend(now, address, peer);
         }
-        const auto interval =
-            peer.lost ? lost_heartbeat_interval : settings_.heartbeat_interval;
+        const auto interval = !peer.close_since
+                                  ? settings_.idle_heartbeat_interval
+                              : peer.lost ? lost_heartbeat_interval
+                                          : settings_.heartbeat_interval;
         if (announce_ || now - peer.sent_at >= interval) {
             send(now, address, peer, {});
         }
--- a/src/core/dispatch/peer_sessions.hpp
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -1,6 +1,7 @@
 // Who is heard, and messages that arrive once and in order.
 //
-// Every peer gets a heartbeat unless something else is sent. Payloads are
+// Every peer gets a heartbeat unless something else is sent; hosts of other
+// failure domains without work in common get them more seldom. Payloads are
 // numbered and kept until acknowledged; they are sent again when a connection
 // is back. A payload counts as fresh only if its sender had heard this process
 // shortly before, so that what was held up on the way starts nothing.
@@ -51,6 +52,9 @@
         timestamp echoed_at{0}; // our latest stamp that the peer has heard
         std::int64_t peer_stamp_us = 0;
         timestamp sent_at{0};
+        timestamp payload_at{0}; // the last one sent or received
+        // Since when heartbeats are frequent both ways.
+        std::optional<timestamp> close_since;
         bool lost = true;
         bool out_of_contact = true;
         std::uint64_t received = 0;
@@ -89,6 +93,11 @@
 private:
     void send(timestamp now, const std::string& address, peer& to,
               const sent_payload& what);
+    // Whether the peer is watched closely: it is in the own failure domain, or
+    // there is work in common.
+    bool watch_closely(timestamp now, peer& other) const;
+    void note_payload(timestamp now, peer& other) const;
+    void check_contact(timestamp now, peer& other);
     void resend(timestamp now, const std::string& address, peer& to);
     void lose(peer& gone, bool restarted);
 
--- a/src/core/dispatch/settings.hpp
+++ b/src/core/dispatch/settings.hpp
@@ -26,6 +26,14 @@
     duration renew_interval = 400ms;
     duration heartbeat_interval = 150ms;
     duration suspect_after = 450ms;
+    // Between hosts of two failure domains that have no work in common. A
+    // payload counts as fresh only within `abandon_after` of what its sender
+    // heard, so this is shorter.
+    duration idle_heartbeat_interval = 400ms;
+    duration idle_suspect_after = 1300ms;
+    // Two hosts have work in common for this long after their last payload;
+    // longer than most tasks run.
+    duration work_in_common = 5s;
     // Tasks of a coordinator that is not heard are stopped well before its
     // callers come again.
     duration abandon_after = 700ms;
--- a/tests/dispatch/holder_directory_test.cpp
+++ b/tests/dispatch/holder_directory_test.cpp
@@ -110,6 +110,41 @@
     BOOST_TEST(wanted_by(host_b, {local(host_b)}) == 2U);
 }
 
+// 120 endpoints on hosts of 0.5, 0.25 and 0.12 cores.
+BOOST_AUTO_TEST_CASE(small_hosts_hold_only_what_larger_ones_cannot) {
+    for (int i = 3; i <= 120; ++i) {
+        add_endpoint("endpoint-" + std::to_string(i));
+    }
+    std::vector<candidate> live;
+    for (int i = 0; i < 6; ++i) {
+        const process_id id{"10.3.0." + std::to_string(i) + ":1", 20};
+        live.push_back({id, "domain-1",
+                        i < 3   ? 0.5
+                        : i < 5 ? 0.25
+                                : 0.12,
+                        false});
+    }
+    std::size_t total = 0;
+    for (const auto& host : live) {
+        const auto part = wanted_by(host.id, live);
+        total += part;
+        BOOST_TEST(static_cast<double>(part) <= host.cpu_share * 72 * 2);
+    }
+    BOOST_TEST(total == 120U);
+    BOOST_TEST(wanted_by(live[5].id, live) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(holder_with_far_more_than_its_part_gives_some_away) {
+    for (int i = 1; i <= 40; ++i) {
+        add_endpoint("endpoint-" + std::to_string(i));
+        hold("endpoint-" + std::to_string(i), host_a, 1);
+    }
+    BOOST_TEST(wanted_by(host_b, {local(host_a)}) == 0U);
+    const auto moved = wanted_by(host_b, {local(host_a), local(host_b)});
+    BOOST_TEST(moved > 10U);
+    BOOST_TEST(moved < 30U);
+}
+
 BOOST_AUTO_TEST_CASE(lower_token_changes_nothing) {
     hold("endpoint-1", host_a, 5);
     hold("endpoint-1", host_b, 4);
--- a/tests/dispatch/peer_sessions_test.cpp
+++ b/tests/dispatch/peer_sessions_test.cpp
@@ -7,16 +7,18 @@
 
 // One side of a link; what it sends is kept until the test moves it.
 struct side : peer_port, peer_session_events {
-    side(const std::string& address, std::uint64_t incarnation)
+    side(const std::string& address, std::uint64_t incarnation,
+         const std::string& failure_domain = "domain-1")
         : sessions(settings, *this, *this) {
         settings.self = {address, incarnation};
+        settings.failure_domain = failure_domain;
     }
 
     void connect(const std::string& /*address*/) override {}
     void disconnect(const std::string& /*address*/) override {}
-    void send(const std::string& /*address*/,
-              const envelope& message) override {
+    void send(const std::string& address, const envelope& message) override {
         sent.push_back(message);
+        ++sent_to[address];
     }
     void on_payload(const process_id& /*from*/, const payload& content,
                     bool fresh) override {
@@ -37,6 +39,7 @@
 
     dispatch_settings settings;
     std::vector<envelope> sent;
+    std::map<std::string, std::size_t> sent_to;
     std::vector<std::pair<std::string, bool>> received;
     std::vector<bool> lost;
     int back = 0;
@@ -129,6 +132,34 @@
     BOOST_TEST(a.sessions.is_live({"b:1", 2}));
 }
 
+// Many hosts in many failure domains: most pairs have nothing in common.
+BOOST_AUTO_TEST_CASE(heartbeats_are_rare_between_domains_without_common_work) {
+    side c("c:1", 3, "domain-2");
+    a.sessions.add(now, "c:1");
+    c.sessions.add(now, "a:1");
+    const auto run_with_c = [&](duration time) {
+        a.sent_to.clear();
+        for (const auto end = now + time; now < end; now += 25ms) {
+            a.sessions.tick(now);
+            c.sessions.tick(now);
+            a.sessions.flush(now);
+            move(a, c, false);
+            move(c, a, false);
+        }
+    };
+    run_with_c(1s);
+    run_with_c(4s);
+    BOOST_TEST(a.sent_to["c:1"] <= 11U); // every 400 ms
+    BOOST_TEST(a.sent_to["b:1"] >= 12U);
+    BOOST_TEST(a.sessions.is_live({"c:1", 3}));
+    BOOST_TEST(a.out_of_contact <= 1); // b, which is not moved here
+    a.sessions.pending_for({"c:1", 3})->withdrawals.push_back({"job-1"});
+    run_with_c(2s);
+    BOOST_REQUIRE_EQUAL(c.received.size(), 1U);
+    BOOST_TEST(c.received[0].second);
+    BOOST_TEST(c.out_of_contact == 0);
+}
+
 BOOST_AUTO_TEST_CASE(restarted_peer_is_lost_and_gets_nothing_of_the_old) {
     send_to_b("job-1");
     a.sessions.flush(now);
