Adoptions are ordered by token

Ruled out: stale rows. Change: updates and adoptions carry the token; an adoption under a lower token than known of the endpoint or the run says nothing. Connections are tried afresh after 300 ms, and endpoints of another domain are taken after 1.5 s. Tests: two in job_coordinator_test, red before.

--- a/src/adapters/peer_transport.cpp
+++ b/src/adapters/peer_transport.cpp
@@ -20,7 +20,8 @@
 
 constexpr duration first_reconnect = 50ms;
 constexpr duration longest_reconnect = 300ms;
-constexpr duration connect_timeout = 1s;
+// A lost opening packet is repeated only after a second; a fresh try is sooner.
+constexpr duration connect_timeout = 300ms;
 constexpr unsigned unconfirmed_limit_ms = 1500;
 constexpr std::size_t max_buffered_bytes = 32U << 20;
 constexpr std::size_t max_unread_bytes = 64U << 20;
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -8,13 +8,15 @@
 
 // Holders are compared with the hosts heard this often.
 constexpr duration check_interval = 50ms;
+// Without a change only times pass that keep an endpoint where it is.
+constexpr duration compare_interval = 500ms;
 // A gap between inputs that only a suspended or starved process shows.
 constexpr duration suspension_gap = 400ms;
 // A probe's answer counts this long.
 constexpr duration probe_validity = 300ms;
 constexpr duration probe_interval = 150ms;
 // Longer than the longest pause between two tries to reach a peer.
-constexpr duration remote_wait = 600ms;
+constexpr duration remote_wait = 1500ms;
 // After the loss of a holder everyone may have to take over for a while.
 constexpr duration successor_window = 3s;
 // The row of the holder with the higher token is read within this.
@@ -225,7 +227,7 @@
             continue;
         }
         for (const auto& item : assignment.items) {
-            send_update(from, {item.run, update_kind::returned, {}});
+            send_update(from, {item.run, update_kind::returned, {}, 0});
         }
     }
     for (const auto& withdrawal : content.withdrawals) {
@@ -294,7 +296,9 @@
     if (draining_ || !has_endpoints_ || !settled || isolated) {
         return;
     }
-    const auto wanted = directory_.wanted(now, settings_.self, live_hosts());
+    auto wanted = wanted_endpoints(now);
+    const auto refused = refused_rows(now);
+    wanted.insert(wanted.end(), refused.begin(), refused.end());
     wants_endpoints_ = !wanted.empty();
     std::vector<std::string> ready;
     for (const auto& id : wanted) {
@@ -328,6 +332,20 @@
     }
 }
 
+const std::vector<std::string>& dispatcher::wanted_endpoints(timestamp now) {
+    auto hosts = live_hosts();
+    const bool same = hosts == compared_hosts_ &&
+                      directory_.generation() == compared_generation_ &&
+                      now - compared_at_ < compare_interval;
+    if (!same) {
+        wanted_ = directory_.wanted(now, settings_.self, hosts);
+        compared_hosts_ = std::move(hosts);
+        compared_generation_ = directory_.generation();
+        compared_at_ = now;
+    }
+    return wanted_;
+}
+
 void dispatcher::hold_own_rows(timestamp now) {
     for (const auto& id : directory_.held_by(settings_.self)) {
         const auto* row = directory_.holder_of(id);
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -174,7 +174,7 @@
 
 void endpoint_holder::give_back(const queued_task& task) {
     events_.send_update(task.coordinator,
-                        {task.run, update_kind::returned, {}});
+                        {task.run, update_kind::returned, {}, 0});
 }
 
 void endpoint_holder::return_queued(timestamp /*now*/,
@@ -390,8 +390,9 @@
              {"faults", std::to_string(health.faults_in_a_row())}});
     }
     if (!entry.coordinator.address.empty()) {
-        events_.send_update(entry.coordinator,
-                            {entry.run, kind, session.endpoint().id});
+        events_.send_update(
+            entry.coordinator,
+            {entry.run, kind, session.endpoint().id, session.token()});
     }
 }
 
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -258,7 +258,8 @@
     }
     for (const auto& ended : reply.ended) {
         acknowledged_ = std::max(acknowledged_, ended.number);
-        found.ended.push_back({ended.run, to_update(ended.kind), endpoint_.id});
+        found.ended.push_back(
+            {ended.run, to_update(ended.kind), endpoint_.id, token_});
     }
     // The former holder's last renewal may have been granted just now.
     latest_deadline_ms_ =
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -136,6 +136,7 @@
             task.phase = task_phase::placed;
             task.holder = *holder;
             task.endpoint.clear();
+            task.token = 0;
             task.holder_lost = false;
             assignments[*holder].items.push_back(
                 {{{submission.work.id, s, i}, task.run}, need, task.avoid});
@@ -186,6 +187,7 @@
     switch (update.kind) {
     case update_kind::started:
         task.endpoint = update.endpoint;
+        task.token = update.token;
         state.any_started = true;
         return;
     case update_kind::done: {
@@ -212,6 +214,7 @@
         break;
     case update_kind::disowned: {
         task.endpoint = update.endpoint;
+        task.token = update.token;
         task.holder_lost = true;
         task.over_by = now + disowned_limit;
         const auto kept = adoptions_.find(update.endpoint);
@@ -378,6 +381,12 @@
 
 void job_coordinator::handle_adoption(timestamp now, const process_id& holder,
                                       const endpoint_adoption& adoption) {
+    // Messages of two holders may overtake each other.
+    auto& newest = adoption_tokens_[adoption.endpoint];
+    if (adoption.token < newest) {
+        return;
+    }
+    newest = adoption.token;
     adoptions_[adoption.endpoint] = {holder, adoption, now};
     adoption_claim claim{adoption.endpoint, {}};
     std::vector<std::string> ids;
@@ -424,6 +433,9 @@
                                       adoption_claim& claim) {
     auto& task = state.steps[step].tasks[index];
     const bool there = task.endpoint == adoption.endpoint;
+    if (there && adoption.token <= task.token) {
+        return; // started after it
+    }
     // Also while the former holder is not missed here yet.
     const bool maybe_there =
         task.holder == adoption.former && task.endpoint.empty();
@@ -436,6 +448,7 @@
         adoption.running.end()) {
         task.holder = holder;
         task.endpoint = adoption.endpoint;
+        task.token = adoption.token;
         task.holder_lost = false;
         claim.items.push_back({run, state.submission.work.steps[step].need});
         return;
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -73,7 +73,8 @@
     task_run run;
     update_kind kind = update_kind::returned;
     std::string endpoint;
-    MSGPACK_DEFINE(run, kind, endpoint);
+    std::uint64_t token = 0; // under which the holder had the endpoint
+    MSGPACK_DEFINE(run, kind, endpoint, token);
 };
 
 // What a new holder found on an endpoint when it took it over.
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -65,7 +65,7 @@
                 std::uint32_t run = 1,
                 const std::string& endpoint = "endpoint-1") {
         coordinator.handle_update(now, holder,
-                                  {run_of(index, run), kind, endpoint});
+                                  {run_of(index, run), kind, endpoint, 1});
     }
 
     // How often a task was given to a holder.
@@ -176,6 +176,31 @@
     BOOST_TEST(placements() == 2U);
 }
 
+// Messages of two holders may overtake each other.
+BOOST_AUTO_TEST_CASE(adoption_under_an_earlier_token_says_nothing_of_a_run) {
+    submit(1);
+    coordinator.handle_update(
+        now, holder_a, {run_of(0), update_kind::started, "endpoint-1", 4});
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 3, {}, {}});
+    BOOST_TEST(placements() == 1U);
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 5, {}, {}});
+    BOOST_TEST(placements() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(adoption_overtaken_by_a_later_one_is_ignored) {
+    submit(1);
+    update(holder_a, 0, update_kind::started);
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 5, {run_of(0)}, {}});
+    coordinator.handle_adoption(now, process_id{"10.1.0.3:1", 13},
+                                {"endpoint-1", holder_a, 4, {}, {}});
+    BOOST_TEST(placements() == 1U);
+    update(holder_b, 0, update_kind::done);
+    BOOST_TEST(answers.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(task_of_a_lost_holder_waits_for_all_its_endpoints) {
     submit(1);
     add_holder_b();
