--- a/src/core/dispatch/endpoint_clock.hpp
+++ b/src/core/dispatch/endpoint_clock.hpp
@@ -30,6 +30,11 @@
     // A lower bound of the endpoint's clock. Precondition: `is_known()`.
     [[nodiscard]] std::int64_t earliest(timestamp now) const;
 
+    // What the clock shows if it is not slow. Precondition: `is_known()`.
+    [[nodiscard]] std::int64_t expected(timestamp now) const {
+        return clock_ms_ + to_ms(now - read_at_);
+    }
+
     // Whether the endpoint's clock is certainly past `clock_ms`.
     [[nodiscard]] bool surely_past(timestamp now, std::int64_t clock_ms) const;
 
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -322,7 +322,10 @@
                              const std::string& payload) {
     entry.state = run_state::starting;
     entry.entered_at = now;
-    entry.lease_deadline_ms = renew_deadline(now);
+    entry.lease_deadline_ms =
+        clock_.expected(now) + to_ms(settings_.start_window);
+    latest_deadline_ms_ =
+        std::max(latest_deadline_ms_, entry.lease_deadline_ms);
     const auto& entered = ledger_.enter(std::move(entry));
     port_.start({target(), entered.run, payload, entered.lease_deadline_ms});
 }
--- a/src/core/dispatch/settings.hpp
+++ b/src/core/dispatch/settings.hpp
@@ -37,7 +37,10 @@
     // Tasks of a coordinator that is not heard are stopped well before its
     // callers come again.
     duration abandon_after = 700ms;
-    duration call_timeout = 300ms;
+    duration call_timeout = 200ms;
+    // A start that is carried out later than this is refused by the endpoint,
+    // so the task may go elsewhere soon after a start without an answer.
+    duration start_window = 300ms;
     // A task runs this much longer away from its data (the platform's bound).
     double far_factor = 3.0;
     // Rows not confirmed by a live process are judged after this.
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -80,6 +80,30 @@
     BOOST_TEST((events.ends[0].second == update_kind::lost));
 }
 
+// Orders that get no answer may be carried out seconds later.
+BOOST_AUTO_TEST_CASE(start_without_answer_is_over_when_it_would_come_too_late) {
+    answer_hold({});
+    start(0);
+    const auto sent = now;
+    now += settings.call_timeout;
+    answer_start(0, call_status::unanswered);
+    for (int i = 0; i < 40 && events.ends.empty(); ++i) {
+        pass(25ms);
+        session->handle_stop(now, run_of(0), {call_status::unanswered, -1});
+        answer_hold({});
+    }
+    BOOST_REQUIRE_EQUAL(events.ends.size(), 1U);
+    BOOST_TEST(to_ms(now - sent) < 400);
+    BOOST_TEST(port.starts[0].lease_deadline_ms < to_ms(now) + 500);
+}
+
+BOOST_AUTO_TEST_CASE(start_on_an_endpoint_long_idle_is_not_too_late) {
+    answer_hold({});
+    pass(20s);
+    start(0);
+    BOOST_TEST(port.starts[0].lease_deadline_ms >= clock_ms() + 200);
+}
+
 BOOST_AUTO_TEST_CASE(higher_token_met_ends_all_calls) {
     answer_hold({});
     start(0);
