--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -59,14 +59,19 @@
         tokens_[token] = id;
         return;
     }
-    if (views_.empty()) {
+    if (views_.empty() && !no_holder_since_) {
+        no_holder_since_ = now;
+    }
+    const bool takeover_due =
+        views_.empty() && now - *no_holder_since_ < settings_.takeover_limit;
+    if (views_.empty() && !takeover_due) {
         return refuse(
             now, token, submission,
             {job_outcome::refused, "no_endpoints", retry_after_takeover});
     }
     duration longest{0};
     for (const auto& step : submission.work.steps) {
-        if (!views_.can_ever_fit(step.need)) {
+        if (!takeover_due && !views_.can_ever_fit(step.need)) {
             return refuse(now, token, submission,
                           {job_outcome::refused, "task_fits_no_endpoint",
                            retry_after_takeover});
@@ -488,6 +493,11 @@
 // --- time -------------------------------------------------------------------
 
 void job_coordinator::tick(timestamp now) {
+    if (!views_.empty()) {
+        no_holder_since_.reset();
+    } else if (!no_holder_since_) {
+        no_holder_since_ = now;
+    }
     std::vector<std::string> expired;
     for (auto& [id, state] : jobs_) {
         if (now > state.caller_leaves) {
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -70,7 +70,7 @@
     struct task_state {
         task_phase phase = task_phase::blocked;
         process_id holder;
-        std::string endpoint; // known once started there
+        std::string endpoint;    // known once started there
         std::uint64_t token = 0; // of the holder that started it
         std::uint32_t run = 1;
         std::uint32_t failures = 0;
@@ -142,6 +142,7 @@
     std::map<caller_token, std::string> tokens_;
     std::map<std::string, kept_answer> answers_;
     std::map<process_id, lost_holder> lost_holders_;
+    std::optional<timestamp> no_holder_since_;
     std::map<std::string, kept_adoption> adoptions_;
     std::map<std::string, std::uint64_t> adoption_tokens_; // the highest
 };
--- a/src/core/dispatch/settings.hpp
+++ b/src/core/dispatch/settings.hpp
@@ -44,7 +44,10 @@
     // A task runs this much longer away from its data (the platform's bound).
     double far_factor = 3.0;
     // Rows not confirmed by a live process are judged after this.
-    duration settle_time = 700ms;
+    duration settle_time = 500ms;
+    // Jobs wait this long for a holder when none is known: the time of
+    // suspicion or settling, and of a takeover.
+    duration takeover_limit = 1500ms;
 };
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -292,6 +292,27 @@
     BOOST_TEST(placements() == 0U);
 }
 
+// After the loss of all holders the next ones are about a second away.
+BOOST_AUTO_TEST_CASE(job_waits_for_the_next_holder_but_not_for_long) {
+    views.forget(holder_a);
+    coordinator.tick(now);
+    submit(1);
+    BOOST_TEST(answers.empty());
+    pass(500ms);
+    add_holder_b();
+    pass(50ms);
+    BOOST_TEST(placements() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(job_is_refused_when_no_holder_has_come_for_long) {
+    views.forget(holder_a);
+    pass(2s);
+    submit(1);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::refused));
+    BOOST_TEST(to_ms(answers[0].retry_after) > 0);
+}
+
 BOOST_AUTO_TEST_CASE(steps_start_when_the_earlier_ones_are_done) {
     job_submission submission;
     submission.work.id = "0123456789abcdef";
