--- a/src/adapters/log_observer.cpp
+++ b/src/adapters/log_observer.cpp
@@ -1,5 +1,10 @@
 #include "log_observer.hpp"
 
+#include <chrono>
+#include <map>
+#include <optional>
+#include <utility>
+
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -29,6 +34,40 @@
     return spdlog::level::info;
 }
 
+// How many lines of each event may be written in the present second.
+struct log_budget {
+    struct usage {
+        std::chrono::steady_clock::time_point second;
+        std::uint32_t written = 0;
+        std::uint64_t left_out = 0;
+    };
+
+    // Returns how many lines were left out before this one, or nothing if
+    // this one is left out too.
+    std::optional<std::uint64_t> take(std::string_view event) {
+        if (lines_per_second == 0) {
+            return 0;
+        }
+        auto& use = events[std::string(event)];
+        const auto now = std::chrono::steady_clock::now();
+        if (now - use.second >= std::chrono::seconds(1)) {
+            use.second = now;
+            use.written = 0;
+        }
+        if (use.written >= lines_per_second) {
+            ++use.left_out;
+            return std::nullopt;
+        }
+        ++use.written;
+        return std::exchange(use.left_out, 0);
+    }
+
+    std::uint32_t lines_per_second = 0; // 0: no limit
+    std::map<std::string, usage> events;
+};
+
+log_budget budget; // of the process's log
+
 // A value that needs quotes gets them, so that a line can be taken apart.
 std::string quote(const std::string& value) {
     const bool plain =
@@ -41,21 +80,34 @@
 
 } // namespace
 
-void start_log(const std::string& level) {
-    auto logger = spdlog::stderr_logger_st("figridge");
+void start_log(const std::string& level, log_stream stream) {
+    auto logger = stream == log_stream::standard_output
+                      ? spdlog::stdout_logger_st("figridge")
+                      : spdlog::stderr_logger_st("figridge");
     logger->set_pattern("ts=%Y-%m-%dT%H:%M:%S.%e level=%l %v");
     logger->set_level(spdlog::level::from_str(level));
     logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(logger);
 }
 
+void limit_log(std::uint32_t lines_per_second) {
+    budget.lines_per_second = lines_per_second;
+}
+
 void log_event(log_level level, std::string_view event,
                const log_fields& fields) {
     if (!spdlog::default_logger_raw()->should_log(to_spdlog(level))) {
         return;
     }
+    const auto left_out = budget.take(event);
+    if (!left_out) {
+        return;
+    }
     std::string line("event=");
     line.append(event);
+    if (*left_out > 0) {
+        absl::StrAppend(&line, " left_out=", *left_out);
+    }
     for (const auto& [key, value] : fields) {
         line.push_back(' ');
         line.append(key);
--- a/src/adapters/log_observer.hpp
+++ b/src/adapters/log_observer.hpp
@@ -12,11 +12,18 @@
 
 namespace figridge {
 
-// Sets up the process's log: one line of key=value pairs for each event, to
-// the standard error stream. `level` is one of debug, info, warning, error.
-void start_log(const std::string& level);
+enum class log_stream { standard_error, standard_output };
 
-// Writes one event. Thread-safe after `start_log`.
+// Sets up the process's log: one line of key=value pairs for each event.
+// `level` is one of debug, info, warning, error.
+void start_log(const std::string& level,
+               log_stream stream = log_stream::standard_error);
+
+// From now on at most so many lines of each event and level are written in a
+// second; the number left out follows with the next line of that event.
+void limit_log(std::uint32_t lines_per_second);
+
+// Writes one event. Thread-safe after `start_log`, unless the log is limited.
 void log_event(log_level level, std::string_view event,
                const log_fields& fields);
 
--- a/src/adapters/peer_transport.hpp
+++ b/src/adapters/peer_transport.hpp
@@ -2,9 +2,9 @@
 //
 // A host keeps one connection to every peer, with one long request whose body
 // is the sequence of its messages, each a msgpack object; what comes back
-// flows on the peer's own connection. A connection that breaks is made again after a growing, random
-// pause. Messages for a peer without connection are dropped: the core sends
-// again what was not acknowledged.
+// flows on the peer's own connection. A connection that breaks is made again
+// after a growing, random pause. Messages for a peer without connection are
+// dropped: the core sends again what was not acknowledged.
 #ifndef FIGRIDGE_ADAPTERS_PEER_TRANSPORT_HPP
 #define FIGRIDGE_ADAPTERS_PEER_TRANSPORT_HPP
 
--- a/src/adapters/settings_file.cpp
+++ b/src/adapters/settings_file.cpp
@@ -85,9 +85,9 @@
     const auto self =
         std::find(core.hosts.begin(), core.hosts.end(), core.self);
     if (self == core.hosts.end() && !core.self.address.empty()) {
-        result.errors.push_back(
-            describe_setting("hosts", core.self.address, core.self.failure_domain,
-                     "this host is not listed with its failure domain"));
+        result.errors.push_back(describe_setting(
+            "hosts", core.self.address, core.self.failure_domain,
+            "this host is not listed with its failure domain"));
     }
 }
 
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -36,7 +36,6 @@
 dispatcher::dispatcher(const dispatch_settings& settings,
                        const dispatch_ports& ports)
     : settings_(settings), ports_(ports), views_(settings.failure_domain),
-      directory_(settings_),
       holder_(settings_, ports.endpoints, ports.observer, *this),
       coordinator_(settings_, views_, ports.callers, ports.observer, *this),
       sessions_(settings_, ports.peers, *this) {}
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -158,14 +158,10 @@
         next_poll_ = now + retry_pause;
         return;
     }
-    if (endpoint_.born_ms != 0 && reply.born_ms != 0 &&
-        reply.born_ms != endpoint_.born_ms && !clock_.is_known()) {
-        endpoint_.born_ms = reply.born_ms;
-    } else if (reply.born_ms != 0 && endpoint_.born_ms != 0 &&
-               reply.born_ms != endpoint_.born_ms) {
-        end_life(now);
-        endpoint_.born_ms = reply.born_ms;
-    } else if (endpoint_.born_ms == 0) {
+    if (reply.born_ms != 0 && reply.born_ms != endpoint_.born_ms) {
+        if (endpoint_.born_ms != 0 && clock_.is_known()) {
+            end_life(now);
+        }
         endpoint_.born_ms = reply.born_ms;
     }
     take_call(now, reply.call);
--- a/src/core/dispatch/holder_directory.hpp
+++ b/src/core/dispatch/holder_directory.hpp
@@ -10,7 +10,7 @@
 #include <map>
 #include <optional>
 
-#include "core/dispatch/settings.hpp"
+#include "core/dispatch/types.hpp"
 
 namespace figridge::dispatch {
 
@@ -27,9 +27,6 @@
 // Owned by a `dispatcher`. Not thread-safe.
 class holder_directory {
 public:
-    explicit holder_directory(const dispatch_settings& settings)
-        : settings_(settings) {}
-
     void set_endpoint(const endpoint_record& endpoint);
     void remove_endpoint(const std::string& endpoint);
     void set_holder(timestamp now, const holder_record& record);
@@ -73,7 +70,6 @@
                              const std::vector<candidate>& chosen,
                              std::size_t held) const;
 
-    const dispatch_settings& settings_;
     std::map<std::string, endpoint_record> endpoints_;
     std::map<std::string, row> rows_;
     std::uint64_t generation_ = 0;
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -31,7 +31,7 @@
 
 void job_coordinator::refuse(timestamp /*now*/, caller_token token,
                              const job_submission& submission,
-                             job_answer answer) {
+                             const job_answer& answer) {
     observer_.log(
         log_level::info, "job_refused",
         {{"job", submission.work.id},
@@ -278,13 +278,14 @@
 }
 
 void job_coordinator::finish(timestamp now, const std::string& id,
-                             job_answer answer) {
+                             const job_answer& answer) {
     const auto found = jobs_.find(id);
     auto& state = found->second;
     withdraw(state);
     if (answer.outcome != job_outcome::completed) {
         log_job(log_level::info, "job_failed", state, answer, now);
     } else {
+        log_job(log_level::debug, "job_completed", state, answer, now);
         observer_.record(measure::response_time, now - state.arrived);
         answers_[id] = {answer, now + answer_retention};
     }
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -125,9 +125,9 @@
                          std::uint32_t step, std::uint32_t index,
                          adoption_claim& claim);
     void withdraw(const job_state& state);
-    void finish(timestamp now, const std::string& id, job_answer answer);
+    void finish(timestamp now, const std::string& id, const job_answer& answer);
     void refuse(timestamp now, caller_token token,
-                const job_submission& submission, job_answer answer);
+                const job_submission& submission, const job_answer& answer);
     void place_tasks_of(timestamp now, const process_id& lost);
     void log_job(log_level level, std::string_view event,
                  const job_state& state, const job_answer& answer,
--- a/src/figridged/daemon.cpp
+++ b/src/figridged/daemon.cpp
@@ -85,8 +85,9 @@
             return cut_peers(body);
         };
         api_.process_gauges = [this] { return gauges(); };
-        for (const auto& status : {peers_.transport().listen(core_settings_.self.address),
-                                   api_.start(settings_.callers_address)}) {
+        for (const auto& status :
+             {peers_.transport().listen(core_settings_.self.address),
+              api_.start(settings_.callers_address)}) {
             if (!status.ok()) {
                 log_event(log_level::error, "start_failed",
                           {{"error", std::string(status.message())}});
@@ -195,7 +196,8 @@
 
     json gauges() const {
         auto values = measure_process();
-        values["peer_bytes_sent"] = static_cast<double>(peers_.transport().bytes_sent());
+        values["peer_bytes_sent"] =
+            static_cast<double>(peers_.transport().bytes_sent());
         return values;
     }
 
--- a/tests/dispatch/holder_directory_test.cpp
+++ b/tests/dispatch/holder_directory_test.cpp
@@ -41,8 +41,7 @@
     }
 
     timestamp now{100s};
-    dispatch_settings settings;
-    holder_directory directory{settings};
+    holder_directory directory;
 };
 
 BOOST_FIXTURE_TEST_SUITE(holder_directory_test, directory_fixture)
