--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 demo: build
 	@scripts/demo.sh
+	@scripts/platform_demo.sh
 
 mutants: build
 	@scripts/mutants.sh
--- /dev/null
+++ b/scripts/platform_demo.sh
@@ -0,0 +1,23 @@
+#!/usr/bin/env bash
+# Five hosts on the stand-in of the users' platform: serves jobs, loses a host
+# under load, stops everything as planned, and prints what the callers and the
+# endpoints saw.
+set -u
+cd "$(dirname "$0")/.."
+build=${BUILD:-build/release} hosts=5 endpoints=12 domains=d1,d2,d3
+base_port=${BASE_PORT:-22000}
+source scripts/platform_cluster.sh
+trap cluster_abort EXIT
+
+cluster_start || exit 1
+curl -s "http://$(host_operators 0)/state" | sed -n '1,12p'
+begin_load '"jobs":150,"jobs_per_s":50'
+sleep 1
+kill_host 1
+wait_for_load 60
+seen=$(report)
+completed=$(report_field completed) sent=$(report_field sent)
+cluster_stop || { echo "a process did not end with 0" >&2; exit 1; }
+echo "$seen"
+echo "platform demo sent=$sent completed=$completed"
+grep -q '"complaints":\[\]' <<<"$seen"
