--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -27,7 +27,7 @@
 constexpr duration isolated_wait = 3s;
 constexpr duration catalogue_ask_interval = 300ms;
 
-std::string seconds_text(duration time) {
+std::string ms_text(duration time) {
     return std::to_string(to_ms(time));
 }
 
@@ -55,7 +55,7 @@
         return;
     }
     ports_.observer.log(log_level::warning, "process_stood_still",
-                        {{"gap_ms", seconds_text(gap)}});
+                        {{"gap_ms", ms_text(gap)}});
     if (gap >= settings_.resend_after) {
         coordinator_.abandon_all(now, "process_stood_still");
     }
@@ -80,7 +80,7 @@
         next_check_ = now + check_interval;
         check_holders(now);
         if (!holder_.queue().empty()) {
-            holder_.return_queued(now, views_.rooms_elsewhere(settings_.self));
+            holder_.return_queued(views_.rooms_elsewhere(settings_.self));
         }
     }
     leave(now);
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -45,7 +45,7 @@
         sessions_.erase(found);
     }
     if (sessions_.empty()) {
-        return_all(now);
+        return_all();
     }
 }
 
@@ -72,7 +72,7 @@
 void endpoint_holder::mark_gone(timestamp now, const std::string& endpoint) {
     now_ = now;
     if (const auto found = sessions_.find(endpoint); found != sessions_.end()) {
-        found->second->mark_gone(now);
+        found->second->mark_gone();
     }
 }
 
@@ -111,7 +111,7 @@
         queue_.push(std::move(task));
     }
     if (sessions_.empty()) {
-        return_all(now);
+        return_all();
     }
 }
 
@@ -177,8 +177,7 @@
                         {task.run, update_kind::returned, {}, 0});
 }
 
-void endpoint_holder::return_queued(timestamp /*now*/,
-                                    std::vector<std::uint32_t> rooms) {
+void endpoint_holder::return_queued(std::vector<std::uint32_t> rooms) {
     const auto returned = queue_.extract([&](const queued_task& task) {
         const auto cpu = task.need.room.cpu_millis;
         const auto room =
@@ -195,7 +194,7 @@
     }
 }
 
-void endpoint_holder::return_all(timestamp /*now*/) {
+void endpoint_holder::return_all() {
     for (const auto& task :
          queue_.extract([](const queued_task&) { return true; })) {
         give_back(task);
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -52,10 +52,10 @@
                const adoption_claim& claim);
     // Drops and stops what a coordinator that is not heard any more asked for.
     void abandon(timestamp now, const process_id& coordinator);
-    // Gives tasks back unstarted: up to `cpu_budget` of them, those that wait
-    // longest behind the others first.
-    void return_queued(timestamp now, std::vector<std::uint32_t> rooms);
-    void return_all(timestamp now);
+    // Gives tasks back unstarted that would fit the free rooms, in thousandths
+    // of a core, that endpoints of other holders have.
+    void return_queued(std::vector<std::uint32_t> rooms);
+    void return_all();
 
     // --- endpoints' replies ---
     void handle_hold(timestamp now, const std::string& endpoint,
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -77,7 +77,7 @@
     }
 }
 
-void endpoint_session::mark_gone(timestamp /*now*/) {
+void endpoint_session::mark_gone() {
     gone_ = true;
 }
 
@@ -168,10 +168,8 @@
     if (phase_ == session_phase::adopting) {
         adopt(now, reply);
     } else {
-        take_ends(now, reply);
-        poll_sent_ = sent; // compared with the times of starts and stops
-        take_running(now, reply);
-        poll_sent_.reset();
+        take_ends(reply);
+        take_running(now, sent, reply);
     }
     if (ledger_.empty()) {
         idle_since_ = now;
@@ -179,7 +177,7 @@
     poll(now);
 }
 
-void endpoint_session::take_ends(timestamp /*now*/, const hold_reply& reply) {
+void endpoint_session::take_ends(const hold_reply& reply) {
     for (const auto& ended : reply.ended) {
         if (ended.number <= acknowledged_) {
             continue;
@@ -191,8 +189,8 @@
     }
 }
 
-void endpoint_session::take_running(timestamp now, const hold_reply& reply) {
-    const auto sent = *poll_sent_;
+void endpoint_session::take_running(timestamp now, timestamp sent,
+                                    const hold_reply& reply) {
     std::set<task_run> listed;
     for (const auto& running : reply.running) {
         listed.insert(running.run);
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -62,7 +62,7 @@
     void claim(timestamp now, const process_id& coordinator,
                const adoption_claim& claim);
     // The endpoint has left the platform's list.
-    void mark_gone(timestamp now);
+    void mark_gone();
 
     // --- state ---
     [[nodiscard]] const endpoint_record& endpoint() const { return endpoint_; }
@@ -81,8 +81,9 @@
     [[nodiscard]] call_target target() const;
     std::int64_t renew_deadline(timestamp now);
     void poll(timestamp now);
-    void take_ends(timestamp now, const hold_reply& reply);
-    void take_running(timestamp now, const hold_reply& reply);
+    void take_ends(const hold_reply& reply);
+    // `sent`: when the poll was sent that `reply` answers.
+    void take_running(timestamp now, timestamp sent, const hold_reply& reply);
     void adopt(timestamp now, const hold_reply& reply);
     void end_life(timestamp now);
     void check_lapse(timestamp now);
--- a/src/figridged/main.cpp
+++ b/src/figridged/main.cpp
@@ -32,8 +32,7 @@
         std::cout << FLAGS_config << ": ok\n";
         return 0;
     }
-    return figridge::platform::run_platform_daemon(loaded.settings,
-                                                   FLAGS_config);
+    return figridge::platform::run_platform_daemon(loaded.settings);
 }
 
 } // namespace
