Virtual fleet: the dispatcher under faults, by seed

Several dispatchers with endpoints, store, links and callers in virtual time; 23 faults, each singly and in seeded pairs and triples.

The drain check holds for hosts in touch with the store (the platform's rule), and an order that is carried out late dies with the endpoint's life that keeps it: both as the platform's pages say.

--- /dev/null
+++ b/tests/dispatch/fleet/fleet_host.cpp
@@ -0,0 +1,264 @@
+#include "fleet_host.hpp"
+
+#include <absl/strings/str_cat.h>
+
+namespace figridge::dispatch::fleet {
+namespace {
+
+constexpr duration tick_interval = 25ms;
+constexpr duration reconnect_pause = 100ms;
+constexpr duration connect_timeout = 300ms;
+constexpr std::size_t seed_count = 3;
+
+} // namespace
+
+fleet_host::fleet_host(virtual_fleet& fleet, std::size_t host_index,
+                       std::size_t host_domain)
+    : index(host_index), domain(host_domain),
+      address(absl::StrCat("10.1.0.", host_index + 1, ":1")), fleet_(fleet) {}
+
+void fleet_host::begin_process(std::uint64_t number) {
+    process = number;
+    up = true;
+    dark = false;
+    frozen = false;
+    draining_since.reset();
+    backlog.clear();
+    links_.clear();
+    dispatch_settings settings;
+    settings.self = {address, number};
+    settings.failure_domain = fleet_.domain_names_[domain];
+    settings.cpu_share = 0.25;
+    for (std::size_t i = 0; i < seed_count; ++i) {
+        settings.seeds.push_back(absl::StrCat("10.1.0.", i + 1, ":1"));
+    }
+    core = std::make_unique<dispatcher>(
+        settings, dispatch_ports{*this, *this, *this, *this, *this});
+    core->start(fleet_.now_);
+    core->set_catalogue(1, "catalogue");
+    tick();
+}
+
+void fleet_host::end_process(bool into_darkness) {
+    up = false;
+    dark = into_darkness;
+    frozen = false;
+    core.reset();
+    backlog.clear();
+    links_.clear();
+}
+
+void fleet_host::tick() {
+    fleet_.at(fleet_.now_ + tick_interval, [this, mine = process] {
+        if (process == mine && up) {
+            tick();
+        }
+    });
+    if (!frozen) {
+        core->tick(fleet_.now_);
+    }
+}
+
+void fleet_host::thaw() {
+    if (!frozen || !up) {
+        return;
+    }
+    frozen = false;
+    const bool timers_first = fleet_.draw(2) == 0;
+    if (timers_first) {
+        core->tick(fleet_.now_);
+    }
+    while (!backlog.empty()) {
+        const auto input = std::move(backlog.front());
+        backlog.pop_front();
+        input(*core);
+    }
+    core->tick(fleet_.now_);
+}
+
+// --- links ------------------------------------------------------------------
+
+void fleet_host::connect(const std::string& to) {
+    if (links_.try_emplace(to).second) {
+        try_connect(to);
+    }
+}
+
+void fleet_host::disconnect(const std::string& to) {
+    links_.erase(to);
+}
+
+void fleet_host::try_connect(const std::string& to) {
+    const auto begun = fleet_.now_;
+    fleet_.at(fleet_.now_ + fleet_.delay(), [this, to, begun, mine = process] {
+        const auto found = links_.find(to);
+        if (process != mine || !up || found == links_.end() ||
+            found->second.connected) {
+            return;
+        }
+        const auto again = [this, to, mine](duration pause) {
+            fleet_.at(fleet_.now_ + pause, [this, to, mine] {
+                if (process == mine && up) {
+                    try_connect(to);
+                }
+            });
+        };
+        auto* other = fleet_.find_host(to);
+        if (other == nullptr || other->dark || !fleet_.path(*this, *other)) {
+            return again(connect_timeout);
+        }
+        if (!other->up) {
+            fleet_.deliver(index, mine, [this, to, begun](dispatcher& core) {
+                core.handle_link_refused(fleet_.now_, to, begun);
+            });
+            return again(reconnect_pause);
+        }
+        found->second.connected = true;
+        found->second.to_process = other->process;
+        fleet_.deliver(index, mine, [this, to](dispatcher& core) {
+            core.handle_link_restored(fleet_.now_, to);
+        });
+    });
+}
+
+void fleet_host::break_link(const std::string& to) {
+    const auto found = links_.find(to);
+    if (found == links_.end() || !found->second.connected) {
+        return;
+    }
+    found->second.connected = false;
+    ++found->second.epoch;
+    found->second.held_up.clear();
+    try_connect(to);
+}
+
+void fleet_host::send(const std::string& to, const envelope& message) {
+    auto& link = links_[to];
+    if (!link.connected) {
+        return;
+    }
+    link.last_arrival =
+        std::max(link.last_arrival, fleet_.now_ + fleet_.delay());
+    fleet_.at(link.last_arrival,
+              [this, to, message, epoch = link.epoch, mine = process] {
+                  if (process == mine) {
+                      arrive(to, epoch, message);
+                  }
+              });
+}
+
+void fleet_host::arrive(const std::string& to, std::uint64_t epoch,
+                        const envelope& message) {
+    const auto found = links_.find(to);
+    if (found == links_.end() || found->second.epoch != epoch) {
+        return;
+    }
+    auto& link = found->second;
+    auto* other = fleet_.find_host(to);
+    if (!fleet_.path(*this, *other) || !link.held_up.empty()) {
+        link.held_up.push_back(message);
+        return;
+    }
+    fleet_.deliver(other->index, link.to_process,
+                   [this, message](dispatcher& core) {
+                       core.handle_envelope(fleet_.now_, message);
+                   });
+}
+
+void fleet_host::release_links() {
+    for (auto& [to, link] : links_) {
+        auto* other = fleet_.find_host(to);
+        if (!link.connected || !fleet_.path(*this, *other)) {
+            continue;
+        }
+        if (other->process != link.to_process) {
+            break_link(to);
+            continue;
+        }
+        for (const auto& message : std::exchange(link.held_up, {})) {
+            fleet_.deliver(other->index, link.to_process,
+                           [this, message](dispatcher& core) {
+                               core.handle_envelope(fleet_.now_, message);
+                           });
+        }
+    }
+}
+
+// --- endpoints, store, callers ----------------------------------------------
+
+void fleet_host::start(const start_call& call) {
+    fleet_.call_endpoint(
+        index, call.target,
+        {200ms, duration{0},
+         [this, call](virtual_endpoint& endpoint) {
+             const auto reply = endpoint.start(fleet_.now_, call);
+             return [this, call, reply](dispatcher& core) {
+                 core.handle_start(fleet_.now_, call.target, call.run, reply);
+             };
+         },
+         [this, call](dispatcher& core) {
+             core.handle_start(fleet_.now_, call.target, call.run, {});
+         }});
+}
+
+void fleet_host::stop(const stop_call& call) {
+    fleet_.call_endpoint(
+        index, call.target,
+        {200ms, duration{0},
+         [this, call](virtual_endpoint& endpoint) {
+             const auto reply = endpoint.stop(fleet_.now_, call);
+             return [this, call, reply](dispatcher& core) {
+                 core.handle_stop(fleet_.now_, call.target, call.run, reply);
+             };
+         },
+         [this, call](dispatcher& core) {
+             core.handle_stop(fleet_.now_, call.target, call.run, {});
+         }});
+}
+
+void fleet_host::hold(const hold_call& call) {
+    const auto wait = std::chrono::milliseconds(call.wait_ms);
+    fleet_.call_endpoint(
+        index, call.target,
+        {200ms + wait, wait,
+         [this, call](virtual_endpoint& endpoint) {
+             const auto reply = endpoint.hold(fleet_.now_, call);
+             auto lists = endpoint.lists(fleet_.now_, reply);
+             if (reply.status != call_status::ok) {
+                 lists = {};
+                 lists.call = reply;
+             }
+             return [this, call, lists](dispatcher& core) {
+                 core.handle_hold(fleet_.now_, call.target, lists);
+             };
+         },
+         [this, call](dispatcher& core) {
+             core.handle_hold(fleet_.now_, call.target, {});
+         }});
+}
+
+void fleet_host::replace(std::uint64_t request,
+                         const std::vector<holder_record>& rows) {
+    fleet_.replace_rows(index, request, rows);
+}
+
+void fleet_host::answer(caller_token token, const job_answer& answer) {
+    // Callers hear of it after the process has done its work.
+    fleet_.at(fleet_.now_ + 1ms, [this, token, answer, mine = process] {
+        fleet_.take_answer(index, mine, token, answer);
+    });
+}
+
+void fleet_host::log(log_level level, std::string_view event,
+                     const log_fields& fields) {
+    if (!fleet_.keep_log || level == log_level::debug) {
+        return;
+    }
+    std::string line = absl::StrCat(address, " event=", std::string(event));
+    for (const auto& [key, value] : fields) {
+        absl::StrAppend(&line, " ", std::string(key), "=", value);
+    }
+    fleet_.note(line);
+}
+
+} // namespace figridge::dispatch::fleet
--- /dev/null
+++ b/tests/dispatch/fleet/fleet_host.hpp
@@ -0,0 +1,75 @@
+// One host of a virtual fleet: a process with its links and ports.
+#ifndef FIGRIDGE_TESTS_DISPATCH_FLEET_FLEET_HOST_HPP
+#define FIGRIDGE_TESTS_DISPATCH_FLEET_FLEET_HOST_HPP
+
+#include "virtual_fleet.hpp"
+
+namespace figridge::dispatch::fleet {
+
+// Owned by a `virtual_fleet`; the dispatcher in it lives for one process.
+class fleet_host final : public peer_port,
+                         public endpoint_port,
+                         public holder_store_port,
+                         public caller_port,
+                         public observer_port {
+public:
+    fleet_host(virtual_fleet& fleet, std::size_t index, std::size_t domain);
+
+    void begin_process(std::uint64_t number);
+    // Ends the process; its peers' connections break unless it is dark.
+    void end_process(bool into_darkness);
+    void thaw();
+    void tick();
+    // Messages that a cut held up go on.
+    void release_links();
+    void break_link(const std::string& address);
+
+    // --- ports ---
+    void connect(const std::string& address) override;
+    void disconnect(const std::string& address) override;
+    void send(const std::string& address, const envelope& message) override;
+    void start(const start_call& call) override;
+    void stop(const stop_call& call) override;
+    void hold(const hold_call& call) override;
+    void replace(std::uint64_t request,
+                 const std::vector<holder_record>& rows) override;
+    void answer(caller_token token, const job_answer& answer) override;
+    void log(log_level level, std::string_view event,
+             const log_fields& fields) override;
+    void record(measure /*what*/, duration /*value*/) override {}
+    void count(std::string_view /*counter*/,
+               std::string_view /*label*/) override {}
+
+    std::size_t index;
+    std::size_t domain;
+    std::string address;
+    bool up = false;
+    bool dark = false;
+    bool frozen = false;
+    bool cut = false;
+    bool store_cut = false;
+    std::optional<timestamp> draining_since;
+    std::uint64_t process = 0;
+    std::unique_ptr<dispatcher> core;
+    std::deque<std::function<void(dispatcher&)>> backlog;
+
+private:
+    struct link {
+        bool connected = false;
+        std::uint64_t to_process = 0;
+        std::uint64_t epoch = 0;
+        timestamp last_arrival{0};
+        std::deque<envelope> held_up;
+    };
+
+    void try_connect(const std::string& to);
+    void arrive(const std::string& to, std::uint64_t epoch,
+                const envelope& message);
+
+    virtual_fleet& fleet_;
+    std::map<std::string, link> links_;
+};
+
+} // namespace figridge::dispatch::fleet
+
+#endif
--- /dev/null
+++ b/tests/dispatch/fleet/fleet_matrix.cpp
@@ -0,0 +1,215 @@
+#include "fleet_matrix.hpp"
+
+#include <absl/strings/str_cat.h>
+
+namespace figridge::dispatch::fleet {
+namespace {
+
+constexpr duration start_up = 2s;
+constexpr double jobs_per_s = 20.0;
+constexpr duration tail = 2s;
+
+using target_action = std::function<void(virtual_fleet&, std::size_t)>;
+
+fleet_fault on_host(std::string name, target_action begin, target_action end) {
+    const auto pick = [](const target_action& action) -> target_action {
+        return [action](virtual_fleet& fleet, std::size_t target) {
+            action(fleet, target % fleet.host_count());
+        };
+    };
+    return {std::move(name), pick(begin), pick(end)};
+}
+
+fleet_fault on_endpoint(std::string name, target_action begin,
+                        target_action end) {
+    const auto pick = [](const target_action& action) -> target_action {
+        return [action](virtual_fleet& fleet, std::size_t target) {
+            action(fleet, target % fleet.endpoint_count());
+        };
+    };
+    return {std::move(name), pick(begin), pick(end)};
+}
+
+void nothing(virtual_fleet& /*fleet*/, std::size_t /*target*/) {}
+
+void heal(virtual_fleet& fleet, std::size_t /*target*/) {
+    fleet.heal();
+}
+
+void start(virtual_fleet& fleet, std::size_t target) {
+    fleet.start_host(target);
+}
+
+void good(virtual_fleet& fleet, std::size_t target) {
+    fleet.set_mode(target, endpoint_mode::good);
+    fleet.set_slowness(target, 1.0);
+}
+
+target_action mode(endpoint_mode wanted) {
+    return [wanted](virtual_fleet& fleet, std::size_t target) {
+        fleet.set_mode(target, wanted);
+    };
+}
+
+fleet_fault on_store(std::string name, store_mode wanted) {
+    return {std::move(name),
+            [wanted](virtual_fleet& fleet, std::size_t /*target*/) {
+                fleet.set_store(wanted);
+            },
+            [](virtual_fleet& fleet, std::size_t /*target*/) {
+                fleet.set_store(store_mode::up);
+            }};
+}
+
+std::vector<fleet_fault> make_faults() {
+    std::vector<fleet_fault> faults;
+    faults.push_back(on_host(
+        "kill",
+        [](auto& fleet, auto target) { fleet.kill_host(target, false); },
+        start));
+    faults.push_back(on_host(
+        "power_off",
+        [](auto& fleet, auto target) { fleet.kill_host(target, true); },
+        start));
+    faults.push_back({"kill_all",
+                      [](auto& fleet, auto target) {
+                          for (std::size_t i = 0; i < fleet.host_count(); ++i) {
+                              fleet.kill_host(i, target % 2 == 0);
+                          }
+                      },
+                      [](auto& fleet, auto /*target*/) {
+                          for (std::size_t i = 0; i < fleet.host_count(); ++i) {
+                              fleet.start_host(i);
+                          }
+                      }});
+    faults.push_back(on_host(
+        "freeze", [](auto& fleet, auto target) { fleet.freeze_host(target); },
+        [](auto& fleet, auto target) { fleet.thaw_host(target); }));
+    faults.push_back({"freeze_most",
+                      [](auto& fleet, auto target) {
+                          for (std::size_t i = 1; i < fleet.host_count(); ++i) {
+                              fleet.freeze_host((target + i) %
+                                                fleet.host_count());
+                          }
+                      },
+                      [](auto& fleet, auto /*target*/) {
+                          for (std::size_t i = 0; i < fleet.host_count(); ++i) {
+                              fleet.thaw_host(i);
+                          }
+                      }});
+    faults.push_back(on_host(
+        "stop", [](auto& fleet, auto target) { fleet.stop_host(target); },
+        nothing));
+    faults.push_back(on_host(
+        "stop_two",
+        [](auto& fleet, auto target) {
+            fleet.stop_host(target);
+            fleet.stop_host((target + 1) % fleet.host_count());
+        },
+        nothing));
+    faults.push_back(on_host(
+        "cut_host", [](auto& fleet, auto target) { fleet.cut_host(target); },
+        heal));
+    faults.push_back(on_host(
+        "cut_store",
+        [](auto& fleet, auto target) { fleet.cut_store_from(target); }, heal));
+    faults.push_back(
+        {"cut_domain",
+         [](auto& fleet, auto target) { fleet.cut_domain(target % 3); }, heal});
+    faults.push_back({"reset_links",
+                      [](auto& fleet, auto /*target*/) { fleet.reset_links(); },
+                      nothing});
+    faults.push_back(
+        on_endpoint("fail_all", mode(endpoint_mode::fail_all), good));
+    faults.push_back(on_endpoint("shed", mode(endpoint_mode::shed), good));
+    faults.push_back(on_endpoint("mute", mode(endpoint_mode::mute), good));
+    faults.push_back(on_endpoint(
+        "slow", [](auto& fleet, auto target) { fleet.set_slowness(target, 8); },
+        good));
+    faults.push_back(on_endpoint(
+        "crash", [](auto& fleet, auto target) { fleet.crash_endpoint(target); },
+        nothing));
+    faults.push_back(on_endpoint(
+        "drain",
+        [](auto& fleet, auto target) { fleet.drain_endpoint(target, true); },
+        [](auto& fleet, auto target) { fleet.drain_endpoint(target, false); }));
+    faults.push_back(on_endpoint(
+        "cut_endpoint",
+        [](auto& fleet, auto target) { fleet.cut_endpoint(target); }, heal));
+    faults.push_back(
+        {"late_orders",
+         [](auto& fleet, auto /*target*/) { fleet.set_late_share(0.2); },
+         [](auto& fleet, auto /*target*/) { fleet.set_late_share(0.0); }});
+    faults.push_back(
+        {"lost_answers",
+         [](auto& fleet, auto /*target*/) { fleet.set_lost_share(0.3); },
+         [](auto& fleet, auto /*target*/) { fleet.set_lost_share(0.0); }});
+    faults.push_back(on_store("store_silent", store_mode::silent));
+    faults.push_back(on_store("store_busy", store_mode::busy));
+    faults.push_back(on_store("store_lossy", store_mode::lossy));
+    return faults;
+}
+
+} // namespace
+
+const std::vector<fleet_fault>& all_fleet_faults() {
+    static const auto faults = make_faults();
+    return faults;
+}
+
+std::string describe(const fleet_run& run) {
+    std::string text;
+    for (const auto& step : run.steps) {
+        absl::StrAppend(&text, step.fault->name, "(", step.target, ")@",
+                        to_ms(step.at), "ms+", to_ms(step.lasts), " ");
+    }
+    return absl::StrCat(text, "seed=", run.seed);
+}
+
+fleet_run plan_run(std::uint64_t seed, const std::vector<std::size_t>& faults) {
+    std::mt19937_64 random(seed * 7919);
+    fleet_run run;
+    run.seed = seed;
+    duration at{500'000};
+    for (const auto number : faults) {
+        fleet_step step;
+        step.fault = &all_fleet_faults()[number];
+        step.target = random() % 90;
+        at += std::chrono::milliseconds(random() % 900);
+        step.at = at;
+        step.lasts = std::chrono::milliseconds(150 + random() % 3500);
+        run.steps.push_back(step);
+    }
+    return run;
+}
+
+fleet_result play(const fleet_run& run, bool keep_log) {
+    virtual_fleet fleet(run.seed);
+    fleet.keep_log = keep_log;
+    if (keep_log) {
+        fleet.seen.trace = [&fleet](const std::string& line) {
+            fleet.note(line);
+        };
+    }
+    fleet.run_for(start_up);
+    fleet.begin_load(jobs_per_s);
+    std::multimap<duration, std::function<void()>> actions;
+    for (const auto& step : run.steps) {
+        actions.emplace(step.at,
+                        [&] { step.fault->begin(fleet, step.target); });
+        actions.emplace(step.at + step.lasts,
+                        [&] { step.fault->end(fleet, step.target); });
+    }
+    duration passed{0};
+    for (const auto& [when, action] : actions) {
+        fleet.run_for(when - passed);
+        passed = when;
+        action();
+    }
+    fleet.run_for(tail);
+    fleet.finish();
+    return {fleet.seen.violations, fleet.log,       fleet.jobs_sent,
+            fleet.jobs_completed,  fleet.jobs_left, fleet.seen.lapsed};
+}
+
+} // namespace figridge::dispatch::fleet
--- /dev/null
+++ b/tests/dispatch/fleet/fleet_matrix.hpp
@@ -0,0 +1,49 @@
+// Faults on a virtual fleet under load, singly and together, by seed.
+#ifndef FIGRIDGE_TESTS_DISPATCH_FLEET_FLEET_MATRIX_HPP
+#define FIGRIDGE_TESTS_DISPATCH_FLEET_FLEET_MATRIX_HPP
+
+#include "virtual_fleet.hpp"
+
+namespace figridge::dispatch::fleet {
+
+// One kind of fault: how it begins on a target and how it ends.
+struct fleet_fault {
+    std::string name;
+    std::function<void(virtual_fleet&, std::size_t target)> begin;
+    std::function<void(virtual_fleet&, std::size_t target)> end;
+};
+
+const std::vector<fleet_fault>& all_fleet_faults();
+
+// A fault at a time after the load began, for so long.
+struct fleet_step {
+    const fleet_fault* fault = nullptr;
+    std::size_t target = 0;
+    duration at{0};
+    duration lasts{0};
+};
+
+struct fleet_run {
+    std::uint64_t seed = 0;
+    std::vector<fleet_step> steps;
+};
+
+std::string describe(const fleet_run& run);
+
+// A run with the faults of these numbers; targets and times by the seed.
+fleet_run plan_run(std::uint64_t seed, const std::vector<std::size_t>& faults);
+
+struct fleet_result {
+    std::vector<std::string> violations;
+    std::string log;
+    std::uint64_t sent = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t left = 0;
+    std::uint64_t lapsed = 0;
+};
+
+fleet_result play(const fleet_run& run, bool keep_log);
+
+} // namespace figridge::dispatch::fleet
+
+#endif
--- /dev/null
+++ b/tests/dispatch/fleet/fleet_matrix_main.cpp
@@ -0,0 +1,117 @@
+// Runs faults on virtual fleets: each singly with several seeds, then seeded
+// pairs and triples. Usage: fleet_matrix [--seeds N] [--mixes N]
+// [--first_seed N] [--only FAULT,FAULT --show_log]. Exit code 1 if a promise
+// was broken.
+#include <atomic>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include <absl/strings/str_split.h>
+#include <gflags/gflags.h>
+
+#include "fleet_matrix.hpp"
+
+DEFINE_uint64(seeds, 4, "How many seeds each single fault runs with.");
+DEFINE_uint64(first_seed, 1, "The first seed.");
+DEFINE_uint64(mixes, 100, "How many pairs and triples of faults run.");
+DEFINE_string(only, "", "Run just these faults together, by name.");
+DEFINE_bool(show_log, false, "Print the log of each run that breaks.");
+DEFINE_bool(stop_at_first, false, "End at the first broken run.");
+DEFINE_uint64(most_shown, 12, "How many broken runs are printed.");
+
+namespace figridge::dispatch::fleet {
+namespace {
+
+std::vector<std::size_t> numbers_of(const std::string& names) {
+    std::vector<std::size_t> numbers;
+    const std::vector<std::string> wanted = absl::StrSplit(names, ',');
+    for (const auto& name : wanted) {
+        for (std::size_t i = 0; i < all_fleet_faults().size(); ++i) {
+            if (all_fleet_faults()[i].name == name) {
+                numbers.push_back(i);
+            }
+        }
+    }
+    return numbers;
+}
+
+std::vector<fleet_run> plan_all() {
+    std::vector<fleet_run> runs;
+    if (!FLAGS_only.empty()) {
+        for (std::uint64_t seed = 0; seed < FLAGS_seeds; ++seed) {
+            runs.push_back(
+                plan_run(FLAGS_first_seed + seed, numbers_of(FLAGS_only)));
+        }
+        return runs;
+    }
+    const auto count = all_fleet_faults().size();
+    for (std::size_t fault = 0; fault < count; ++fault) {
+        for (std::uint64_t seed = 0; seed < FLAGS_seeds; ++seed) {
+            runs.push_back(plan_run(FLAGS_first_seed + seed, {fault}));
+        }
+    }
+    std::mt19937_64 random(FLAGS_first_seed);
+    for (std::uint64_t mix = 0; mix < FLAGS_mixes; ++mix) {
+        std::vector<std::size_t> faults{random() % count, random() % count};
+        if (mix % 2 == 1) {
+            faults.push_back(random() % count);
+        }
+        runs.push_back(plan_run(FLAGS_first_seed + mix, faults));
+    }
+    return runs;
+}
+
+// Plays all runs on every core; returns how many broke a promise.
+std::uint64_t play_all(const std::vector<fleet_run>& runs) {
+    std::atomic<std::size_t> next{0};
+    std::atomic<std::uint64_t> broken{0};
+    std::uint64_t sent = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t left = 0;
+    std::uint64_t lapsed = 0;
+    std::mutex output;
+    const auto work = [&] {
+        while (true) {
+            const auto index = next++;
+            if (index >= runs.size() || (FLAGS_stop_at_first && broken > 0)) {
+                return;
+            }
+            const auto result = play(runs[index], FLAGS_show_log);
+            const std::lock_guard guard(output);
+            sent += result.sent;
+            completed += result.completed;
+            left += result.left;
+            lapsed += result.lapsed;
+            if (result.violations.empty() || broken++ >= FLAGS_most_shown) {
+                continue;
+            }
+            std::cout << "BROKEN " << describe(runs[index]) << "\n";
+            for (const auto& violation : result.violations) {
+                std::cout << "  " << violation << "\n";
+            }
+            std::cout << result.log;
+        }
+    };
+    std::vector<std::thread> threads;
+    const auto count = std::max(1U, std::thread::hardware_concurrency());
+    for (unsigned thread = 0; thread < count; ++thread) {
+        threads.emplace_back(work);
+    }
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    std::cout << "fleet runs=" << runs.size() << " jobs=" << sent
+              << " completed=" << completed << " left=" << left
+              << " lapsed_runs=" << lapsed << " broken=" << broken << "\n";
+    return broken;
+}
+
+} // namespace
+} // namespace figridge::dispatch::fleet
+
+int main(int argc, char** argv) {
+    using namespace figridge::dispatch::fleet;
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return play_all(plan_all()) == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/dispatch/fleet/virtual_endpoint.cpp
@@ -0,0 +1,223 @@
+#include "virtual_endpoint.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstring>
+
+namespace figridge::dispatch::fleet {
+namespace {
+
+constexpr std::int64_t lease_limit_ms = 1000;
+// A host that is in touch starts nothing later after a notice of leaving.
+constexpr duration drain_limit = 2s;
+
+std::uint32_t field_of(const std::string& payload, const char* name) {
+    const auto at = payload.find(name);
+    unsigned value = 0;
+    if (at != std::string::npos) {
+        std::sscanf(payload.c_str() + at + std::strlen(name), "%u", &value);
+    }
+    return value;
+}
+
+std::string name_of(const task_key& task) {
+    return task.job + "." + std::to_string(task.step) + "." +
+           std::to_string(task.index);
+}
+
+} // namespace
+
+void virtual_endpoint::begin_life(timestamp now) {
+    while (!runs_.empty()) {
+        const auto task = runs_.begin()->first;
+        end_run(task, end_kind::lapsed);
+    }
+    highest_.clear();
+    ends_.clear();
+    token_ = 0;
+    lease_ms_ = 0;
+    next_end_ = 1;
+    born_ = now;
+    record_.born_ms = to_ms(now) + 1;
+}
+
+std::int64_t virtual_endpoint::clock_ms(timestamp now) const {
+    return static_cast<std::int64_t>(clock_rate_ *
+                                     static_cast<double>(to_ms(now - born_))) +
+           1;
+}
+
+timestamp virtual_endpoint::lease_end() const {
+    return born_ + duration(static_cast<std::int64_t>(
+                       1000.0 * static_cast<double>(lease_ms_) / clock_rate_));
+}
+
+void virtual_endpoint::set_draining(timestamp now, bool draining) {
+    record_.state = draining ? endpoint_state::draining : endpoint_state::ready;
+    draining_since_.reset();
+    if (draining) {
+        draining_since_ = now;
+    }
+}
+
+bool virtual_endpoint::refuse(timestamp now, std::uint64_t token,
+                              call_reply& reply) {
+    advance(now);
+    reply.clock_ms = clock_ms(now);
+    if (token < token_) {
+        reply.status = call_status::stale_token;
+        return true;
+    }
+    token_ = token;
+    reply.status = call_status::ok;
+    return false;
+}
+
+void virtual_endpoint::renew(timestamp now, std::int64_t deadline_ms) {
+    lease_ms_ = std::max(lease_ms_,
+                         std::min(deadline_ms, clock_ms(now) + lease_limit_ms));
+}
+
+call_reply virtual_endpoint::start(timestamp now, const start_call& call) {
+    call_reply reply;
+    if (refuse(now, call.target.token, reply)) {
+        return reply;
+    }
+    if (mode == endpoint_mode::shed) {
+        reply.status = call_status::unavailable;
+        return reply;
+    }
+    if (call.lease_deadline_ms <= clock_ms(now)) {
+        reply.status = call_status::too_late;
+        return reply;
+    }
+    const auto& task = call.run.task;
+    const auto same = runs_.find(task);
+    if (same != runs_.end() && same->second.number == call.run.run) {
+        return reply;
+    }
+    renew(now, call.lease_deadline_ms);
+    if (call.run.run <= highest_[task]) {
+        reply.status = call_status::outdated_run;
+        return reply;
+    }
+    highest_[task] = call.run.run;
+    run fresh;
+    fresh.number = call.run.run;
+    fresh.cpu_millis = field_of(call.payload, "cpu=");
+    fresh.ends = now + duration(static_cast<std::int64_t>(
+                           1000.0 * slowness * field_of(call.payload, "ms=")));
+    fresh.fails = mode == endpoint_mode::fail_all ||
+                  call.payload.find(" fail") != std::string::npos;
+    std::uint32_t used = fresh.cpu_millis;
+    for (const auto& [other, entry] : runs_) {
+        used += entry.cpu_millis;
+    }
+    if (used > record_.capacity.cpu_millis) {
+        seen_.complain(now, "LIMIT " + record_.id + " has " +
+                                std::to_string(used) + " with " +
+                                name_of(task));
+    }
+    if (draining_since_ && now - *draining_since_ > drain_limit &&
+        seen_.all_in_touch()) {
+        seen_.complain(now, "DRAIN " + record_.id + " starts " + name_of(task));
+    }
+    if (++seen_.running[task] > 1) {
+        seen_.complain(now, "TWICE " + name_of(task) + " on " + record_.id);
+    }
+    if (seen_.trace) {
+        seen_.trace(record_.id + " starts " + name_of(task) + " run " +
+                    std::to_string(call.run.run) + " token " +
+                    std::to_string(call.target.token));
+    }
+    ++seen_.starts;
+    seen_.started.insert(task.job);
+    runs_[task] = fresh;
+    return reply;
+}
+
+call_reply virtual_endpoint::stop(timestamp now, const stop_call& call) {
+    call_reply reply;
+    if (refuse(now, call.target.token, reply)) {
+        return reply;
+    }
+    const auto& task = call.run.task;
+    highest_[task] = std::max(highest_[task], call.run.run);
+    const auto found = runs_.find(task);
+    if (found != runs_.end() && found->second.number == call.run.run) {
+        ++seen_.stopped;
+        end_run(task, end_kind::stopped);
+    }
+    return reply;
+}
+
+call_reply virtual_endpoint::hold(timestamp now, const hold_call& call) {
+    call_reply reply;
+    if (refuse(now, call.target.token, reply)) {
+        return reply;
+    }
+    if (call.lease_deadline_ms) {
+        renew(now, *call.lease_deadline_ms);
+    }
+    std::erase_if(ends_, [&call](const ended_entry& end) {
+        return end.number <= call.acknowledged;
+    });
+    return reply;
+}
+
+hold_reply virtual_endpoint::lists(timestamp now, call_reply call) const {
+    hold_reply reply;
+    call.clock_ms = clock_ms(now);
+    reply.call = call;
+    reply.born_ms = record_.born_ms;
+    for (const auto& [task, run] : runs_) {
+        reply.running.push_back({{task, run.number}, 0});
+    }
+    reply.ended = ends_;
+    return reply;
+}
+
+void virtual_endpoint::end_run(const task_key& task, end_kind kind) {
+    const auto found = runs_.find(task);
+    if (seen_.trace) {
+        seen_.trace(record_.id + " ends " + name_of(task) + " run " +
+                    std::to_string(found->second.number) + " " +
+                    std::string(to_string(kind)));
+    }
+    ends_.push_back({next_end_++, {task, found->second.number}, kind});
+    runs_.erase(found);
+    if (--seen_.running[task] <= 0) {
+        seen_.running.erase(task);
+    }
+    if (kind == end_kind::done) {
+        seen_.done[task.job].insert(task);
+    } else if (kind == end_kind::lapsed) {
+        ++seen_.lapsed;
+    }
+}
+
+void virtual_endpoint::advance(timestamp now) {
+    std::vector<std::pair<task_key, end_kind>> over;
+    for (const auto& [task, run] : runs_) {
+        if (run.ends <= now && run.ends <= lease_end()) {
+            over.emplace_back(task,
+                              run.fails ? end_kind::failed : end_kind::done);
+        } else if (lease_end() <= now) {
+            over.emplace_back(task, end_kind::lapsed);
+        }
+    }
+    for (const auto& [task, kind] : over) {
+        end_run(task, kind);
+    }
+}
+
+std::optional<timestamp> virtual_endpoint::next_end() const {
+    std::optional<timestamp> next;
+    for (const auto& [task, run] : runs_) {
+        const auto at = std::min(run.ends, lease_end());
+        next = next ? std::min(*next, at) : at;
+    }
+    return next;
+}
+
+} // namespace figridge::dispatch::fleet
--- /dev/null
+++ b/tests/dispatch/fleet/virtual_fleet.hpp
@@ -0,0 +1,185 @@
+// Hosts, endpoints, the store and callers in virtual time, with faults.
+//
+//     virtual_fleet fleet(seed);
+//     fleet.begin_load(40);            // jobs a second
+//     fleet.run_for(1s);
+//     fleet.kill_host(0, false);
+//     fleet.run_for(5s);
+//     fleet.finish();                  // heals, ends the load, waits
+//     // fleet.seen.violations is empty if the promises were kept
+//
+// Everything is decided by the seed. Not thread-safe.
+#ifndef FIGRIDGE_TESTS_DISPATCH_FLEET_VIRTUAL_FLEET_HPP
+#define FIGRIDGE_TESTS_DISPATCH_FLEET_VIRTUAL_FLEET_HPP
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+
+#include "core/dispatch/dispatcher.hpp"
+#include "virtual_endpoint.hpp"
+
+namespace figridge::dispatch::fleet {
+
+class fleet_host;
+
+enum class store_mode { up, silent, busy, lossy };
+
+struct fleet_size {
+    std::size_t hosts = 5;
+    std::size_t endpoints = 9;
+    std::size_t domains = 3;
+};
+
+class virtual_fleet {
+public:
+    explicit virtual_fleet(std::uint64_t seed, fleet_size size = {});
+    ~virtual_fleet();
+
+    void run_for(duration time);
+    // Ends faults and load, lets everything settle, and checks what has to
+    // hold in the end.
+    void finish();
+
+    // --- load ---
+    void begin_load(double jobs_per_s);
+    void end_load() { load_interval_ = duration{0}; }
+
+    // --- faults of hosts ---
+    // A dark host loses power: nothing answers for it. Both come back by
+    // `start_host` with another incarnation.
+    void kill_host(std::size_t index, bool dark);
+    void start_host(std::size_t index);
+    void freeze_host(std::size_t index);
+    void thaw_host(std::size_t index);
+    // A planned stop; the host starts again when it has drained.
+    void stop_host(std::size_t index);
+    void cut_host(std::size_t index); // from other hosts and the store
+    void cut_store_from(std::size_t index);
+    void cut_domain(std::size_t domain); // its hosts and endpoints together
+    void reset_links();
+    void heal();
+
+    // --- faults of endpoints ---
+    void set_mode(std::size_t index, endpoint_mode mode);
+    void set_slowness(std::size_t index, double slowness);
+    void crash_endpoint(std::size_t index);
+    void drain_endpoint(std::size_t index, bool draining);
+    void cut_endpoint(std::size_t index);
+    // From now on this share of the calls is carried out 2 to 6 s late.
+    void set_late_share(double share) { late_share_ = share; }
+    void set_lost_share(double share) { lost_share_ = share; }
+
+    void set_store(store_mode mode);
+
+    [[nodiscard]] std::size_t host_count() const { return hosts_.size(); }
+    [[nodiscard]] std::size_t endpoint_count() const {
+        return endpoints_.size();
+    }
+    [[nodiscard]] timestamp now() const { return now_; }
+    // Adds a line with the time to the log.
+    void note(const std::string& line);
+    std::size_t draw(std::size_t below) { return random_() % below; }
+
+    evidence seen;
+    std::uint64_t jobs_sent = 0;
+    std::uint64_t jobs_completed = 0;
+    std::uint64_t jobs_failed = 0;
+    std::uint64_t jobs_refused = 0;
+    std::uint64_t jobs_left = 0; // the caller's patience was over
+    std::string log;
+    bool keep_log = false;
+
+private:
+    friend class fleet_host;
+
+    struct fleet_endpoint {
+        std::unique_ptr<virtual_endpoint> body;
+        bool cut = false;
+        std::size_t domain = 0;
+        std::optional<timestamp> settles_at;
+        struct waiting_hold {
+            std::function<void()> answer;
+            timestamp until{0};
+        };
+        std::vector<waiting_hold> holds;
+    };
+
+    // What a call does at the endpoint, giving what its reply does at the
+    // host, and what the host does without a reply.
+    struct endpoint_call {
+        duration timeout{0};
+        duration wait{0}; // for an end, before the lists are read
+        std::function<std::function<void(dispatcher&)>(virtual_endpoint&)>
+            carry_out;
+        std::function<void(dispatcher&)> unanswered;
+    };
+
+    struct caller_job {
+        std::string id;
+        job_submission submission;
+        timestamp leaves{0};
+        std::size_t host = 0;
+        std::uint64_t process = 0; // that has the request
+        caller_token token = 0;
+        bool rejected_only = true;
+        bool must_complete = false;
+        bool poison = false;
+    };
+
+    void at(timestamp when, std::function<void()> action);
+    duration delay();
+    [[nodiscard]] bool any_cut() const;
+    [[nodiscard]] bool path(const fleet_host& a, const fleet_host& b) const;
+    [[nodiscard]] bool path(const fleet_host& host,
+                            const fleet_endpoint& endpoint) const;
+    [[nodiscard]] bool path_to_store(const fleet_host& host) const;
+    [[nodiscard]] fleet_host* find_host(const std::string& address);
+    fleet_endpoint& endpoint_of(const std::string& id);
+    // Delivers an input to a process, later if it is frozen.
+    void deliver(std::size_t host, std::uint64_t process,
+                 std::function<void(dispatcher&)> input);
+    void call_endpoint(std::size_t host, const call_target& target,
+                       endpoint_call call);
+    void check_stop(std::size_t index, std::uint64_t process);
+    void settle_endpoint(fleet_endpoint& endpoint);
+    void replace_rows(std::size_t host, std::uint64_t request,
+                      const std::vector<holder_record>& rows);
+    void send_rows(std::size_t host);
+    void spread_row(const holder_record& row);
+    void spread_endpoint(std::size_t index);
+    void submit_job();
+    void send_job(const std::string& id);
+    void take_answer(std::size_t host, std::uint64_t process,
+                     caller_token token, const job_answer& answer);
+    void resend(caller_job& job);
+    void end_job(const std::string& id);
+
+    std::mt19937_64 random_;
+    timestamp now_{1000s};
+    std::uint64_t next_event_ = 0;
+    std::map<std::pair<timestamp, std::uint64_t>, std::function<void()>>
+        events_;
+    std::vector<std::unique_ptr<fleet_host>> hosts_;
+    std::vector<fleet_endpoint> endpoints_;
+    std::vector<std::string> domain_names_;
+    std::set<std::size_t> cut_domains_;
+    store_mode store_ = store_mode::up;
+    std::map<std::string, holder_record> rows_;
+    std::uint64_t store_version_ = 1;
+    double late_share_ = 0.0;
+    double lost_share_ = 0.0;
+    duration load_interval_{0};
+    std::map<std::string, caller_job> jobs_;
+    std::map<caller_token, std::string> tokens_;
+    caller_token next_token_ = 1;
+    std::uint64_t next_job_ = 1;
+    std::uint64_t next_process_ = 1;
+    timestamp last_cut_{0};
+    bool calm_ = false;
+};
+
+} // namespace figridge::dispatch::fleet
+
+#endif
