A look refused for its token is not repeated; mutants of the dispatcher

Ruled out: refusals of orders carried out late (the fleet counted those too; it does not any more) and answers on their way when a planned stop ends.

Change: the refused token is remembered until a newer row shows.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
-# Shows that the fault matrix can fail: applies each mutation of
-# tests/mutants.txt to a copy of one file, links it into the matrix and runs
-# that. Last line: mutants=N caught=N.
+# Shows that the fault matrices can fail: applies each mutation of
+# tests/mutants.txt to a copy of one file, links it into the matrix of its
+# folder and runs that. Names as arguments run just these mutants. Last line:
+# mutants=N caught=N.
 set -u
 cd "$(dirname "$0")/.."
 build=${BUILD:-build/release}
@@ -16,20 +17,29 @@
     IFS='|' read -r name file old new < <(sed 's/\\|/\x01/g' <<<"$1")
     old=${old//$'\x01'/|} new=${new//$'\x01'/|}
     local folder=$work/$name
-    mkdir -p "$folder"
+    mkdir -p "$folder/$(dirname "$file")"
+    local main=tests/fault_matrix_main.cpp cluster=figridge_virtual_cluster
+    local size="--seeds 1 --pairs 1000"
+    case $file in
+    dispatch/*)
+        main=tests/dispatch/fleet/fleet_matrix_main.cpp
+        cluster=figridge_virtual_fleet
+        size="--seeds 8 --mixes 3000"
+        ;;
+    esac
     OLD=$old NEW=$new perl -0777 -pe '
         $n = () = /\Q$ENV{OLD}\E/g;
         die "the text stands there $n times\n" if $n != 1;
         s/\Q$ENV{OLD}\E/$ENV{NEW}/' "src/core/$file" >"$folder/$file" \
         2>"$folder/error" || { echo "mutant $name: $(cat "$folder/error")"; return; }
     if ! g++ -std=c++20 -O1 -DMSGPACK_USE_BOOST=1 -Iinclude -Isrc -Isrc/core \
-        -Itests -o "$folder/matrix" tests/fault_matrix_main.cpp \
-        "$folder/$file" "$build/libfigridge_virtual_cluster.a" \
+        -Itests -Itests/dispatch/fleet -o "$folder/matrix" "$main" \
+        "$folder/$file" "$build/lib$cluster.a" \
         "$build/libfigridge_core.a" $libraries 2>"$folder/error"; then
         echo "mutant $name: does not build: $(head -3 "$folder/error")"
         return
     fi
-    timeout 300 "$folder/matrix" --seeds 1 --pairs 1000 --stop_at_first \
+    timeout 300 "$folder/matrix" $size --stop_at_first \
         >"$folder/out" 2>&1
     if [ $? -ne 1 ] || ! grep -q '^BROKEN' "$folder/out"; then
         echo "mutant $name: NOT caught"
@@ -39,7 +49,8 @@
     fi
 }
 
-mapfile -t lines < <(grep -v '^#' tests/mutants.txt)
+mapfile -t lines < <(grep -v '^#' tests/mutants.txt |
+    grep -E "^($(IFS='|'; echo "${*:-.*}"))\|")
 for line in "${lines[@]}"; do
     while [ "$(jobs -r | wc -l)" -ge "$at_once" ]; do
         wait -n
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -343,6 +343,11 @@
             ready.push_back(id);
             continue;
         }
+        const auto refused_look = refused_looks_.find(id);
+        if (refused_look != refused_looks_.end() &&
+            refused_look->second >= row->token) {
+            continue;
+        }
         if (auto& sent = probed_[id]; now - sent >= probe_interval) {
             sent = now;
             open_probes_.insert(id);
@@ -517,6 +522,9 @@
     ports_.observer.count("hold_replies", to_string(reply.call.status));
     if (holder_.token_of(target.endpoint) == target.token) {
         holder_.handle_hold(now, target.endpoint, target.token, reply);
+    } else if (reply.call.status == call_status::stale_token) {
+        // The row known here is outdated; the newer one comes by the store.
+        refused_looks_[target.endpoint] = target.token;
     } else if (reply.call.status != call_status::not_sent &&
                reply.call.status != call_status::unanswered) {
         auto& answers = probe_answers_[target.endpoint];
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -156,6 +156,8 @@
         timestamp last{0};
     };
     std::map<std::string, timestamp> probed_;
+    // The token with which a look at an endpoint was refused.
+    std::map<std::string, std::uint64_t> refused_looks_;
     std::set<std::string> open_probes_;
     std::map<std::string, probe_answers> probe_answers_;
     std::uint64_t next_request_ = 1;
--- a/testing/platform/system_main.cpp
+++ b/testing/platform/system_main.cpp
@@ -67,7 +67,9 @@
         }
     }
 
-    void write_catalogue(std::uint64_t version) {
+    // `limits`: what callers may send; empty for the usual.
+    void write_catalogue(std::uint64_t version,
+                         const json& limits = json::object()) {
         const json route{
             {"name", "queue-1"},       {"host", "figridge.example"},
             {"path-prefix", "/jobs/"}, {"service", "pool-1"},
@@ -80,7 +82,8 @@
         store_.put("op", "config",
                    {{"version", version},
                     {"routes", json::array({route, second})},
-                    {"services", json::array({{{"name", "pool-1"}}})}});
+                    {"services", json::array({{{"name", "pool-1"}}})},
+                    {"limits", limits}});
     }
 
     void handle(const http_request& request) {
@@ -92,7 +95,8 @@
             return respond(request, http_bad_request, {{"error", "body"}});
         }
         if (request.path == "/catalogue") {
-            write_catalogue(body->value("version", std::uint64_t{2}));
+            write_catalogue(body->value("version", std::uint64_t{2}),
+                            body->value("limits", json::object()));
         } else if (request.path == "/endpoint") {
             change_endpoints(*body);
         } else if (request.path == "/load") {
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -242,6 +242,30 @@
     }
 }
 
+// A host that is cut off from the store knows only outdated rows.
+BOOST_AUTO_TEST_CASE(look_refused_for_its_token_is_not_repeated) {
+    holder_record row{"endpoint-2", "domain-1", {"10.1.0.5:1", 55}, 4, 4};
+    core.set_holder(now, row);
+    core.set_endpoint(now, make_endpoint("endpoint-2"));
+    pass(600ms);
+    const auto looks = [this] {
+        return std::count_if(endpoints.holds.begin(), endpoints.holds.end(),
+                             [](const hold_call& call) {
+                                 return call.target.endpoint == "endpoint-2";
+                             });
+    };
+    BOOST_REQUIRE(looks() > 0);
+    const call_target target{"endpoint-2", "10.0.0.1:80", 4};
+    core.handle_hold(now, target, {{call_status::stale_token, 500}, 0, {}, {}});
+    const auto before = looks();
+    pass(5s);
+    BOOST_TEST(looks() == before);
+    row.token = 5;
+    core.set_holder(now, row);
+    pass(1s);
+    BOOST_TEST(looks() > before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/fleet/fleet_host.cpp
+++ b/tests/dispatch/fleet/fleet_host.cpp
@@ -243,6 +243,7 @@
 }
 
 void fleet_host::answer(caller_token token, const job_answer& answer) {
+    fleet_.note_answer(token);
     // Callers hear of it after the process has done its work.
     fleet_.at(fleet_.now_ + 1ms, [this, token, answer, mine = process] {
         fleet_.take_answer(index, mine, token, answer);
--- a/tests/dispatch/fleet/virtual_endpoint.cpp
+++ b/tests/dispatch/fleet/virtual_endpoint.cpp
@@ -10,6 +10,11 @@
 constexpr std::int64_t lease_limit_ms = 1000;
 // A host that is in touch starts nothing later after a notice of leaving.
 constexpr duration drain_limit = 2s;
+// A stop takes up to this.
+constexpr std::uint32_t stop_limit_ms = 50;
+// A holder that was refused for its token soon stops calling; looks before a
+// takeover carry a token that may be outdated.
+constexpr int refusals_allowed = 12;
 
 std::uint32_t field_of(const std::string& payload, const char* name) {
     const auto at = payload.find(name);
@@ -33,6 +38,7 @@
         end_run(task, end_kind::lapsed);
     }
     highest_.clear();
+    refusals_.clear();
     ends_.clear();
     token_ = 0;
     lease_ms_ = 0;
@@ -65,6 +71,11 @@
     advance(now);
     reply.clock_ms = clock_ms(now);
     if (token < token_) {
+        refusals_[token] += carries_out_late ? 0 : 1;
+        if (refusals_[token] == refusals_allowed) {
+            seen_.complain(now, "FENCE " + record_.id + " refuses token " +
+                                    std::to_string(token) + " again and again");
+        }
         reply.status = call_status::stale_token;
         return true;
     }
@@ -146,7 +157,12 @@
     const auto found = runs_.find(task);
     if (found != runs_.end() && found->second.number == call.run.run) {
         ++seen_.stopped;
-        end_run(task, end_kind::stopped);
+        const auto takes =
+            std::chrono::milliseconds(task.index * 17 % stop_limit_ms);
+        if (!found->second.stops_at) {
+            found->second.stops_at = now + takes;
+        }
+        advance(now);
     }
     return reply;
 }
@@ -199,7 +215,9 @@
 void virtual_endpoint::advance(timestamp now) {
     std::vector<std::pair<task_key, end_kind>> over;
     for (const auto& [task, run] : runs_) {
-        if (run.ends <= now && run.ends <= lease_end()) {
+        if (run.stops_at && *run.stops_at <= now) {
+            over.emplace_back(task, end_kind::stopped);
+        } else if (run.ends <= now && run.ends <= lease_end()) {
             over.emplace_back(task,
                               run.fails ? end_kind::failed : end_kind::done);
         } else if (lease_end() <= now) {
@@ -214,7 +232,8 @@
 std::optional<timestamp> virtual_endpoint::next_end() const {
     std::optional<timestamp> next;
     for (const auto& [task, run] : runs_) {
-        const auto at = std::min(run.ends, lease_end());
+        const auto at =
+            std::min({run.ends, lease_end(), run.stops_at.value_or(run.ends)});
         next = next ? std::min(*next, at) : at;
     }
     return next;
--- a/tests/dispatch/fleet/virtual_endpoint.hpp
+++ b/tests/dispatch/fleet/virtual_endpoint.hpp
@@ -61,6 +61,7 @@
 
     endpoint_mode mode = endpoint_mode::good;
     double slowness = 1.0;
+    bool carries_out_late = false; // the present call is an old one
 
 private:
     struct run {
@@ -68,6 +69,7 @@
         std::uint32_t cpu_millis = 0;
         timestamp ends{0};
         bool fails = false;
+        std::optional<timestamp> stops_at;
     };
 
     [[nodiscard]] std::int64_t clock_ms(timestamp now) const;
@@ -86,6 +88,7 @@
     std::optional<timestamp> draining_since_;
     std::map<task_key, run> runs_;
     std::map<task_key, std::uint32_t> highest_;
+    std::map<std::uint64_t, int> refusals_; // by token
     std::vector<ended_entry> ends_;
 };
 
--- a/tests/dispatch/fleet/virtual_fleet.cpp
+++ b/tests/dispatch/fleet/virtual_fleet.cpp
@@ -222,7 +222,9 @@
     };
     const auto carry_out = [this, id, call, reply](bool heard) {
         auto& endpoint = endpoint_of(id);
+        endpoint.body->carries_out_late = !heard;
         auto input = call.carry_out(*endpoint.body);
+        endpoint.body->carries_out_late = false;
         if (heard && call.wait > duration{0} && !endpoint.body->has_ends()) {
             // The lists are read when the wait is over.
             endpoint.holds.push_back(
@@ -502,6 +504,13 @@
         at(now_ + 25ms, [this, index, process] { check_stop(index, process); });
         return;
     }
+    if (drained) {
+        for (const auto& [id, job] : jobs_) {
+            if (job.host == index && job.process == process && job.taken) {
+                seen.complain(now_, "CUT by a planned stop: " + id);
+            }
+        }
+    }
     kill_host(index, false);
     at(now_ + 500ms, [this, index] { start_host(index); });
 }
@@ -632,14 +641,26 @@
     job.token = next_token_++;
     tokens_[job.token] = id;
     job.submission.patience = job.leaves - now_;
+    job.taken = false;
     at(now_ + delay(), [this, index, process = job.process, token = job.token,
                         submission = job.submission] {
         deliver(index, process, [this, token, submission](dispatcher& core) {
+            if (const auto found = jobs_.find(submission.work.id);
+                found != jobs_.end()) {
+                found->second.taken = found->second.token == token;
+            }
             core.submit(now_, token, submission);
         });
     });
 }
 
+void virtual_fleet::note_answer(caller_token token) {
+    const auto named = tokens_.find(token);
+    if (named != tokens_.end()) {
+        jobs_.at(named->second).taken = false;
+    }
+}
+
 // The caller got no answer that ends the job, and sends it again.
 void virtual_fleet::resend(caller_job& job) {
     job.rejected_only = false;
--- a/tests/dispatch/fleet/virtual_fleet.hpp
+++ b/tests/dispatch/fleet/virtual_fleet.hpp
@@ -123,6 +123,7 @@
         std::size_t host = 0;
         std::uint64_t process = 0; // that has the request
         caller_token token = 0;
+        bool taken = false; // the process has read the request
         bool rejected_only = true;
         bool must_complete = false;
         bool poison = false;
@@ -153,6 +154,8 @@
     void send_job(const std::string& id);
     void take_answer(std::size_t host, std::uint64_t process,
                      caller_token token, const job_answer& answer);
+    // The process has answered; the answer is on its way.
+    void note_answer(caller_token token);
     void resend(caller_job& job);
     void end_job(const std::string& id);
 
--- a/tests/platform_test.sh
+++ b/tests/platform_test.sh
@@ -18,6 +18,20 @@
 status() { # curl arguments: prints the status, the body goes to a file
     curl -s -m 20 -o "$cluster_dir/body" -w '%{http_code}' "$@"
 }
+contains() { # name, text, file
+    if ! grep -qF -- "$2" "$3"; then
+        echo "FAILED $1: expected <$2> in:"
+        tail -5 "$3"
+        failures=$((failures + 1))
+    fi
+}
+wait_for_line() { # text, file; gives up after ten seconds
+    local tries=200
+    while ! grep -qF -- "$1" "$2" && [ $tries -gt 0 ]; do
+        tries=$((tries - 1))
+        sleep 0.05
+    done
+}
 check_promises() { # name
     local seen
     seen=$(report)
@@ -74,6 +88,70 @@
         "$(status "${as[@]}" "http://$(host_callers "$i")/version-1/")"
 done
 
+# The catalogue's limits hold for callers, and a header that never ends is cut.
+order /catalogue '{"version":8,"limits":{"max-header-bytes":600,
+    "max-body-bytes":900,"header-timeout-ms":300,"idle-timeout-ms":5000}}'
+"$build/figridgectl" --host "$(host_operators 0)" catalogue-watch 8 \
+    >"$cluster_dir/ctl.out"
+expect "catalogue-watch exits with" 0 $?
+contains "catalogue-watch" "in force on $hosts of $hosts" "$cluster_dir/ctl.out"
+expect "header too long" 431 "$(status "${as[@]}" \
+    -H "X-Long: $(printf 'x%.0s' {1..700})" "$front/jobs/")"
+expect "body too long" 413 "$(status "${as[@]}" -X POST \
+    -d "$(printf 'x%.0s' {1..1000})" "$front/jobs/0123456789abcdef")"
+exec 3<>"/dev/tcp/127.0.0.1/${front##*:}"
+printf 'GET /jobs/ HTTP/1.1\r\nHost: figridge.exam' >&3
+rest=$(timeout 20 cat <&3)
+expect "slow header ends with" 0 $?
+expect "slow header gets" "" "$rest"
+exec 3>&-
+contains "slow header is logged" slow_header_cut "$cluster_dir/host0.log"
+order /catalogue '{"version":9}'
+
+# The command-line tool on a host's address for operators.
+ctl() { # arguments: the tool's exit code, its output goes to a file
+    "$build/figridgectl" --host "$(host_operators 0)" "$@" \
+        >"$cluster_dir/ctl.out" 2>&1
+}
+ctl hosts
+expect "hosts exits with" 0 $?
+expect "hosts shows" "$hosts" "$(grep -c '^127' "$cluster_dir/ctl.out")"
+contains "hosts shows itself" self "$cluster_dir/ctl.out"
+ctl endpoints
+expect "endpoints exits with" 0 $?
+expect "endpoints shows, each with a holder" "$endpoints" \
+    "$(grep -c '127.0.0.1:.*127.0.0.1:' "$cluster_dir/ctl.out")"
+ctl --json endpoints
+contains "endpoints as JSON have tokens" '"token": 1' "$cluster_dir/ctl.out"
+ctl catalogue-show
+contains "catalogue-show" queue-1 "$cluster_dir/ctl.out"
+ctl jobs
+expect "jobs exits with" 0 $?
+ctl fetch 0123456789abcdef
+expect "fetch exits with" 1 $?
+contains "fetch says why" "not served here" "$cluster_dir/ctl.out"
+"$build/figridgectl" --host 127.0.0.1:1 hosts 2>"$cluster_dir/ctl.out"
+expect "a host that is not there" 4 $?
+curl -s "http://$(host_operators 0)/metrics" >"$cluster_dir/metrics.out"
+contains "metrics: events" 'figridge_events_total{event="started"} 1' \
+    "$cluster_dir/metrics.out"
+contains "metrics: gauges" "figridge_hosts_live $hosts" \
+    "$cluster_dir/metrics.out"
+
+# Settings are taken over while the host runs; a wrong file changes nothing.
+printf '[log]\nlevel = debug\n' >>"$cluster_dir/host0.ini"
+kill -HUP "${host_pid[0]}"
+wait_for_line "event=reload" "$cluster_dir/host0.log"
+contains "reload" "in_force=log.level" "$cluster_dir/host0.log"
+cp "$cluster_dir/host1.ini" "$cluster_dir/good.ini"
+sed -i 's/^lease_limit_ms = .*/lease_limit_ms = soon/' "$cluster_dir/host1.ini"
+wait_for_line "event=reload_failed" "$cluster_dir/host1.log"
+contains "wrong settings name the field" lease_limit_ms \
+    "$cluster_dir/host1.log"
+cp "$cluster_dir/good.ini" "$cluster_dir/host1.ini"
+expect "the host goes on" 200 "$(status "${as[@]}" \
+    "http://$(host_callers 1)/jobs/")"
+
 # A host is killed under load, another is stopped as planned; both come back.
 begin_load '"jobs":240,"jobs_per_s":60'
 sleep 0.5
