A request whose caller has gone is not handled; long lost hosts are forgotten

The end of the connection is looked for before a request is handed on. Test: a_request_whose_caller_has_gone_..., failed before. - Addresses of replaced hosts were greeted for ever, and their rows stayed. After ten minutes they are forgotten and the row goes; a host that was only cut off registers again when its row is missing. - Slow endpoints stand out only while at most half are slow (task_starts_on_a_slow_endpoint_if_most_are_slow, failed before). - The order of adoptions was kept for every endpoint that ever was.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -17,6 +17,21 @@
 constexpr duration housekeeping_interval = 250ms;
 constexpr std::uint32_t ms_per_second = 1000;
 
+enum class caller_state { waits, sends, gone };
+
+// What has arrived from the caller and is not read yet.
+caller_state peek(MHD_Connection* connection) {
+    const auto* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    char byte = 0;
+    const auto count =
+        recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return caller_state::waits;
+    }
+    return count > 0 ? caller_state::sends : caller_state::gone;
+}
+
 MHD_Result add_query(void* target, MHD_ValueKind /*kind*/, const char* key,
                      const char* value) {
     auto* query = static_cast<std::map<std::string, std::string>*>(target);
@@ -194,6 +209,9 @@
     }
     if (!held.handed_over) {
         held.handed_over = true;
+        if (peek(connection) == caller_state::gone) {
+            return MHD_NO;
+        }
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &add_query,
                                   &held.request.query);
         for (const auto& name : header_names_) {
@@ -236,15 +254,11 @@
         return;
     }
     auto& held = *found->second;
-    const auto* info = MHD_get_connection_info(
-        held.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    char byte = 0;
-    const auto count =
-        recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+    const auto state = peek(held.connection);
+    if (state == caller_state::waits) {
         return;
     }
-    if (count > 0) {
+    if (state == caller_state::sends) {
         // The next request is there already; it is read after this one.
         held.hang_up->set_events(0);
         return;
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -193,6 +193,13 @@
     }
 }
 
+void dispatcher::on_forgotten(const std::string& address) {
+    ports_.observer.log(log_level::info, "peer_forgotten", {{"peer", address}});
+    if (on_member_forgotten) {
+        on_member_forgotten(address);
+    }
+}
+
 advert dispatcher::make_advert() {
     return own_advert_;
 }
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -60,6 +60,10 @@
     // Called with the text of a newer version that a peer has.
     std::function<void(const std::string& text)> on_catalogue_text;
 
+    // Called with the address of a host that was not heard for so long that
+    // it counts as replaced.
+    std::function<void(const std::string& address)> on_member_forgotten;
+
     // --- endpoints' replies ---
     void handle_hold(timestamp now, const call_target& target,
                      const hold_reply& reply);
@@ -128,6 +132,7 @@
     void on_lost(const process_id& peer, bool restarted) override;
     void on_back(const process_id& peer) override;
     void on_out_of_contact(const process_id& peer) override;
+    void on_forgotten(const std::string& address) override;
     advert make_advert() override;
 
     dispatch_settings settings_;
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -244,9 +244,12 @@
 
 void endpoint_holder::tick(timestamp now) {
     now_ = now;
+    std::size_t slow = 0;
     for (auto& [id, session] : sessions_) {
         session->tick(now);
+        slow += session->health().is_slow(now) ? 1 : 0;
     }
+    most_are_slow_ = slow * 2 > sessions_.size();
     std::erase_if(sessions_, [](const auto& item) {
         return item.second->phase() == session_phase::fenced;
     });
@@ -304,6 +307,11 @@
     });
 }
 
+bool endpoint_holder::stands_out_slow(timestamp now,
+                                      const endpoint_session& session) const {
+    return !most_are_slow_ && session.health().is_slow(now);
+}
+
 // On a slow endpoint a task starts if that is in time, or if it is late
 // anywhere and its caller still gets the answer.
 bool endpoint_holder::worth_starting_slowly(const queued_task& task,
@@ -322,7 +330,7 @@
     std::vector<place> places;
     bool listed = false;
     for (auto& [id, session] : sessions_) {
-        if (!session->health().is_slow(now)) {
+        if (!stands_out_slow(now, *session)) {
             continue;
         }
         if (!std::exchange(listed, true)) {
@@ -395,7 +403,8 @@
         const auto& health = open.session->health();
         const double run_ms = task.need.estimate_ms * health.slowness(now_) *
                               (far ? settings_.far_factor : 1.0);
-        if (health.is_slow(now_) && !worth_starting_slowly(task, run_ms)) {
+        if (stands_out_slow(now_, *open.session) &&
+            !worth_starting_slowly(task, run_ms)) {
             continue;
         }
         const double leftover =
@@ -426,7 +435,7 @@
         about.largest_memory_mb =
             std::max(about.largest_memory_mb, capacity.memory_mb);
         if (!session->health().is_on_trial() &&
-            !session->health().is_slow(now_)) {
+            !stands_out_slow(now_, *session)) {
             about.free_cpu.push_back(session->room().cpu_millis);
         }
     }
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -93,6 +93,9 @@
     };
     std::vector<place> open_places(timestamp now);
     place* choose(std::vector<place>& places, const queued_task& task) const;
+    // Whether an endpoint is slow while at most half of them are.
+    [[nodiscard]] bool stands_out_slow(timestamp now,
+                                       const endpoint_session& session) const;
     [[nodiscard]] bool worth_starting_slowly(const queued_task& task,
                                              double run_ms) const;
     void move_from_slow_endpoints(timestamp now);
@@ -109,7 +112,8 @@
     std::map<std::string, std::unique_ptr<endpoint_session>> sessions_;
     std::vector<std::pair<std::string, std::uint64_t>> fenced_;
     task_queue queue_;
-    timestamp now_{0}; // of the input being handled
+    timestamp now_{0};           // of the input being handled
+    bool most_are_slow_ = false; // as of the last tick
 };
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -9,6 +9,8 @@
 constexpr duration answer_retention = 5s;
 // A holder that reports a run as disowned may do so after the adoption.
 constexpr duration adoption_retention = 3s;
+// No message of a former holder is held up for longer.
+constexpr duration adoption_order_retention = 10min;
 // A run that lost its holder ends with its lease at the latest.
 constexpr duration disowned_limit = 1300ms;
 // Enough endpoints to avoid; a task that failed on so many is to blame.
@@ -391,10 +393,10 @@
                                       const endpoint_adoption& adoption) {
     // Messages of two holders may overtake each other.
     auto& newest = adoption_tokens_[adoption.endpoint];
-    if (adoption.token < newest) {
+    if (adoption.token < newest.first) {
         return;
     }
-    newest = adoption.token;
+    newest = {adoption.token, now};
     adoptions_[adoption.endpoint] = {holder, adoption, now};
     adoption_claim claim{adoption.endpoint, {}};
     std::vector<std::string> ids;
@@ -529,6 +531,9 @@
     std::erase_if(adoptions_, [now](const auto& item) {
         return now - item.second.at > adoption_retention;
     });
+    std::erase_if(adoption_tokens_, [now](const auto& item) {
+        return now - item.second.second > adoption_order_retention;
+    });
     std::erase_if(lost_holders_, [now](const auto& item) {
         return now > item.second.over_by;
     });
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -156,7 +156,8 @@
     std::map<process_id, lost_holder> lost_holders_;
     std::optional<timestamp> no_holder_since_;
     std::map<std::string, kept_adoption> adoptions_;
-    std::map<std::string, std::uint64_t> adoption_tokens_; // the highest
+    // The highest token of the adoptions of an endpoint, and when it came.
+    std::map<std::string, std::pair<std::uint64_t, timestamp>> adoption_tokens_;
 };
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -20,11 +20,13 @@
                              peer_session_events& events)
     : settings_(settings), port_(port), events_(events) {}
 
-void peer_sessions::add(timestamp /*now*/, const std::string& address) {
+void peer_sessions::add(timestamp now, const std::string& address) {
     if (address == settings_.self.address || peers_.contains(address)) {
         return;
     }
-    peers_[address].id.address = address;
+    auto& added = peers_[address];
+    added.id.address = address;
+    added.added_at = now;
     port_.connect(address);
 }
 
@@ -221,6 +223,26 @@
         }
     }
     announce_ = false;
+    forget_long_lost(now);
+}
+
+void peer_sessions::forget_long_lost(timestamp now) {
+    const auto& seeds = settings_.seeds;
+    std::vector<std::string> forgotten;
+    for (const auto& [address, peer] : peers_) {
+        const bool seed =
+            std::find(seeds.begin(), seeds.end(), address) != seeds.end();
+        if (peer.lost && !seed &&
+            now - std::max(peer.heard_at, peer.added_at) >
+                settings_.forget_after) {
+            forgotten.push_back(address);
+        }
+    }
+    for (const auto& address : forgotten) {
+        port_.disconnect(address);
+        peers_.erase(address);
+        events_.on_forgotten(address);
+    }
 }
 
 bool peer_sessions::is_live(const process_id& peer) const {
--- a/src/core/dispatch/peer_sessions.hpp
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -32,6 +32,8 @@
     virtual void on_back(const process_id& peer) = 0;
     // The peer has not heard this process for `abandon_after`, or restarted.
     virtual void on_out_of_contact(const process_id& peer) = 0;
+    // The peer was not heard for `forget_after` and is greeted no more.
+    virtual void on_forgotten(const std::string& address) = 0;
     virtual advert make_advert() = 0;
 };
 
@@ -48,7 +50,8 @@
         process_id id;
         std::string failure_domain;
         advert about;
-        timestamp heard_at{0};  // 0: never
+        timestamp heard_at{0}; // 0: never
+        timestamp added_at{0};
         timestamp echoed_at{0}; // our latest stamp that the peer has heard
         std::int64_t peer_stamp_us = 0;
         timestamp sent_at{0};
@@ -100,6 +103,7 @@
     void check_contact(timestamp now, peer& other);
     void resend(timestamp now, const std::string& address, peer& to);
     void lose(peer& gone, bool restarted);
+    void forget_long_lost(timestamp now);
 
     const dispatch_settings& settings_;
     peer_port& port_;
--- a/src/core/dispatch/settings.hpp
+++ b/src/core/dispatch/settings.hpp
@@ -31,6 +31,9 @@
     // heard, so this is shorter.
     duration idle_heartbeat_interval = 400ms;
     duration idle_suspect_after = 1300ms;
+    // A host not heard for so long is taken for replaced: it is not greeted any
+    // more, and its row is removed. One that comes back registers again.
+    duration forget_after = 10min;
     // Two hosts have work in common for this long after their last payload;
     // longer than most tasks run.
     duration work_in_common = 5s;
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -131,6 +131,22 @@
     BOOST_TEST(port.starts.size() == before + 1);
 }
 
+// Waiting for a better place is of no use then.
+BOOST_AUTO_TEST_CASE(task_starts_on_a_slow_endpoint_if_most_are_slow) {
+    assign("0123456789abcdef", 4);
+    answer_starts();
+    now += 150ms;
+    auto runs = runs_on("endpoint-1", 10);
+    answer_hold("endpoint-1", runs);
+    answer_hold("endpoint-2", runs_on("endpoint-2", 10));
+    holder.tick(now);
+    runs.pop_back();
+    answer_hold("endpoint-1", runs);
+    const auto before = port.starts.size();
+    assign("0123456789abcd00", 1);
+    BOOST_TEST(port.starts.size() == before + 1);
+}
+
 BOOST_AUTO_TEST_CASE(advert_offers_no_place_on_a_slow_endpoint) {
     assign("0123456789abcdef", 2);
     answer_starts();
--- a/tests/dispatch/fleet/virtual_fleet.hpp
+++ b/tests/dispatch/fleet/virtual_fleet.hpp
@@ -143,6 +143,7 @@
                  std::function<void(dispatcher&)> input);
     void call_endpoint(std::size_t host, const call_target& target,
                        endpoint_call call);
+    void break_callers(std::size_t index, std::uint64_t process);
     void check_stop(std::size_t index, std::uint64_t process);
     void settle_endpoint(fleet_endpoint& endpoint);
     void replace_rows(std::size_t host, std::uint64_t request,
--- a/tests/dispatch/peer_sessions_test.cpp
+++ b/tests/dispatch/peer_sessions_test.cpp
@@ -35,9 +35,13 @@
     void on_out_of_contact(const process_id& /*peer*/) override {
         ++out_of_contact;
     }
+    void on_forgotten(const std::string& address) override {
+        forgotten.push_back(address);
+    }
     advert make_advert() override { return {}; }
 
     dispatch_settings settings;
+    std::vector<std::string> forgotten;
     std::vector<envelope> sent;
     std::map<std::string, std::size_t> sent_to;
     std::vector<std::pair<std::string, bool>> received;
@@ -92,6 +96,26 @@
     BOOST_TEST(b.received[0].second);
 }
 
+// 140 hosts are replaced a day; their addresses must not pile up.
+BOOST_AUTO_TEST_CASE(host_not_heard_for_long_is_forgotten_and_may_come_back) {
+    run(1s);
+    now += a.settings.forget_after + 1s;
+    a.sessions.tick(now);
+    BOOST_REQUIRE_EQUAL(a.forgotten.size(), 1U);
+    BOOST_TEST(a.forgotten[0] == "b:1");
+    BOOST_TEST(a.sessions.peers().empty());
+    run(1s);
+    BOOST_TEST(a.sessions.is_live({"b:1", 2}));
+}
+
+BOOST_AUTO_TEST_CASE(seed_is_never_forgotten) {
+    a.settings.seeds = {"b:1"};
+    run(1s);
+    now += a.settings.forget_after + 1s;
+    a.sessions.tick(now);
+    BOOST_TEST(a.forgotten.empty());
+}
+
 BOOST_AUTO_TEST_CASE(payload_lost_on_the_way_is_sent_again_in_order) {
     send_to_b("job-1");
     run(100ms, true);
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -33,6 +33,29 @@
     BOOST_TEST(handled == 0);
 }
 
+// A host that stood still finds requests whose callers have gone, and may have
+// sent them to another host.
+BOOST_AUTO_TEST_CASE(a_request_whose_caller_has_gone_is_not_handled) {
+    constexpr auto address = "127.0.0.1:24902";
+    int handled = 0;
+    event_loop loop;
+    http_server server(
+        loop, 1024, [&handled](const http_request&) { ++handled; },
+        [](http_token) {});
+    BOOST_REQUIRE(server.start(address).ok());
+    const int caller = socket(AF_INET, SOCK_STREAM, 0);
+    const auto target = parse_socket_address(address);
+    const auto* raw = reinterpret_cast<const sockaddr*>(&*target);
+    BOOST_REQUIRE(connect(caller, raw, sizeof(*target)) == 0);
+    constexpr std::string_view request =
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}";
+    BOOST_REQUIRE(send(caller, request.data(), request.size(), 0) > 0);
+    close(caller);
+    loop.run_for(200ms);
+    BOOST_TEST(handled == 0);
+    BOOST_TEST(server.held_requests() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge
