Endpoints that are gone are let go

Cause: a holder kept the session of every endpoint that ever left, and, since silent endpoints are asked until they answer, would have called each of them twice a second for ever. Sessions end when the endpoint has left the list and its runs are over; if its row comes back it is taken again under its token. Test: endpoint_that_is_gone_is_held_until_its_runs_are_over.

Ruled out: erasing at once (runs still count until they are certainly over).

--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -251,7 +251,9 @@
     }
     most_are_slow_ = slow * 2 > sessions_.size();
     std::erase_if(sessions_, [](const auto& item) {
-        return item.second->phase() == session_phase::fenced;
+        const auto& session = *item.second;
+        return session.phase() == session_phase::fenced ||
+               (session.is_gone() && session.ledger().empty());
     });
     move_from_slow_endpoints(now);
     queue_.extract(
--- a/src/core/dispatch/holder_directory.cpp
+++ b/src/core/dispatch/holder_directory.cpp
@@ -129,16 +129,6 @@
     return held;
 }
 
-std::vector<holder_record> holder_directory::orphans() const {
-    std::vector<holder_record> found;
-    for (const auto& [id, row] : rows_) {
-        if (!endpoints_.contains(id)) {
-            found.push_back(row.record);
-        }
-    }
-    return found;
-}
-
 bool holder_directory::may_change(timestamp now, const row& current) const {
     return now - current.changed_at >= current.calm_time;
 }
--- a/src/core/dispatch/holder_directory.hpp
+++ b/src/core/dispatch/holder_directory.hpp
@@ -41,9 +41,6 @@
     // Also endpoints that are not listed here, or not yet.
     [[nodiscard]] std::vector<std::string>
     held_by(const process_id& holder) const;
-    // Rows of endpoints that the platform does not list any more.
-    [[nodiscard]] std::vector<holder_record> orphans() const;
-
     // Changes whenever endpoints or holders do.
     [[nodiscard]] std::uint64_t generation() const { return generation_; }
 
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -147,6 +147,21 @@
     BOOST_TEST(port.starts.size() == before + 1);
 }
 
+BOOST_AUTO_TEST_CASE(endpoint_that_is_gone_is_held_until_its_runs_are_over) {
+    assign("0123456789abcdef", 1);
+    answer_starts();
+    const auto busy = port.starts.front().target.endpoint;
+    holder.mark_gone(now, "endpoint-1");
+    holder.mark_gone(now, "endpoint-2");
+    holder.tick(now);
+    BOOST_TEST(holder.sessions().size() == 1U);
+    BOOST_TEST(holder.holds(busy));
+    now += 150ms;
+    answer_hold(busy, {});
+    holder.tick(now);
+    BOOST_TEST(holder.sessions().empty());
+}
+
 BOOST_AUTO_TEST_CASE(advert_offers_no_place_on_a_slow_endpoint) {
     assign("0123456789abcdef", 2);
     answer_starts();
