Payloads that are given up are told to both sides; one-way cuts take no work

Cause: `peer_sessions::flush` dropped what was pending once 4,096 payloads were unacknowledged, without a log line or a consequence: an assignment, a claim or an end could vanish while both sides counted on it. Such backlogs build up when a peer is heard but hears nothing, and then the coordinator went on placing tasks there, since it judged a holder by its own ears only.

Ruled out: keeping everything (no bound on memory); a new numbering of payloads (acknowledgements would need one as well).

Change: envelopes carry the first sequence that may still come. On a gap, and on dropping, both sides log it, the holder abandons the coordinator's work, and the coordinator places its tasks again when the earlier runs are certainly over, even if the peer is heard again. A holder out of contact gets no tasks and counts as lost to the coordinator; its endpoints stay with it.

Tests, failing before: both_sides_learn_that_payloads_were_dropped, holder_that_hears_this_host_no_more_is_given_no_task (2 placements instead of 1), task_whose_report_was_lost_is_placed_again_in_time.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -146,22 +146,29 @@
     return live;
 }
 
-void dispatcher::on_lost(const process_id& peer, bool restarted) {
-    // A silent holder drops our tasks when it has not heard us for
-    // `abandon_after`; a dead one loses them with their lease.
+// A silent holder drops our tasks when it has not heard us for
+// `abandon_after`; a dead one loses them with their lease.
+timestamp dispatcher::runs_over_by(bool restarted) const {
     const auto lease = settings_.lease_limit +
                        std::chrono::duration_cast<duration>(
                            settings_.lease_limit * settings_.clock_drift) +
                        2 * settings_.stop_limit;
-    const auto over_by =
-        now_ + lease + (restarted ? duration{0} : settings_.abandon_after);
+    return now_ + lease + (restarted ? duration{0} : settings_.abandon_after);
+}
+
+bool dispatcher::is_in_contact(const process_id& peer) const {
+    const auto found = sessions_.peers().find(peer.address);
+    return found != sessions_.peers().end() && !found->second.out_of_contact;
+}
+
+void dispatcher::on_lost(const process_id& peer, bool restarted) {
     ports_.observer.log(
         log_level::warning, "peer_lost",
         {{"peer", peer.address},
          {"restarted", restarted ? "yes" : "no"},
          {"holds", std::to_string(directory_.held_by(peer).size())}});
     coordinator_.handle_holder_lost(now_, peer, directory_.held_by(peer),
-                                    over_by);
+                                    runs_over_by(restarted));
     next_check_ = timestamp{0};
     if (!directory_.held_by(peer).empty()) {
         holder_lost_at_ = now_;
@@ -171,17 +178,40 @@
 void dispatcher::on_back(const process_id& peer) {
     ports_.observer.log(log_level::info, "peer_heard",
                         {{"peer", peer.address}});
-    coordinator_.handle_holder_back(peer);
+    if (is_in_contact(peer)) {
+        coordinator_.handle_holder_back(peer);
+    }
 }
 
 void dispatcher::on_out_of_contact(const process_id& peer) {
     holder_.abandon(now_, peer);
+    if (sessions_.is_live(peer)) {
+        // It is heard, but hears this host no more: a cut in one direction.
+        ports_.observer.log(log_level::warning, "peer_out_of_contact",
+                            {{"peer", peer.address}});
+        coordinator_.handle_holder_lost(now_, peer, directory_.held_by(peer),
+                                        runs_over_by(false));
+    }
+}
+
+void dispatcher::on_back_in_contact(const process_id& peer) {
+    coordinator_.handle_holder_back(peer);
+}
+
+void dispatcher::on_payloads_dropped(const process_id& peer) {
+    ports_.observer.log(log_level::error, "peer_payloads_dropped",
+                        {{"peer", peer.address}});
+    ports_.observer.count("peer_payloads_dropped", "yes");
+    holder_.abandon(now_, peer);
+    coordinator_.handle_reports_lost(peer, runs_over_by(false));
 }
 
 void dispatcher::on_advert(const process_id& from,
                            const std::string& failure_domain,
                            const advert& about) {
-    views_.update(now_, from, failure_domain, about);
+    if (is_in_contact(from)) {
+        views_.update(now_, from, failure_domain, about);
+    }
     if (about.catalogue_version > catalogue_version_) {
         auto& asked = catalogue_asked_[from.address];
         if (now_ - asked >= catalogue_ask_interval) {
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -111,6 +111,9 @@
     void take_over(timestamp now, const std::vector<std::string>& endpoints);
     [[nodiscard]] std::vector<candidate> live_hosts() const;
     [[nodiscard]] advert describe_self() const;
+    // When the runs of a holder are over that is out of contact from now on.
+    [[nodiscard]] timestamp runs_over_by(bool restarted) const;
+    [[nodiscard]] bool is_in_contact(const process_id& peer) const;
     payload* outbox(const process_id& peer);
     void deliver_to_self(timestamp now);
     void handle_payload(const process_id& from, const payload& content,
@@ -132,6 +135,8 @@
     void on_lost(const process_id& peer, bool restarted) override;
     void on_back(const process_id& peer) override;
     void on_out_of_contact(const process_id& peer) override;
+    void on_back_in_contact(const process_id& peer) override;
+    void on_payloads_dropped(const process_id& peer) override;
     void on_forgotten(const std::string& address) override;
     advert make_advert() override;
 
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -146,6 +146,7 @@
             task.endpoint.clear();
             task.token = 0;
             task.holder_lost = false;
+            task.report_lost = false;
             assignments[*holder].items.push_back(
                 {{{submission.work.id, s, i}, task.run}, need, task.avoid});
         }
@@ -362,7 +363,8 @@
     for (auto& [id, state] : jobs_) {
         for (auto& step : state.steps) {
             for (auto& task : step.tasks) {
-                if (task.phase == task_phase::placed && task.holder == holder) {
+                if (task.phase == task_phase::placed && task.holder == holder &&
+                    !task.holder_lost) {
                     task.holder_lost = true;
                     task.over_by = over_by;
                 }
@@ -381,7 +383,7 @@
     for (auto& [id, state] : jobs_) {
         for (auto& step : state.steps) {
             for (auto& task : step.tasks) {
-                if (task.holder == holder) {
+                if (task.holder == holder && !task.report_lost) {
                     task.holder_lost = false;
                 }
             }
@@ -389,6 +391,21 @@
     }
 }
 
+void job_coordinator::handle_reports_lost(const process_id& holder,
+                                          timestamp over_by) {
+    for (auto& [id, state] : jobs_) {
+        for (auto& step : state.steps) {
+            for (auto& task : step.tasks) {
+                if (task.phase == task_phase::placed && task.holder == holder) {
+                    task.holder_lost = true;
+                    task.report_lost = true;
+                    task.over_by = over_by;
+                }
+            }
+        }
+    }
+}
+
 void job_coordinator::handle_adoption(timestamp now, const process_id& holder,
                                       const endpoint_adoption& adoption) {
     // Messages of two holders may overtake each other.
@@ -460,6 +477,7 @@
         task.endpoint = adoption.endpoint;
         task.token = adoption.token;
         task.holder_lost = false;
+        task.report_lost = false;
         claim.items.push_back({run, state.submission.work.steps[step].need});
         return;
     }
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -66,6 +66,9 @@
     // The same process is heard again: it still has what it was given, or
     // reports what it dropped meanwhile.
     void handle_holder_back(const process_id& holder);
+    // Assignments to the holder, or reports of it, were given up on the way;
+    // runs that are not reported by `over_by` are over.
+    void handle_reports_lost(const process_id& holder, timestamp over_by);
     void tick(timestamp now);
     // Gives up every job: this process stood still for so long that others
     // may have run them again.
@@ -90,6 +93,7 @@
         std::vector<std::string> avoid;
         timestamp over_by{0}; // if the holder is lost
         bool holder_lost = false;
+        bool report_lost = false; // its end may never be reported
     };
 
     struct step_state {
--- a/src/core/dispatch/messages.cpp
+++ b/src/core/dispatch/messages.cpp
@@ -59,6 +59,9 @@
     if (!is_stamp(message.content_echo_us)) {
         return wrong("content_echo_us");
     }
+    if (message.sequence != 0 && message.first_sequence > message.sequence) {
+        return wrong("first_sequence");
+    }
     const auto share = message.about.cpu_share;
     if (!std::isfinite(share) || share < 0.0 || share > largest_share) {
         return wrong("about.cpu_share");
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -130,7 +130,8 @@
                    adoptions, claims, updates);
 };
 
-// `sequence` is that of the payload, 0 without one. `to_incarnation` is 0 as
+// `sequence` is that of the payload, 0 without one; payloads before
+// `first_sequence` are acknowledged or given up. `to_incarnation` is 0 as
 // long as the sender does not know the receiver's. `stamp_us` is the sender's
 // clock; `echo_us` the latest stamp it has received from the receiver;
 // `content_echo_us` what that was when the payload was first sent.
@@ -145,9 +146,11 @@
     std::int64_t content_echo_us = 0;
     advert about;
     payload content;
+    std::uint64_t first_sequence = 0; // last, so that older peers can read it
 
     MSGPACK_DEFINE(from, failure_domain, to_incarnation, sequence, ack,
-                   stamp_us, echo_us, content_echo_us, about, content);
+                   stamp_us, echo_us, content_echo_us, about, content,
+                   first_sequence);
 };
 
 std::string_view to_string(update_kind kind);
--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -11,8 +11,6 @@
 // A peer that is not heard is still greeted, for it may hear us.
 // Shorter than the time of suspicion.
 constexpr duration lost_heartbeat_interval = 300ms;
-// What a peer that is out of reach may keep waiting here.
-constexpr std::size_t max_unacknowledged = 4096;
 
 } // namespace
 
@@ -53,6 +51,9 @@
     message.failure_domain = settings_.failure_domain;
     message.to_incarnation = to.id.incarnation;
     message.sequence = what.sequence;
+    message.first_sequence = to.unacknowledged.empty()
+                                 ? to.next_sequence
+                                 : to.unacknowledged.front().sequence;
     message.ack = to.received;
     message.stamp_us = now.count();
     message.echo_us = to.peer_stamp_us;
@@ -64,12 +65,15 @@
 }
 
 void peer_sessions::flush(timestamp now) {
+    std::vector<process_id> dropped;
     for (auto& [address, to] : peers_) {
         if (to.pending.empty()) {
             continue;
         }
         if (to.unacknowledged.size() >= max_unacknowledged) {
+            to.unacknowledged.clear();
             to.pending = {};
+            dropped.push_back(to.id);
             continue;
         }
         const auto sequence = to.next_sequence++;
@@ -81,6 +85,9 @@
             {sequence, to.peer_stamp_us, std::exchange(to.pending, {})});
         send(now, address, to, to.unacknowledged.back());
     }
+    for (const auto& peer : dropped) {
+        events_.on_payloads_dropped(peer);
+    }
 }
 
 void peer_sessions::resend(timestamp now, const std::string& address,
@@ -127,16 +134,8 @@
     from.peer_stamp_us = std::max(from.peer_stamp_us, message.stamp_us);
     const bool for_us = message.to_incarnation == settings_.self.incarnation;
     if (for_us) {
-        from.echoed_at = std::max(from.echoed_at, timestamp(message.echo_us));
-        const auto since = from.close_since.value_or(timestamp{0});
-        if (now - std::max(from.echoed_at, since) <= settings_.abandon_after) {
-            from.out_of_contact = false;
-        }
-        while (!from.unacknowledged.empty() &&
-               from.unacknowledged.front().sequence <= message.ack) {
-            from.unacknowledged.pop_front();
-            from.resend_at = now + resend_pause;
-        }
+        note_echo(now, from, message);
+        note_dropped(from, message);
     }
     events_.on_advert(from.id, from.failure_domain, from.about);
     if (for_us && message.sequence == from.received + 1) {
@@ -148,6 +147,28 @@
     }
 }
 
+void peer_sessions::note_echo(timestamp now, peer& from,
+                              const envelope& message) {
+    from.echoed_at = std::max(from.echoed_at, timestamp(message.echo_us));
+    const auto since = from.close_since.value_or(timestamp{0});
+    if (now - std::max(from.echoed_at, since) <= settings_.abandon_after &&
+        std::exchange(from.out_of_contact, false)) {
+        events_.on_back_in_contact(from.id);
+    }
+    while (!from.unacknowledged.empty() &&
+           from.unacknowledged.front().sequence <= message.ack) {
+        from.unacknowledged.pop_front();
+        from.resend_at = now + resend_pause;
+    }
+}
+
+void peer_sessions::note_dropped(peer& from, const envelope& message) {
+    if (message.first_sequence > from.received + 1) {
+        from.received = message.first_sequence - 1;
+        events_.on_payloads_dropped(from.id);
+    }
+}
+
 void peer_sessions::lose(peer& gone, bool restarted) {
     if (!gone.lost) {
         gone.lost = true;
--- a/src/core/dispatch/peer_sessions.hpp
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -4,7 +4,9 @@
 // failure domains without work in common get them more seldom. Payloads are
 // numbered and kept until acknowledged; they are sent again when a connection
 // is back. A payload counts as fresh only if its sender had heard this process
-// shortly before, so that what was held up on the way starts nothing.
+// shortly before, so that what was held up on the way starts nothing. A payload
+// that can't be kept until it is acknowledged is given up, and both sides are
+// told: see `on_payloads_dropped()`.
 #ifndef FIGRIDGE_CORE_DISPATCH_PEER_SESSIONS_HPP
 #define FIGRIDGE_CORE_DISPATCH_PEER_SESSIONS_HPP
 
@@ -32,11 +34,21 @@
     virtual void on_back(const process_id& peer) = 0;
     // The peer has not heard this process for `abandon_after`, or restarted.
     virtual void on_out_of_contact(const process_id& peer) = 0;
+    // A peer that was out of contact hears this process again.
+    virtual void on_back_in_contact(const process_id& peer) = 0;
+    // Payloads to or from the peer were given up; neither side may rely on
+    // what it was told before.
+    virtual void on_payloads_dropped(const process_id& peer) = 0;
     // The peer was not heard for `forget_after` and is greeted no more.
     virtual void on_forgotten(const std::string& address) = 0;
     virtual advert make_advert() = 0;
 };
 
+// Payloads that a peer out of reach may keep waiting here. Beyond it both sides
+// start afresh. 46,000 starts a second over 24 hosts are 1,920 a host, and a
+// holder is out of contact after `abandon_after`.
+constexpr std::size_t max_unacknowledged = 4096;
+
 // Owned by a `dispatcher`. Not thread-safe.
 class peer_sessions {
 public:
@@ -101,6 +113,9 @@
     bool watch_closely(timestamp now, peer& other) const;
     void note_payload(timestamp now, peer& other) const;
     void check_contact(timestamp now, peer& other);
+    void note_echo(timestamp now, peer& from, const envelope& message);
+    // Whether the sender has given payloads up that never came here.
+    void note_dropped(peer& from, const envelope& message);
     void resend(timestamp now, const std::string& address, peer& to);
     void lose(peer& gone, bool restarted);
     void forget_long_lost(timestamp now);
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -51,6 +51,44 @@
 
 BOOST_FIXTURE_TEST_SUITE(dispatcher_test, holding_dispatcher)
 
+// A cut in one direction: the holder is heard, but hears this host no more.
+BOOST_AUTO_TEST_CASE(holder_that_hears_this_host_no_more_is_given_no_task) {
+    // Payloads with work in them; each may be sent more than once.
+    const auto given = [this] {
+        std::set<std::uint64_t> sequences;
+        for (const auto& [address, message] : peers.sent) {
+            if (!message.content.assignments.empty()) {
+                sequences.insert(message.sequence);
+            }
+        }
+        return sequences.size();
+    };
+    const auto hear = [this](timestamp echo) {
+        envelope message;
+        message.from = {"10.1.0.2:1", 12};
+        message.failure_domain = "domain-1";
+        message.to_incarnation = 99;
+        message.stamp_us = now.count();
+        message.echo_us = echo.count();
+        message.about = {1, false, 0.25, 1, 16'000, 0, 0, 16'000, 32'768, {}};
+        message.about.free_cpu = {16'000};
+        core.handle_envelope(now, message);
+    };
+    hear(now);
+    core.submit(now, 1, make_job("0123456789abcdef"));
+    BOOST_TEST(given() == 1U);
+    const auto cut_at = now;
+    for (int i = 0; i < 8; ++i) {
+        pass(100ms);
+        hear(cut_at);
+    }
+    core.submit(now, 2, make_job("0123456789abcde0"));
+    BOOST_TEST(given() == 1U);
+    hear(now); // healed
+    pass(25ms);
+    BOOST_TEST(given() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(takeover_whose_reply_was_lost_counts_when_its_row_shows) {
     BOOST_REQUIRE(store.writes.size() == 1U);
     core.handle_stored(now, store.writes.back().first, store_status::unknown);
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -140,6 +140,19 @@
     BOOST_TEST(answers.empty());
 }
 
+// The end of the run may have been among the reports that were given up.
+BOOST_AUTO_TEST_CASE(task_whose_report_was_lost_is_placed_again_in_time) {
+    submit(1);
+    update(holder_a, 0, update_kind::started);
+    coordinator.handle_reports_lost(holder_a, now + 1s);
+    coordinator.handle_holder_back(holder_a);
+    pass(975ms);
+    BOOST_TEST(placements() == 1U);
+    pass(50ms);
+    BOOST_TEST(placements() == 2U);
+    BOOST_TEST(assignments.back().second.items[0].run.run == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(started_run_found_by_the_next_holder_is_claimed) {
     submit(1);
     update(holder_a, 0, update_kind::started);
--- a/tests/dispatch/peer_sessions_test.cpp
+++ b/tests/dispatch/peer_sessions_test.cpp
@@ -35,6 +35,10 @@
     void on_out_of_contact(const process_id& /*peer*/) override {
         ++out_of_contact;
     }
+    void on_back_in_contact(const process_id& /*peer*/) override {
+        ++back_in_contact;
+    }
+    void on_payloads_dropped(const process_id& /*peer*/) override { ++dropped; }
     void on_forgotten(const std::string& address) override {
         forgotten.push_back(address);
     }
@@ -48,6 +52,8 @@
     std::vector<bool> lost;
     int back = 0;
     int out_of_contact = 0;
+    int back_in_contact = 0;
+    int dropped = 0;
     peer_sessions sessions;
 };
 
@@ -184,6 +190,32 @@
     BOOST_TEST(c.out_of_contact == 0);
 }
 
+BOOST_AUTO_TEST_CASE(contact_is_back_when_a_cut_has_healed) {
+    run(1s, true, false);
+    const int before = a.back_in_contact;
+    run(500ms);
+    BOOST_TEST(a.back_in_contact == before + 1);
+}
+
+// What can't be kept any longer may have been an assignment, a claim or an
+// end: neither side may go on as if the other knew it.
+BOOST_AUTO_TEST_CASE(both_sides_learn_that_payloads_were_dropped) {
+    for (std::size_t i = 0; i <= max_unacknowledged; ++i) {
+        send_to_b("job-" + std::to_string(i));
+        a.sessions.flush(now);
+    }
+    BOOST_TEST(a.dropped == 1);
+    a.sent.clear();
+    run(1s);
+    BOOST_TEST(b.dropped == 1);
+    b.received.clear();
+    send_to_b("job-after");
+    run(1s);
+    BOOST_REQUIRE_EQUAL(b.received.size(), 1U);
+    BOOST_TEST(b.received[0].first == "job-after");
+    BOOST_TEST(a.dropped + b.dropped == 2);
+}
+
 BOOST_AUTO_TEST_CASE(restarted_peer_is_lost_and_gets_nothing_of_the_old) {
     send_to_b("job-1");
     a.sessions.flush(now);
