A started host takes over from ended processes without settling

Meanwhile callers wait, and what is placed goes to the one domain that has a holder.

Ruled out: a shorter settling time (a holder that is alive and slow to answer would lose its endpoints to each host that starts); taking endpoints whose holder was never heard.

Change: before it knows the others, a host takes over only rows of processes at whose address another incarnation has been heard, itself included.

Tests: started_host_takes_over_from_its_former_process_at_once (failed before), started_host_waits_for_a_holder_it_has_not_heard_yet.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -353,19 +353,22 @@
     const bool alone =
         sessions_.live_count() == 0 && !sessions_.peers().empty();
     const bool isolated = alone && now - started_at_ < isolated_wait;
-    if (draining_ || !has_endpoints_ || !settled || isolated) {
+    if (draining_ || !has_endpoints_) {
         return;
     }
+    const bool knows_others = settled && !isolated;
     auto wanted = wanted_endpoints(now);
     const auto refused = refused_rows(now);
     wanted.insert(wanted.end(), refused.begin(), refused.end());
     wants_endpoints_ = !wanted.empty();
     std::vector<std::string> ready;
     for (const auto& id : wanted) {
-        if (being_taken_.contains(id)) {
+        const auto* row = directory_.holder_of(id);
+        const bool free =
+            knows_others || (row != nullptr && has_ended(row->holder));
+        if (being_taken_.contains(id) || !free) {
             continue;
         }
-        const auto* row = directory_.holder_of(id);
         const auto& endpoint = directory_.endpoints().at(id);
         const auto answers = probe_answers_.find(id);
         const bool reachable = answers != probe_answers_.end() &&
@@ -397,6 +400,15 @@
     }
 }
 
+bool dispatcher::has_ended(const process_id& process) const {
+    const auto peer = sessions_.peers().find(process.address);
+    const auto present =
+        process.address == settings_.self.address ? settings_.self.incarnation
+        : peer != sessions_.peers().end()         ? peer->second.id.incarnation
+                                                  : 0;
+    return present != 0 && present != process.incarnation;
+}
+
 const std::vector<std::string>& dispatcher::wanted_endpoints(timestamp now) {
     auto hosts = live_hosts();
     const bool same = hosts == compared_hosts_ &&
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -102,6 +102,8 @@
     // Every input ends here: starts what fits and sends what was collected.
     void leave(timestamp now);
     void check_holders(timestamp now);
+    // Whether another process has been heard at its address since.
+    [[nodiscard]] bool has_ended(const process_id& process) const;
     // The directory's answer, asked again only when something has changed.
     const std::vector<std::string>& wanted_endpoints(timestamp now);
     // Begins to hold what the stored rows give to this process.
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -304,6 +304,38 @@
     BOOST_TEST(looks() > before);
 }
 
+// Hosts that have just started, before they can tell who else is alive.
+struct starting_dispatcher : quiet_dispatcher {
+    void list_endpoint(const process_id& holder) {
+        core.set_catalogue(1, "one");
+        core.set_endpoints(now, {make_endpoint("endpoint-1")});
+        core.set_holder(now, {"endpoint-1", "domain-1", holder, 4, 5});
+        pass(75ms);
+        if (!endpoints.holds.empty()) {
+            hold_reply reply;
+            reply.call = {call_status::ok, 1000};
+            core.handle_hold(now, endpoints.holds.back().target, reply);
+        }
+    }
+};
+
+// A start of all hosts at once leaves every endpoint with a process that has
+// ended; its own former one a host need not wait for.
+BOOST_FIXTURE_TEST_CASE(started_host_takes_over_from_its_former_process_at_once,
+                        starting_dispatcher) {
+    list_endpoint({"10.1.0.9:1", 98});
+    BOOST_REQUIRE(store.writes.size() == 1U);
+    BOOST_TEST(store.writes[0].second[0].token == 5U);
+    BOOST_TEST(store.writes[0].second[0].version == 5U);
+}
+
+BOOST_FIXTURE_TEST_CASE(started_host_waits_for_a_holder_it_has_not_heard_yet,
+                        starting_dispatcher) {
+    list_endpoint({"10.1.0.2:1", 12});
+    pass(300ms);
+    BOOST_TEST(store.writes.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
