Jobs that can not end in time are refused or ended at once

Cause: after a start of all hosts callers come again with what is left of their time, 0.2 s for tasks of 0.9 s; such jobs were queued, started and stopped when the caller left. A task that still waited when even the shortest run could not end in time took room from those that could.

Ruled out: inferring anything of a job's length from the caller's patience; the least time comes from the estimate alone (off by 40%, endpoints up to a quarter faster).

Change: a job whose shortest run is longer than its caller waits is refused with 503 and Retry-After; one with a task that has not started and can not end in time any more is ended and withdrawn before its caller leaves.

Tests: job_that_can_not_end_in_time_is_refused_at_once and job_whose_queued_task_comes_too_late_is_ended_early failed before; job_that_may_just_end_in_time_is_placed, job_whose_tasks_all_run_is_kept_until_its_caller_leaves.

--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -20,6 +20,17 @@
 // Beyond this share of the caller's patience a queue is too long to join.
 constexpr double hopeless_wait_share = 1.0;
 
+// Estimates are off by some 40%, and the fastest endpoints are a quarter
+// faster than the usual ones.
+constexpr double least_run_share = 1.0 / 1.4 / 1.25;
+
+// No run of the task is shorter.
+duration least_run_time(const task_need& need) {
+    const duration estimate = std::chrono::milliseconds(need.estimate_ms);
+    return duration(static_cast<std::int64_t>(
+        least_run_share * static_cast<double>(estimate.count())));
+}
+
 } // namespace
 
 job_coordinator::job_coordinator(const dispatch_settings& settings,
@@ -73,7 +84,9 @@
             {job_outcome::refused, "no_endpoints", retry_after_takeover});
     }
     duration longest{0};
+    duration least{0};
     for (const auto& step : submission.work.steps) {
+        least = std::max(least, least_run_time(step.need));
         if (!takeover_due && !views_.can_ever_fit(step.need)) {
             return refuse(now, token, submission,
                           {job_outcome::refused, "task_fits_no_endpoint",
@@ -82,6 +95,10 @@
         longest += std::chrono::milliseconds(step.need.estimate_ms);
     }
     const auto wait = views_.shortest_wait();
+    if (least > submission.patience) {
+        return refuse(now, token, submission,
+                      {job_outcome::refused, "too_little_time", wait});
+    }
     if (submission.queue.priority > 0 &&
         to_seconds(wait) >
             hopeless_wait_share * to_seconds(submission.patience)) {
@@ -515,16 +532,38 @@
 
 // --- time -------------------------------------------------------------------
 
+bool job_coordinator::comes_too_late(timestamp now, const job_state& state) {
+    for (std::size_t i = 0; i < state.steps.size(); ++i) {
+        const auto least = least_run_time(state.submission.work.steps[i].need);
+        if (now + least <= state.caller_leaves) {
+            continue;
+        }
+        const auto& tasks = state.steps[i].tasks;
+        const bool waits =
+            std::any_of(tasks.begin(), tasks.end(), [](const task_state& task) {
+                return task.phase != task_phase::done && task.endpoint.empty();
+            });
+        if (waits) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void job_coordinator::tick(timestamp now) {
     if (!views_.empty()) {
         no_holder_since_.reset();
     } else if (!no_holder_since_) {
         no_holder_since_ = now;
     }
-    std::vector<std::string> expired;
+    std::vector<std::pair<std::string, const char*>> expired;
     for (auto& [id, state] : jobs_) {
         if (now > state.caller_leaves) {
-            expired.push_back(id);
+            expired.emplace_back(id, "deadline_passed");
+            continue;
+        }
+        if (comes_too_late(now, state)) {
+            expired.emplace_back(id, "too_late_to_complete");
             continue;
         }
         bool unplaced = false;
@@ -541,8 +580,8 @@
             place(now, state);
         }
     }
-    for (const auto& id : expired) {
-        finish(now, id, {job_outcome::gave_up, "deadline_passed", {}});
+    for (const auto& [id, reason] : expired) {
+        finish(now, id, {job_outcome::gave_up, reason, {}});
     }
     std::erase_if(answers_,
                   [now](const auto& item) { return now > item.second.until; });
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -140,6 +140,9 @@
                          const endpoint_adoption& adoption, job_state& state,
                          std::uint32_t step, std::uint32_t index,
                          adoption_claim& claim);
+    // Whether a task that has not started could not end before the caller
+    // leaves, wherever it started now.
+    static bool comes_too_late(timestamp now, const job_state& state);
     void withdraw(const job_state& state);
     void finish(timestamp now, const std::string& id, const job_answer& answer);
     void refuse(timestamp now, caller_token token,
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -46,14 +46,15 @@
         answers.push_back(answer);
     }
 
-    void submit(std::uint32_t tasks, std::uint32_t attempts = 3) {
+    void submit(std::uint32_t tasks, std::uint32_t attempts = 3,
+                duration patience = 1500ms) {
         job_submission submission;
         submission.work.id = "0123456789abcdef";
         submission.work.steps.push_back(
             {tasks, {{6000, 64, 0}, 60, {}, {}}, {}});
         submission.queue.attempts = attempts;
         submission.queue.stretch = 1.6;
-        submission.patience = 1500ms;
+        submission.patience = patience;
         coordinator.submit(now, 1, submission);
     }
 
@@ -140,6 +141,43 @@
     BOOST_TEST(answers.empty());
 }
 
+// A caller whose first request was cut off comes again with what is left of
+// its time. Estimates of 60 ms may stand for runs of 34 ms.
+BOOST_AUTO_TEST_CASE(job_that_can_not_end_in_time_is_refused_at_once) {
+    submit(1, 3, 30ms);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::refused));
+    BOOST_TEST(answers[0].reason == "too_little_time");
+    BOOST_TEST(placements() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(job_that_may_just_end_in_time_is_placed) {
+    submit(1, 3, 35ms);
+    BOOST_TEST(answers.empty());
+    BOOST_TEST(placements() == 1U);
+}
+
+// In a backlog beyond capacity such jobs would take the room of those that
+// still gain by it.
+BOOST_AUTO_TEST_CASE(job_whose_queued_task_comes_too_late_is_ended_early) {
+    submit(2, 3, 500ms);
+    update(holder_a, 0, update_kind::started);
+    pass(450ms);
+    BOOST_TEST(answers.empty());
+    pass(50ms); // 33 ms are needed
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::gave_up));
+    BOOST_TEST(answers[0].reason == "too_late_to_complete");
+    BOOST_TEST(withdrawals.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(job_whose_tasks_all_run_is_kept_until_its_caller_leaves) {
+    submit(1, 3, 500ms);
+    update(holder_a, 0, update_kind::started);
+    pass(500ms);
+    BOOST_TEST(answers.empty());
+}
+
 // The end of the run may have been among the reports that were given up.
 BOOST_AUTO_TEST_CASE(task_whose_report_was_lost_is_placed_again_in_time) {
     submit(1);
