A poll ends when a start without an answer can be judged

Cause: a start that got no answer is stopped, and its task is placed again when a list asked for after the stop shows that the run is not there. That list was a long poll of 300 ms, often behind another one: up to 800 ms for a task of 60.

Ruled out: placing the task at once (the order may be carried out seconds later); a shorter window of starts (its deadline is the first lease).

Change: a poll waits no longer than until the runs without an answer can be judged.

Test: poll_waits_no_longer_than_until_a_start_can_be_judged failed before (wait of 300 ms).

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -101,6 +101,21 @@
 
 // --- long poll ------------------------------------------------------------
 
+// A run whose start got no answer is judged by a list asked for after its stop
+// has taken effect; its task waits for that.
+duration endpoint_session::poll_wait(timestamp now) const {
+    duration wait = settings_.renew_interval;
+    for (const auto& [run, entry] : ledger_.entries()) {
+        if (entry.state != run_state::uncertain) {
+            continue;
+        }
+        const auto judged_at =
+            entry.stop_answered_at.value_or(now) + settings_.stop_limit;
+        wait = std::min(wait, std::max(duration{0}, judged_at - now));
+    }
+    return wait;
+}
+
 void endpoint_session::poll(timestamp now) {
     if (poll_sent_ || now < next_poll_ || phase_ == session_phase::fenced ||
         phase_ == session_phase::claiming) {
@@ -125,8 +140,7 @@
         // that its end can be awaited.
         if (occupied && failed_calls_ == 0 && clock_.is_known()) {
             call.lease_deadline_ms = renew_deadline(now);
-            call.wait_ms =
-                static_cast<std::uint32_t>(to_ms(settings_.renew_interval));
+            call.wait_ms = static_cast<std::uint32_t>(to_ms(poll_wait(now)));
         }
     }
     acknowledged_sent_ = acknowledged_;
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -81,6 +81,8 @@
     [[nodiscard]] call_target target() const;
     std::int64_t renew_deadline(timestamp now);
     void poll(timestamp now);
+    // How long the next poll may wait for an end.
+    [[nodiscard]] duration poll_wait(timestamp now) const;
     void take_ends(const hold_reply& reply);
     // `sent`: when the poll was sent that `reply` answers.
     void take_running(timestamp now, timestamp sent, const hold_reply& reply);
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -65,6 +65,24 @@
     BOOST_TEST(session->room().cpu_millis == 16'000U);
 }
 
+// The task is placed again only after the list that shows the run is not there.
+BOOST_AUTO_TEST_CASE(poll_waits_no_longer_than_until_a_start_can_be_judged) {
+    answer_hold({});
+    start(0);
+    now += 150ms;
+    answer_start(0, call_status::unanswered);
+    session->handle_stop(now, run_of(0), {call_status::ok, clock_ms()});
+    BOOST_REQUIRE(!port.holds.empty());
+    BOOST_TEST(port.holds.back().wait_ms <= 50U);
+    now += 51ms;
+    answer_hold({});
+    BOOST_TEST(events.ends.empty());
+    BOOST_TEST(port.holds.back().wait_ms == 0U);
+    now += 1ms;
+    answer_hold({});
+    BOOST_REQUIRE_EQUAL(events.ends.size(), 1U);
+}
+
 BOOST_AUTO_TEST_CASE(start_that_never_came_is_over_once_its_stop_was_answered) {
     answer_hold({});
     start(0);
