A list beside the long poll judges starts without an answer

Cause: the list that judges a stopped start had to wait for the long poll that was on its way, and for 50 ms after the stop. Once a stop is answered the endpoint refuses the run for ever, and what was there is listed, so the next list tells.

Ruled out: telling the coordinator by time alone, 50 ms after the stop (the run may have ended done meanwhile, and its end would be thrown away).

Change: calls for lists are numbered, and replies carry the number. When the stop of such a start is answered, a list is asked for at once, beside the long poll. Lists are compared with what was known when they were asked for by these numbers in place of times; a list asked for before a newer one was read brings its ends only.

Tests: start_without_answer_is_judged_right_after_its_stop and list_asked_for_earlier_changes_nothing failed before; the first replaces poll_waits_no_longer_than_until_a_start_can_be_judged, whose mechanism is gone, and asks for more: the end at once.

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -101,23 +101,8 @@
 
 // --- long poll ------------------------------------------------------------
 
-// A run whose start got no answer is judged by a list asked for after its stop
-// has taken effect; its task waits for that.
-duration endpoint_session::poll_wait(timestamp now) const {
-    duration wait = settings_.renew_interval;
-    for (const auto& [run, entry] : ledger_.entries()) {
-        if (entry.state != run_state::uncertain) {
-            continue;
-        }
-        const auto judged_at =
-            entry.stop_answered_at.value_or(now) + settings_.stop_limit;
-        wait = std::min(wait, std::max(duration{0}, judged_at - now));
-    }
-    return wait;
-}
-
 void endpoint_session::poll(timestamp now) {
-    if (poll_sent_ || now < next_poll_ || phase_ == session_phase::fenced ||
+    if (poll_ || now < next_poll_ || phase_ == session_phase::fenced ||
         phase_ == session_phase::claiming) {
         return;
     }
@@ -140,15 +125,32 @@
         // that its end can be awaited.
         if (occupied && failed_calls_ == 0 && clock_.is_known()) {
             call.lease_deadline_ms = renew_deadline(now);
-            call.wait_ms = static_cast<std::uint32_t>(to_ms(poll_wait(now)));
+            call.wait_ms =
+                static_cast<std::uint32_t>(to_ms(settings_.renew_interval));
         }
     }
     acknowledged_sent_ = acknowledged_;
-    poll_sent_ = now;
-    ++polls_sent_;
+    call.number = ++calls_sent_;
+    poll_ = call.number;
     port_.hold(call);
 }
 
+// A task whose start got no answer waits until a list asked for after its
+// stop shows that the run is not there; a long poll may be on its way.
+void endpoint_session::look() {
+    const bool due =
+        !look_ && phase_ == session_phase::active &&
+        std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
+                    [](const auto& item) {
+                        return item.second.state == run_state::uncertain &&
+                               item.second.stop_answered_calls;
+                    });
+    if (due) {
+        look_ = ++calls_sent_;
+        port_.hold({target(), acknowledged_, std::nullopt, 0, *look_});
+    }
+}
+
 bool endpoint_session::take_call(timestamp now, const call_reply& reply) {
     switch (reply.status) {
     case call_status::stale_token:
@@ -173,13 +175,16 @@
 }
 
 void endpoint_session::handle_hold(timestamp now, const hold_reply& reply) {
-    const auto sent = poll_sent_.value_or(now);
-    poll_sent_.reset();
+    const bool is_look = look_ == reply.number;
+    (is_look ? look_ : poll_).reset();
     if (phase_ == session_phase::fenced) {
         return;
     }
     if (reply.call.status != call_status::ok) {
         take_call(now, reply.call);
+        if (is_look) {
+            return;
+        }
         // The first call that failed is repeated at once: leases go on.
         const auto pauses = failed_calls_ > 0 ? failed_calls_ - 1 : 1;
         next_poll_ = now + std::min(retry_pause * pauses, longest_retry_pause);
@@ -204,8 +209,11 @@
         adopt(now, reply);
     } else {
         take_ends(reply);
-        take_running(now, sent, reply);
+        if (reply.number >= newest_list_) {
+            take_running(now, reply);
+        }
     }
+    newest_list_ = std::max(newest_list_, reply.number);
     if (ledger_.empty()) {
         idle_since_ = now;
     }
@@ -224,8 +232,7 @@
     }
 }
 
-void endpoint_session::take_running(timestamp now, timestamp sent,
-                                    const hold_reply& reply) {
+void endpoint_session::take_running(timestamp now, const hold_reply& reply) {
     std::set<task_run> listed;
     for (const auto& running : reply.running) {
         listed.insert(running.run);
@@ -242,7 +249,7 @@
         if (entry->state == run_state::uncertain) {
             entry->state = run_state::running;
             entry->confirmed_at = now;
-            entry->confirmed_polls = polls_sent_;
+            entry->confirmed_calls = calls_sent_;
         }
         if (running.percent != entry->percent) {
             entry->percent = running.percent;
@@ -254,14 +261,14 @@
         if (listed.contains(run) || entry.state == run_state::starting) {
             continue;
         }
-        const bool stopped_before =
-            entry.stop_answered_at &&
-            *entry.stop_answered_at + settings_.stop_limit < sent;
+        // Once its stop is answered, a run is listed or never comes.
+        const bool stopped_before = entry.stop_answered_calls &&
+                                    *entry.stop_answered_calls < reply.number;
         const bool cannot_start =
             reply.call.clock_ms > entry.lease_deadline_ms &&
             entry.state == run_state::uncertain;
         const bool was_there = entry.state != run_state::uncertain &&
-                               entry.confirmed_polls < polls_sent_;
+                               entry.confirmed_calls < reply.number;
         if (stopped_before || cannot_start || was_there) {
             missing.push_back(entry);
         }
@@ -359,7 +366,7 @@
     for (auto& [run, entry] : ledger_.entries()) {
         // The former life's clock and stops mean nothing in this one.
         entry.lease_deadline_ms = no_deadline;
-        entry.stop_answered_at.reset();
+        entry.stop_answered_calls.reset();
         entry.next_stop = now;
     }
 }
@@ -397,7 +404,7 @@
     case call_status::ok:
         entry->state = run_state::running;
         entry->confirmed_at = now;
-        entry->confirmed_polls = polls_sent_;
+        entry->confirmed_calls = calls_sent_;
         entry->progress_at = now;
         events_.on_started(*this, *entry);
         break;
@@ -435,7 +442,7 @@
     }
     for (auto& [run, entry] : ledger_.entries()) {
         const bool due = entry.stop_wanted && !entry.stop_in_flight &&
-                         !entry.stop_answered_at && now >= entry.next_stop &&
+                         !entry.stop_answered_calls && now >= entry.next_stop &&
                          entry.state != run_state::starting;
         if (due) {
             entry.stop_in_flight = true;
@@ -453,10 +460,11 @@
     }
     entry->stop_in_flight = false;
     if (reply.status == call_status::ok) {
-        entry->stop_answered_at = now;
+        entry->stop_answered_calls = calls_sent_;
     } else {
         entry->next_stop = now + retry_pause;
     }
+    look();
     poll(now);
 }
 
@@ -506,6 +514,7 @@
     }
     check_lapse(now);
     send_stops(now);
+    look();
     poll(now);
 }
 
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -81,11 +81,10 @@
     [[nodiscard]] call_target target() const;
     std::int64_t renew_deadline(timestamp now);
     void poll(timestamp now);
-    // How long the next poll may wait for an end.
-    [[nodiscard]] duration poll_wait(timestamp now) const;
+    // Asks for a list beside the long poll if a run has to be judged.
+    void look();
     void take_ends(const hold_reply& reply);
-    // `sent`: when the poll was sent that `reply` answers.
-    void take_running(timestamp now, timestamp sent, const hold_reply& reply);
+    void take_running(timestamp now, const hold_reply& reply);
     void judge_progress(timestamp now);
     void adopt(timestamp now, const hold_reply& reply);
     void end_life(timestamp now);
@@ -110,8 +109,11 @@
     std::uint64_t acknowledged_ = 0;
     std::uint64_t acknowledged_sent_ = 0;
     std::int64_t latest_deadline_ms_ = 0;
-    std::optional<timestamp> poll_sent_;
-    std::uint64_t polls_sent_ = 0;
+    // Numbers of the calls for lists that are not answered yet.
+    std::optional<std::uint64_t> poll_;
+    std::optional<std::uint64_t> look_;
+    std::uint64_t calls_sent_ = 0;  // for lists
+    std::uint64_t newest_list_ = 0; // number of its call
     timestamp next_poll_{0};
     timestamp idle_since_{0};
     timestamp claims_until_{0};
--- a/src/core/dispatch/ports.hpp
+++ b/src/core/dispatch/ports.hpp
@@ -46,12 +46,14 @@
 };
 
 // Renews the lease if there is a deadline, acknowledges ends, and reads what
-// runs and has ended; waits up to `wait_ms` for an end.
+// runs and has ended; waits up to `wait_ms` for an end. The reply carries the
+// call's number, since replies may overtake each other.
 struct hold_call {
     call_target target;
     std::uint64_t acknowledged = 0;
     std::optional<std::int64_t> lease_deadline_ms;
     std::uint32_t wait_ms = 0;
+    std::uint64_t number = 0;
 };
 
 struct call_reply {
@@ -77,6 +79,7 @@
     std::int64_t born_ms = 0;
     std::vector<running_entry> running;
     std::vector<ended_entry> ended;
+    std::uint64_t number = 0; // of the call
 };
 
 class endpoint_port {
--- a/src/core/dispatch/run_ledger.hpp
+++ b/src/core/dispatch/run_ledger.hpp
@@ -28,11 +28,12 @@
     run_state state = run_state::starting;
     timestamp entered_at{0};
     timestamp confirmed_at{0};          // answer to the start
-    std::uint64_t confirmed_polls = 0;  // polls sent by then
+    std::uint64_t confirmed_calls = 0;  // calls for lists sent by then
     std::int64_t lease_deadline_ms = 0; // latest one sent with its start
     bool stop_wanted = false;
     bool stop_in_flight = false;
-    std::optional<timestamp> stop_answered_at;
+    // Calls for lists sent when the stop was answered.
+    std::optional<std::uint64_t> stop_answered_calls;
     timestamp next_stop{0};
     std::uint32_t percent = 0;
     timestamp progress_at{0};
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -26,6 +26,7 @@
     void answer_hold(const std::vector<task_run>& running = {}) {
         const auto call = endpoints.holds.back();
         hold_reply reply;
+        reply.number = call.number;
         reply.call = {call_status::ok, to_ms(now) + 500};
         reply.born_ms = 1000;
         for (const auto& run : running) {
@@ -144,6 +145,7 @@
     answer_start(1);
     const auto call = endpoints.holds.back();
     hold_reply reply;
+    reply.number = call.number;
     reply.call = {call_status::ok, to_ms(now) + 560};
     reply.born_ms = 1000;
     reply.ended = {{1, endpoints.starts[0].run, end_kind::done},
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -35,6 +35,7 @@
     void answer_hold(const std::string& endpoint,
                      const std::vector<running_entry>& running) {
         hold_reply reply;
+        reply.number = port.holds.back().number;
         reply.call = {call_status::ok, to_ms(now) + 500};
         reply.born_ms = 1000;
         reply.running = running;
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -65,35 +65,53 @@
     BOOST_TEST(session->room().cpu_millis == 16'000U);
 }
 
-// The task is placed again only after the list that shows the run is not there.
-BOOST_AUTO_TEST_CASE(poll_waits_no_longer_than_until_a_start_can_be_judged) {
+// The task is placed again only after that list; a long poll is on its way.
+BOOST_AUTO_TEST_CASE(start_without_answer_is_judged_right_after_its_stop) {
     answer_hold({});
+    start(1);
+    answer_start(1); // the poll begins
+    const auto poll = port.holds.back();
     start(0);
     now += 150ms;
     answer_start(0, call_status::unanswered);
     session->handle_stop(now, run_of(0), {call_status::ok, clock_ms()});
-    BOOST_REQUIRE(!port.holds.empty());
-    BOOST_TEST(port.holds.back().wait_ms <= 50U);
-    now += 51ms;
-    answer_hold({});
-    BOOST_TEST(events.ends.empty());
-    BOOST_TEST(port.holds.back().wait_ms == 0U);
-    now += 1ms;
-    answer_hold({});
+    const auto look = port.holds.back();
+    BOOST_TEST(look.number > poll.number);
+    BOOST_TEST(look.wait_ms == 0U);
+    BOOST_TEST(!look.lease_deadline_ms.has_value());
+    now += 2ms;
+    answer_call(look, {run_of(1)});
     BOOST_REQUIRE_EQUAL(events.ends.size(), 1U);
+    BOOST_TEST((events.ends[0] == std::pair(run_of(0), update_kind::lost)));
+}
+
+// Replies may overtake each other.
+BOOST_AUTO_TEST_CASE(list_asked_for_earlier_changes_nothing) {
+    answer_hold({});
+    start(1);
+    answer_start(1);
+    const auto poll = port.holds.back();
+    start(0);
+    answer_start(0, call_status::unanswered);
+    session->handle_stop(now, run_of(0), {call_status::ok, clock_ms()});
+    start(2);
+    answer_start(2); // after both calls
+    answer_call(port.holds.back(), {run_of(1)});
+    answer_call(poll, {run_of(0), run_of(1)});
+    BOOST_TEST(events.ends.size() == 1U);
+    BOOST_TEST(session->ledger().size() == 2U);
+    BOOST_TEST(session->ledger().find(run_of(0)) == nullptr);
 }
 
 BOOST_AUTO_TEST_CASE(start_that_never_came_is_over_once_its_stop_was_answered) {
     answer_hold({});
     start(0);
     answer_start(0, call_status::unanswered);
+    const auto poll = port.holds.back();
     session->handle_stop(now, run_of(0), {call_status::ok, clock_ms()});
-    answer_hold({}); // sent before the stop was answered: proves nothing
+    answer_call(poll, {}); // sent before the stop was answered: proves nothing
     BOOST_TEST(events.ends.empty());
-    pass(200ms);
     answer_hold({}); // sent right after
-    pass(200ms);
-    answer_hold({});
     BOOST_REQUIRE_EQUAL(events.ends.size(), 1U);
     BOOST_TEST((events.ends[0].second == update_kind::lost));
 }
--- a/tests/dispatch/fleet/fleet_host.cpp
+++ b/tests/dispatch/fleet/fleet_host.cpp
@@ -228,12 +228,15 @@
                  lists = {};
                  lists.call = reply;
              }
+             lists.number = call.number;
              return [this, call, lists](dispatcher& core) {
                  core.handle_hold(fleet_.now_, call.target, lists);
              };
          },
          [this, call](dispatcher& core) {
-             core.handle_hold(fleet_.now_, call.target, {});
+             hold_reply none;
+             none.number = call.number;
+             core.handle_hold(fleet_.now_, call.target, none);
          }});
 }
 
--- a/tests/dispatch/session_fixture.hpp
+++ b/tests/dispatch/session_fixture.hpp
@@ -55,11 +55,19 @@
         return {{"0123456789abcdef", 0, index}, run};
     }
 
-    // Answers the open poll with what the endpoint has.
+    // Answers the latest call for the lists with what the endpoint has.
     void answer_hold(const std::vector<task_run>& running,
                      const std::vector<ended_entry>& ended = {},
                      std::int64_t born_ms = 1000) {
+        answer_call(port.holds.back(), running, ended, born_ms);
+    }
+
+    void answer_call(const hold_call& call,
+                     const std::vector<task_run>& running,
+                     const std::vector<ended_entry>& ended = {},
+                     std::int64_t born_ms = 1000) {
         hold_reply reply;
+        reply.number = call.number;
         reply.call = {call_status::ok, clock_ms()};
         reply.born_ms = born_ms;
         for (const auto& run : running) {
@@ -72,6 +80,7 @@
     // The same with the percent that each run has reached.
     void answer_hold_at(const std::vector<running_entry>& running) {
         hold_reply reply;
+        reply.number = port.holds.back().number;
         reply.call = {call_status::ok, clock_ms()};
         reply.born_ms = 1000;
         reply.running = running;
