Fault soak: real hosts behind a proxy with faults, judged while they run

Cause: what the fleet shows in virtual time was seen on real processes only for a few faults one after the other; sockets, timers, restarts and the store's adapter had no test under overlapping faults.

Change: `make soak SEEDS=N [FIRST=S]`. fault_proxy forwards the links to the store, to the endpoints and between the hosts, and delays, holds back one way or both, refuses or resets them; signals kill, pause, stop and restart hosts; the store and endpoints misbehave; a third of the endpoints has a clock 2% slow. The stand-ins judge more: work on endpoints that leave, complete answers whose tasks did not all end done, requests cut by a planned stop.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 # Shortcuts; docs/guide.md says more. Each installs what is missing and builds.
 BUILD ?= build/release
 SEEDS ?= 0
-export BUILD SEEDS
+export BUILD SEEDS FIRST
 
-.PHONY: packages build test demo mutants faults bench capacity format clean
+.PHONY: packages build test demo mutants faults soak bench capacity format clean
 
 packages:
 	@scripts/install_packages.sh
@@ -25,6 +25,9 @@
 faults: build
 	@scripts/faults.sh
 
+soak: build
+	@scripts/soak.sh
+
 bench: build
 	@scripts/bench.sh
 
--- a/scripts/platform_cluster.sh
+++ b/scripts/platform_cluster.sh
@@ -2,11 +2,14 @@
 # Source it; it needs bash and curl.
 #
 # Set before `cluster_start`: build (programs), hosts, endpoints, domains,
-# base_port.
+# base_port. With `proxied=yes` the hosts reach each other, the store and the
+# endpoints through a fault_proxy; see `link_fault`. Ports: hosts from
+# base_port + 10, endpoints + 100, shown as + 200, hosts behind the proxy + 300.
 
 cluster_dir=""
 declare -A host_pid=()
 system_pid=""
+proxy_pid=""
 
 host_port() { echo $((base_port + 10 + 4 * $1)); }
 host_peers() { echo "127.0.0.1:$(host_port "$1")"; }
@@ -19,6 +22,12 @@
     echo "${names[$(($1 % ${#names[@]}))]}"
 }
 store() { echo "127.0.0.1:$base_port"; }
+proxied_store() { echo "127.0.0.1:$((base_port + 2))"; }
+proxy_control() { echo "127.0.0.1:$((base_port + 3))"; }
+host_listen() { # behind the proxy
+    echo "127.0.0.1:$((base_port + 300 + $1))"
+}
+endpoint_link() { echo "127.0.0.1:$((base_port + 200 + $1))"; }
 control() { echo "http://127.0.0.1:$((base_port + 1))"; }
 all_callers() { # as a JSON list
     local list="" i
@@ -44,6 +53,28 @@
         -e "s|{{bounds.resend-ms}}|1300|" \
         -e "s|{{bounds.far-x}}|3|" \
         deploy/settings.ini.in >"$cluster_dir/host$1.ini"
+    [ "${proxied:-}" != yes ] || sed -i \
+        -e "s|^address = $(store)|address = $(proxied_store)|" \
+        -e "s|^\[peers\]|&\nlisten = $(host_listen "$1")|" \
+        "$cluster_dir/host$1.ini"
+}
+
+start_proxy() {
+    local links="$(proxied_store)=$(store)" i
+    for ((i = 0; i < hosts; i++)); do
+        links+=",$(host_peers "$i")=$(host_listen "$i")"
+    done
+    for ((i = 0; i < endpoints; i++)); do
+        links+=",$(endpoint_link "$i")=127.0.0.1:$((base_port + 100 + i))"
+    done
+    "$build/fault_proxy" --control "$(proxy_control)" --links "$links" \
+        >"$cluster_dir/proxy.log" 2>&1 &
+    proxy_pid=$!
+}
+
+link_fault() { # link or all, fault, milliseconds of a delay
+    curl -s -o "$cluster_dir/order.out" -X PUT "http://$(proxy_control)/fault" \
+        -d "{\"link\":\"$1\",\"fault\":\"$2\",\"delay_ms\":${3:-0}}"
 }
 
 start_host() { # index
@@ -82,10 +113,12 @@
 cluster_start() {
     local i
     cluster_dir=$(mktemp -d)
+    [ "${proxied:-}" != yes ] || start_proxy
     "$build/system_stand_in" --store "$(store)" \
         --control "127.0.0.1:$((base_port + 1))" \
         --first_endpoint_port $((base_port + 100)) \
-        --endpoints "$endpoints" --domains "$domains" \
+        --endpoints "$endpoints" --domains "$domains" --seed "${seed:-7}" \
+        --shown_port_offset "$([ "${proxied:-}" = yes ] && echo 100 || echo 0)" \
         >"$cluster_dir/system.log" 2>&1 &
     system_pid=$!
     wait_for "$(control)/report" 10 || return 1
@@ -137,15 +170,18 @@
     for i in "${!host_pid[@]}"; do kill -TERM "${host_pid[$i]}"; done
     for i in "${!host_pid[@]}"; do wait "${host_pid[$i]}" || result=1; done
     host_pid=()
-    kill -TERM "$system_pid" && { wait "$system_pid" || result=1; }
-    system_pid=""
+    local pid
+    for pid in $system_pid $proxy_pid; do
+        kill -TERM "$pid" && { wait "$pid" || result=1; }
+    done
+    system_pid="" proxy_pid=""
     return $result
 }
 
 # Ends what is left; for traps.
 cluster_abort() {
     local pid
-    for pid in "${host_pid[@]}" $system_pid; do
+    for pid in "${host_pid[@]}" $system_pid $proxy_pid; do
         kill -CONT "$pid" 2>/dev/null
         kill -KILL "$pid" 2>/dev/null
     done
--- /dev/null
+++ b/scripts/soak_seed.sh
@@ -0,0 +1,181 @@
+#!/usr/bin/env bash
+# One seed of the fault soak: real hosts on the stand-in of the platform,
+# behind a proxy with faults, under overlapping signals and faults, judged
+# while they run. Usage: soak_seed.sh BUILD SEED BASE_PORT [HOSTS ENDPOINTS].
+# Prints "seed N ok" or "seed N FAILED ..."; exit code 1 if it failed. With
+# keep_logs=yes in the environment the logs stay.
+set -u
+build=$1 seed=$2 base_port=$3
+cd "$(dirname "$0")/.."
+RANDOM=$seed
+hosts=${4:-$((3 + RANDOM % 4))} endpoints=${5:-$((6 + RANDOM % 10))}
+domains=d1,d2,d3 proxied=yes
+source scripts/platform_cluster.sh
+trap cluster_abort EXIT
+failures=()
+declare -A state=()       # of each host: up, down, paused, stopping
+declare -A endings=()     # command that ends a fault -> when, in ms
+declare -A version_seen=() # process -> catalogue version
+version=1
+noted_stop=""
+
+fail() { failures+=("$1"); }
+now_ms() { date +%s%3N; }
+pick() { # below
+    echo $((RANDOM % $1))
+}
+later() { # command, milliseconds from now
+    endings["$1"]=$(($(now_ms) + $2))
+}
+forget_stop() { # a stop beside other faults may cut requests
+    [ -n "$noted_stop" ] || return 0
+    order /stopping "{\"host\":\"$noted_stop\",\"stopping\":false}"
+    noted_stop=""
+}
+hosts_in() { # state
+    local i
+    for ((i = 0; i < hosts; i++)); do
+        [ "${state[$i]}" = "$1" ] && echo "$i"
+    done
+}
+control_store() {
+    curl -s -o "$cluster_dir/order.out" -X PUT -d "$1" \
+        "http://$(store)/control"
+}
+
+# --- ends of faults ---
+revive() { start_host "$1" && state[$1]=up; }
+resume() { kill -CONT "${host_pid[$1]}" && state[$1]=up; }
+end_stop() {
+    wait "${host_pid[$1]}"
+    local code=$?
+    unset "host_pid[$1]"
+    [ $code -eq 0 ] || fail "planned stop of host $1 ends with $code"
+    forget_stop
+    revive "$1"
+}
+heal_store() { control_store '{"mode":"up","lose":0,"delay_ms":2}'; }
+heal_link() { link_fault "$1" none; }
+heal_endpoint() { order /endpoint "{\"index\":$1,\"mode\":\"ok\"}"; }
+
+run_endings() { # all if "all"
+    local command at
+    at=$(now_ms)
+    for command in "${!endings[@]}"; do
+        if [ "$1" = all ] || [ "${endings[$command]}" -le "$at" ]; then
+            unset "endings[$command]"
+            $command
+        fi
+    done
+}
+
+# --- faults ---
+begin_fault() {
+    local lasts=$((300 + RANDOM % 2700)) up i link
+    mapfile -t up < <(hosts_in up)
+    i=${up[$(pick ${#up[@]})]:-}
+    local endpoint kind
+    endpoint=$(pick "$endpoints")
+    kind=$(pick 14)
+    case $kind in
+    0 | 1 | 2 | 3 | 13) [ ${#up[@]} -gt 1 ] || return 0 ;;
+    esac
+    [ "$kind" -eq 2 ] || forget_stop
+    case $kind in
+    0) kill_host "$i"; state[$i]=down; later "revive $i" $lasts ;;
+    1) kill -STOP "${host_pid[$i]}"; state[$i]=paused
+       later "resume $i" $lasts ;;
+    2) if [ ${#endings[@]} -eq 0 ]; then
+           noted_stop=$(host_callers "$i")
+           order /stopping "{\"host\":\"$noted_stop\",\"stopping\":true}"
+       fi
+       kill -TERM "${host_pid[$i]}"; state[$i]=stopping
+       later "end_stop $i" $((lasts + 1000)) ;;
+    3) kill_host "$i"; start_host "$i" ;;
+    4) local modes=(down silent slow)
+       control_store "{\"mode\":\"${modes[$(pick 3)]}\"}"
+       later heal_store $lasts ;;
+    5) control_store '{"lose":0.4}'; later heal_store $lasts ;;
+    6) control_store '{"compact":true}' ;;
+    7) link=$(proxied_store) ;;
+    8 | 9) link=$(endpoint_link "$endpoint") ;;
+    10) link=$(host_peers "$(pick "$hosts")") ;;
+    11) local modes=(mute shed fail_all)
+        order /endpoint "{\"index\":$endpoint,\"mode\":\"${modes[$(pick 3)]}\"}"
+        later "heal_endpoint $endpoint" $lasts ;;
+    12) order /endpoint "{\"index\":$endpoint,\"crash\":true}" ;;
+    13) kill -HUP "${host_pid[$i]}"
+        version=$((version + 1 + RANDOM % 4))
+        order /catalogue "{\"version\":$version}" ;;
+    esac
+    if [ -n "${link:-}" ]; then
+        local faults=(delay cut_to_target cut_to_client silent refuse reset)
+        link_fault "$link" "${faults[$(pick 6)]}" $((20 + RANDOM % 300))
+        later "heal_link $link" $lasts
+    fi
+}
+
+# A process never goes back to an earlier catalogue.
+watch_catalogue() {
+    local i seen process
+    for i in $(hosts_in up); do
+        process=${host_pid[$i]}
+        seen=$(curl -s -m 1 "http://$(host_operators "$i")/metrics" |
+            sed -n 's/^figridge_catalogue_version \([0-9]*\).*/\1/p')
+        [ -n "$seen" ] || continue
+        [ "$seen" -ge "${version_seen[$process]:-0}" ] ||
+            fail "host $i went back to catalogue $seen"
+        version_seen[$process]=$seen
+    done
+}
+
+calm_load() { # name, jobs that have to complete
+    begin_load "\"jobs\":$2,\"jobs_per_s\":20"
+    wait_for_load 60 || fail "$1: the load does not end"
+    [ "$(report_field completed)" -eq "$2" ] ||
+        fail "$1: $(report_field completed) of $2 jobs completed"
+}
+
+cluster_start || fail "the hosts do not start"
+for ((i = 0; i < hosts; i++)); do state[$i]=up; done
+if [ ${#failures[@]} -eq 0 ]; then
+    begin_load "\"jobs\":${jobs:-400},\"jobs_per_s\":$((40 + RANDOM % 40))"
+    for ((step = 0; step < ${steps:-14}; step++)); do
+        begin_fault
+        sleep "0.$((1 + RANDOM % 9))"
+        watch_catalogue
+        run_endings due
+    done
+    run_endings all
+    heal_store
+    link_fault all none
+    wait_for_load 60 || fail "the load does not end"
+    [ "$(report_field sent)" -eq $(($(report_field completed) + \
+        $(report_field failed) + $(report_field refused) + \
+        $(report_field unanswered))) ] || fail "callers without an end"
+    wait_for_endpoints 20 || fail "not all endpoints are held"
+    # An endpoint that leaves gets no new work after the platform's bound.
+    order /endpoint '{"index":0,"draining":true}'
+    calm_load "after the faults" 110
+    order /endpoint '{"index":0,"draining":false}'
+    for i in $(hosts_in up); do
+        until curl -s -m 2 -H 'Host: figridge.example' -o /dev/null \
+            -w '%{http_code}' "http://$(host_callers "$i")/version-$version/" |
+            grep -q 200; do
+            [ $((tries = ${tries:-100} - 1)) -gt 0 ] ||
+                { fail "host $i lacks catalogue $version"; break; }
+            sleep 0.1
+        done
+    done
+    report | grep -q '"complaints":\[\]' ||
+        fail "$(report | sed 's/.*"complaints":\(\[[^]]*\]\).*/\1/' |
+            cut -c1-300)"
+    cluster_stop || fail "a process does not end with 0"
+fi
+if [ ${#failures[@]} -eq 0 ]; then
+    echo "seed $seed ok hosts=$hosts endpoints=$endpoints"
+    exit 0
+fi
+echo "seed $seed FAILED hosts=$hosts endpoints=$endpoints:$(printf ' %s;' \
+    "${failures[@]}") logs=${keep_logs:+$cluster_dir}"
+exit 1
--- a/testing/platform/job_callers.cpp
+++ b/testing/platform/job_callers.cpp
@@ -13,9 +13,17 @@
 
 } // namespace
 
-job_callers::job_callers(event_loop& loop, run_judge& judge)
+job_callers::job_callers(event_loop& loop, run_judge& judge, std::uint64_t seed)
     : loop_(loop), judge_(judge), client_(loop),
-      timer_(loop, [this] { send_next(); }) {}
+      timer_(loop, [this] { send_next(); }), random_(seed) {}
+
+void job_callers::note_stop(const std::string& host, bool stopping) {
+    if (stopping) {
+        stopping_.insert(host);
+    } else {
+        stopping_.erase(host);
+    }
+}
 
 void job_callers::begin(load_plan plan) {
     plan_ = std::move(plan);
@@ -53,10 +61,10 @@
         return finish(open);
     }
     std::uniform_int_distribution<std::size_t> pick(0, plan_.hosts.size() - 1);
+    open->host = plan_.hosts[pick(random_)];
     http_call request;
     request.method = "POST";
-    request.url =
-        absl::StrCat("http://", plan_.hosts[pick(random_)], "/jobs/", open->id);
+    request.url = absl::StrCat("http://", open->host, "/jobs/", open->id);
     request.body = open->body;
     request.timeout = left;
     request.headers = {"Host: figridge.example",
@@ -73,6 +81,10 @@
         const auto body = parse_json(result.body);
         const bool completed =
             body.ok() && body->value("state", "") == "completed";
+        if (completed && judge_.done_tasks(open->id) < plan_.tasks) {
+            judge_.complain("completed, though not all ended done: " +
+                            open->id);
+        }
         ++(completed ? result_.completed : result_.failed);
         return finish(open);
     }
@@ -86,6 +98,11 @@
         ++result_.refused;
         return finish(open);
     }
+    const bool cut = result.outcome == http_outcome::lost &&
+                     event_loop::now() < open->leaves;
+    if (cut && stopping_.contains(open->host) && judge_.has_started(open->id)) {
+        judge_.complain("cut by a planned stop: " + open->id);
+    }
     if (result.outcome != http_outcome::not_sent) {
         open->only_refused = false;
     }
--- a/testing/platform/job_callers.hpp
+++ b/testing/platform/job_callers.hpp
@@ -34,9 +34,11 @@
 // thread-safe.
 class job_callers {
 public:
-    job_callers(event_loop& loop, run_judge& judge);
+    job_callers(event_loop& loop, run_judge& judge, std::uint64_t seed);
 
     void begin(load_plan plan);
+    // Between these two calls the host cuts no request that it has read.
+    void note_stop(const std::string& host, bool stopping);
     [[nodiscard]] bool is_done() const {
         return sent_ == plan_.jobs && open_.empty();
     }
@@ -47,6 +49,7 @@
         std::string id;
         std::string body;
         timestamp leaves{0};
+        std::string host; // that it was sent to last
         bool only_refused = true;
         std::unique_ptr<timer_watcher> again;
     };
@@ -60,7 +63,8 @@
     run_judge& judge_;
     http_client client_;
     timer_watcher timer_;
-    std::mt19937_64 random_{7};
+    std::mt19937_64 random_;
+    std::set<std::string> stopping_;
     load_plan plan_;
     load_result result_;
     std::uint32_t sent_ = 0;
--- a/testing/platform/leased_endpoint.cpp
+++ b/testing/platform/leased_endpoint.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint32_t capacity_memory_mb = 32'768;
 constexpr std::int64_t lease_limit_ms = 1000;
 constexpr duration tick_interval = 5ms;
+// The platform's bound for work on an endpoint that leaves.
+constexpr duration drain_limit = 4s;
 constexpr int http_ok = 200;
 constexpr int http_bad_request = 400;
 constexpr int http_conflict = 409;
@@ -74,14 +76,22 @@
                    .count();
 }
 
+void leased_endpoint::set_draining(bool draining) {
+    if (!draining) {
+        draining_since_.reset();
+    } else if (!draining_since_) {
+        draining_since_ = event_loop::now();
+    }
+}
+
 json leased_endpoint::describe() const {
     return {
         {"service", "pool-1"},
-        {"address", address_},
+        {"address", shown_address_.empty() ? address_ : shown_address_},
         {"zone", failure_domain_},
         {"version", "v1"},
         {"slots", 8},
-        {"state", draining_ ? "draining" : "ready"},
+        {"state", draining_since_ ? "draining" : "ready"},
         {"cold-left-ms", 0},
         {"capacity",
          {{"cpu", capacity_cpu}, {"mem-mb", capacity_memory_mb}, {"gpu", 0}}},
@@ -91,7 +101,8 @@
 }
 
 std::int64_t leased_endpoint::clock_ms() const {
-    return to_ms(event_loop::now() - born_) + 1;
+    const auto age = static_cast<double>((event_loop::now() - born_).count());
+    return to_ms(duration(static_cast<std::int64_t>(age * clock_rate_))) + 1;
 }
 
 void leased_endpoint::respond(http_token token, int status, json body) {
@@ -169,6 +180,9 @@
     for (const auto& [name, other] : runs_) {
         used += other.cpu_millis;
     }
+    if (draining_since_ && event_loop::now() - *draining_since_ > drain_limit) {
+        judge_.complain("a start on " + id_ + ", which leaves: " + task);
+    }
     if (used > capacity_cpu) {
         judge_.complain("more than the capacity on " + id_ + ": " + task);
     }
@@ -228,7 +242,7 @@
     const auto found = runs_.find(task);
     ends_.push_back({next_end_++, task, found->second.number, how});
     runs_.erase(found);
-    judge_.ended(task);
+    judge_.ended(task, how == "done");
 }
 
 void leased_endpoint::answer_holds(bool all) {
--- a/testing/platform/leased_endpoint.hpp
+++ b/testing/platform/leased_endpoint.hpp
@@ -5,6 +5,7 @@
 #define FIGRIDGE_TESTING_PLATFORM_LEASED_ENDPOINT_HPP
 
 #include <list>
+#include <optional>
 
 #include "adapters/http_server.hpp"
 #include "codec/json_codec.hpp"
@@ -25,7 +26,13 @@
 
     // "ok", "fail_all", "mute" (carries out, answers nothing) or "shed".
     void set_mode(const std::string& mode) { mode_ = mode; }
-    void set_draining(bool draining) { draining_ = draining; }
+    void set_draining(bool draining);
+    // How fast its clock runs, 0.98 at least.
+    void set_clock_rate(double rate) { clock_rate_ = rate; }
+    // What the list shows as its address.
+    void set_shown_address(std::string address) {
+        shown_address_ = std::move(address);
+    }
     // Ends this life: everything that runs is gone, and the token is forgotten.
     void crash();
 
@@ -69,7 +76,9 @@
     http_server server_;
     timer_watcher ticker_;
     std::string mode_ = "ok";
-    bool draining_ = false;
+    std::optional<timestamp> draining_since_;
+    double clock_rate_ = 1.0;
+    std::string shown_address_;
     timestamp born_{0};
     std::int64_t born_ms_ = 0;
     std::uint64_t token_ = 0;
--- a/testing/platform/run_judge.hpp
+++ b/testing/platform/run_judge.hpp
@@ -21,7 +21,10 @@
         }
     }
 
-    void ended(const std::string& task) {
+    void ended(const std::string& task, bool done = false) {
+        if (done) {
+            done_tasks_[task.substr(0, task.find('.'))].insert(task);
+        }
         if (--running_[task] <= 0) {
             running_.erase(task);
         }
@@ -32,6 +35,11 @@
     [[nodiscard]] bool has_started(const std::string& job) const {
         return started_jobs_.contains(job);
     }
+    // How many tasks of a job have ended done.
+    [[nodiscard]] std::size_t done_tasks(const std::string& job) const {
+        const auto found = done_tasks_.find(job);
+        return found == done_tasks_.end() ? 0 : found->second.size();
+    }
     [[nodiscard]] std::uint64_t starts() const { return starts_; }
     [[nodiscard]] std::size_t running() const { return running_.size(); }
     [[nodiscard]] const std::vector<std::string>& complaints() const {
@@ -41,6 +49,7 @@
 private:
     std::map<std::string, int> running_;
     std::set<std::string> started_jobs_;
+    std::map<std::string, std::set<std::string>> done_tasks_;
     std::vector<std::string> complaints_;
     std::uint64_t starts_ = 0;
 };
--- a/testing/platform/system_main.cpp
+++ b/testing/platform/system_main.cpp
@@ -3,7 +3,8 @@
 //
 // The control server takes PUT /catalogue (the text of a version), PUT
 // /endpoint {"index": N or "all", "mode": NAME, "crash": true, "draining":
-// true}, PUT /load (a load plan) and GET /report.
+// true}, PUT /load (a load plan), PUT /stopping {"host": ADDRESS, "stopping":
+// true} while a host stops as planned, and GET /report.
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <gflags/gflags.h>
@@ -18,6 +19,9 @@
 DEFINE_int32(first_endpoint_port, 7300, "Port of the first endpoint.");
 DEFINE_int32(endpoints, 12, "How many endpoints to play.");
 DEFINE_string(domains, "d1,d2,d3", "Failure domains.");
+DEFINE_int32(shown_port_offset, 0,
+             "Added to the ports of endpoints in the list, for a proxy.");
+DEFINE_uint64(seed, 7, "Seed of the callers.");
 
 namespace figridge::testing {
 namespace {
@@ -30,7 +34,7 @@
 class system_stand_in {
 public:
     explicit system_stand_in(event_loop& loop)
-        : store_(loop), callers_(loop, judge_),
+        : store_(loop), callers_(loop, judge_, FLAGS_seed),
           control_(loop, max_body_bytes,
                    [this](const http_request& request) { handle(request); },
                    {}),
@@ -42,6 +46,10 @@
                 loop, absl::StrCat("endpoint-", i),
                 absl::StrCat("127.0.0.1:", FLAGS_first_endpoint_port + i),
                 domains[static_cast<std::size_t>(i) % domains.size()], judge_));
+            endpoints_.back()->set_shown_address(
+                absl::StrCat("127.0.0.1:", FLAGS_first_endpoint_port +
+                                               FLAGS_shown_port_offset + i));
+            endpoints_.back()->set_clock_rate(i % 3 == 0 ? 0.98 : 1.0);
         }
     }
 
@@ -101,6 +109,9 @@
             change_endpoints(*body);
         } else if (request.path == "/load") {
             begin_load(*body);
+        } else if (request.path == "/stopping") {
+            callers_.note_stop(body->value("host", ""),
+                               body->value("stopping", false));
         }
         respond(request, http_ok, json::object());
     }
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -338,6 +338,39 @@
     BOOST_TEST(store.writes.empty());
 }
 
+// A restarted host knows rows of endpoints that left while it was away.
+BOOST_FIXTURE_TEST_CASE(row_of_an_endpoint_that_has_left_is_not_taken_over,
+                        starting_dispatcher) {
+    list_endpoint({"10.1.0.9:1", 98});
+    core.set_holder(now, {"endpoint-2", "domain-1", {"10.1.0.9:1", 98}, 4, 6});
+    pass(2s);
+    for (const auto& [request, rows] : store.writes) {
+        for (const auto& row : rows) {
+            BOOST_TEST(row.endpoint == "endpoint-1");
+        }
+    }
+    for (const auto& call : endpoints.holds) {
+        BOOST_TEST(call.target.endpoint == "endpoint-1");
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(endpoint_that_leaves_gets_no_work_after_a_restart,
+                        starting_dispatcher) {
+    list_endpoint({"10.1.0.9:1", 98});
+    auto leaving = make_endpoint("endpoint-1");
+    leaving.state = endpoint_state::draining;
+    core.set_endpoint(now, leaving);
+    BOOST_REQUIRE(!store.writes.empty());
+    core.handle_stored(now, store.writes.back().first, store_status::ok);
+    hold_reply reply;
+    reply.call = {call_status::ok, 1000};
+    reply.number = endpoints.holds.back().number;
+    core.handle_hold(now, endpoints.holds.back().target, reply);
+    core.submit(now, 1, make_job("0123456789abcdef"));
+    pass(500ms);
+    BOOST_TEST(endpoints.starts.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
