--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -102,6 +102,9 @@
     // Every input ends here: starts what fits and sends what was collected.
     void leave(timestamp now);
     void check_holders(timestamp now);
+    // The answer to a look at an endpoint before a takeover.
+    void note_probe(timestamp now, const call_target& target,
+                    call_status status);
     // Whether another process has been heard at its address since.
     [[nodiscard]] bool has_ended(const process_id& process) const;
     // The directory's answer, asked again only when something has changed.
--- /dev/null
+++ b/src/core/dispatch/dispatcher_holding.cpp
@@ -0,0 +1,232 @@
+// What this host holds: takeovers, handovers and the rows of holders.
+#include <algorithm>
+#include <utility>
+
+#include "core/dispatch/dispatcher.hpp"
+
+namespace figridge::dispatch {
+namespace {
+
+// Without a change only times pass that keep an endpoint where it is.
+constexpr duration compare_interval = 500ms;
+constexpr duration probe_interval = 150ms;
+// A probe's answer counts this long.
+constexpr duration probe_validity = 300ms;
+// Longer than the longest pause between two tries to reach a peer.
+constexpr duration remote_wait = 1500ms;
+// The row of the holder with the higher token is read within this.
+constexpr duration refused_row_wait = 1s;
+// Entries in one transaction: a condition and a row for each endpoint.
+constexpr std::size_t max_rows_per_transaction = 50;
+// A host that hears nobody, though others are known, is probably cut off.
+constexpr duration isolated_wait = 3s;
+
+} // namespace
+
+void dispatcher::check_holders(timestamp now) {
+    for (const auto& [endpoint, token] : holder_.take_fenced()) {
+        refused_tokens_[endpoint] = {token, now};
+    }
+    hold_own_rows(now);
+    const bool settled = now - started_at_ >= settings_.settle_time;
+    const bool alone =
+        sessions_.live_count() == 0 && !sessions_.peers().empty();
+    const bool isolated = alone && now - started_at_ < isolated_wait;
+    if (draining_ || !has_endpoints_) {
+        return;
+    }
+    const bool knows_others = settled && !isolated;
+    auto wanted = wanted_endpoints(now);
+    const auto refused = refused_rows(now);
+    wanted.insert(wanted.end(), refused.begin(), refused.end());
+    wants_endpoints_ = !wanted.empty();
+    std::vector<std::string> ready;
+    for (const auto& id : wanted) {
+        const auto* row = directory_.holder_of(id);
+        const bool free =
+            knows_others || (row != nullptr && has_ended(row->holder));
+        if (being_taken_.contains(id) || !free) {
+            continue;
+        }
+        const auto& endpoint = directory_.endpoints().at(id);
+        const auto answers = probe_answers_.find(id);
+        const bool reachable = answers != probe_answers_.end() &&
+                               now - answers->second.last < probe_validity;
+        // After a partition the endpoints of another failure domain may
+        // answer before its hosts are heard again.
+        const bool steady =
+            reachable &&
+            (endpoint.failure_domain == settings_.failure_domain ||
+             answers->second.last - answers->second.first >= remote_wait);
+        if (row == nullptr || steady) {
+            ready.push_back(id);
+            continue;
+        }
+        const auto refused_look = refused_looks_.find(id);
+        if (refused_look != refused_looks_.end() &&
+            refused_look->second >= row->token) {
+            continue;
+        }
+        if (auto& sent = probed_[id]; now - sent >= probe_interval) {
+            sent = now;
+            open_probes_.insert(id);
+            ports_.endpoints.hold(
+                {{id, endpoint.address, row->token}, 0, std::nullopt, 0});
+        }
+    }
+    if (!ready.empty()) {
+        take_over(now, ready);
+    }
+}
+
+bool dispatcher::has_ended(const process_id& process) const {
+    const auto peer = sessions_.peers().find(process.address);
+    const auto present =
+        process.address == settings_.self.address ? settings_.self.incarnation
+        : peer != sessions_.peers().end()         ? peer->second.id.incarnation
+                                                  : 0;
+    return present != 0 && present != process.incarnation;
+}
+
+void dispatcher::note_probe(timestamp now, const call_target& target,
+                            call_status status) {
+    if (status == call_status::stale_token) {
+        // The row known here is outdated; the newer one comes by the store.
+        refused_looks_[target.endpoint] = target.token;
+    } else if (status != call_status::not_sent &&
+               status != call_status::unanswered) {
+        auto& answers = probe_answers_[target.endpoint];
+        if (now - answers.last > probe_validity) {
+            answers.first = now;
+        }
+        answers.last = now;
+    }
+}
+
+const std::vector<std::string>& dispatcher::wanted_endpoints(timestamp now) {
+    auto hosts = live_hosts();
+    const bool same = hosts == compared_hosts_ &&
+                      directory_.generation() == compared_generation_ &&
+                      now - compared_at_ < compare_interval;
+    if (!same) {
+        wanted_ = directory_.wanted(now, settings_.self, hosts);
+        compared_hosts_ = std::move(hosts);
+        compared_generation_ = directory_.generation();
+        compared_at_ = now;
+    }
+    return wanted_;
+}
+
+void dispatcher::hold_own_rows(timestamp now) {
+    for (const auto& id : directory_.held_by(settings_.self)) {
+        const auto* row = directory_.holder_of(id);
+        const auto refused = refused_tokens_.find(id);
+        const bool usable = refused == refused_tokens_.end() ||
+                            refused->second.token < row->token;
+        if (usable && directory_.endpoints().contains(id) &&
+            holder_.token_of(id) < row->token) {
+            holder_.take(now, directory_.endpoints().at(id), row->token,
+                         directory_.former_holder_of(id));
+        }
+    }
+}
+
+std::vector<std::string> dispatcher::refused_rows(timestamp now) const {
+    std::vector<std::string> found;
+    for (const auto& [id, refused] : refused_tokens_) {
+        const auto* row = directory_.holder_of(id);
+        if (row != nullptr && row->holder == settings_.self &&
+            row->token <= refused.token &&
+            directory_.endpoints().contains(id) &&
+            now - refused.at >= refused_row_wait) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
+void dispatcher::take_over(timestamp /*now*/,
+                           const std::vector<std::string>& endpoints) {
+    std::map<std::string, std::vector<holder_record>> by_domain;
+    for (const auto& id : endpoints) {
+        const auto& endpoint = directory_.endpoints().at(id);
+        const auto* row = directory_.holder_of(id);
+        const auto refused = refused_tokens_.find(id);
+        holder_record fresh;
+        fresh.endpoint = id;
+        fresh.failure_domain = endpoint.failure_domain;
+        fresh.holder = settings_.self;
+        fresh.token = 1 + std::max(row == nullptr ? 0 : row->token,
+                                   refused == refused_tokens_.end()
+                                       ? 0
+                                       : refused->second.token);
+        fresh.version = row == nullptr ? 0 : row->version;
+        auto& batch = by_domain[endpoint.failure_domain];
+        if (batch.size() >= max_rows_per_transaction) {
+            continue; // with the next check
+        }
+        batch.push_back(fresh);
+        being_taken_.insert(id);
+    }
+    for (auto& [domain, batch] : by_domain) {
+        const auto request = next_request_++;
+        ports_.observer.log(log_level::info, "takeover_begun",
+                            {{"failure_domain", domain},
+                             {"endpoints", std::to_string(batch.size())},
+                             {"request", std::to_string(request)}});
+        open_takeovers_[request] = batch;
+        ports_.store.replace(request, batch);
+    }
+}
+
+void dispatcher::handle_stored(timestamp now, std::uint64_t request,
+                               store_status status) {
+    enter(now);
+    const auto found = open_takeovers_.find(request);
+    if (found == open_takeovers_.end()) {
+        return;
+    }
+    ports_.observer.count("takeovers", to_string(status));
+    const auto batch = std::move(found->second);
+    open_takeovers_.erase(found);
+    ports_.observer.log(status == store_status::ok ? log_level::info
+                                                   : log_level::warning,
+                        "takeover_stored",
+                        {{"request", std::to_string(request)},
+                         {"outcome", std::string(to_string(status))}});
+    for (const auto& row : batch) {
+        being_taken_.erase(row.endpoint);
+        if (status == store_status::ok) {
+            directory_.set_holder(now, row);
+        }
+    }
+    hold_own_rows(now);
+    leave(now);
+}
+
+void dispatcher::set_holder(timestamp now, const holder_record& record) {
+    enter(now);
+    const auto* known = directory_.holder_of(record.endpoint);
+    if (known != nullptr && known->token > record.token) {
+        return;
+    }
+    directory_.set_holder(now, record);
+    const bool ours = record.holder == settings_.self;
+    if (!ours && holder_.token_of(record.endpoint) < record.token) {
+        holder_.release(now, record.endpoint);
+    }
+    if (ours) {
+        // Also a write whose answer was lost.
+        hold_own_rows(now);
+    }
+    leave(now);
+}
+
+void dispatcher::remove_holder(timestamp now, const std::string& endpoint) {
+    enter(now);
+    directory_.remove_holder(endpoint);
+    holder_.release(now, endpoint);
+    leave(now);
+}
+
+} // namespace figridge::dispatch
