A job that comes again has runs of its own; a holder lost twice is not complete

A host dropped a job whose caller had gone, the caller sent it again to the same host, and its runs began at 1 again. The late report of the former run 1 (lost on an endpoint that was cut off) was taken for the new run 1, which was about to start, and run 2 was placed beside it.

Beside it: a holder out of contact leaves the views; lost once more, its rows were taken for all that it holds, since nothing was known of it.

Change: the highest run of a job that was given up is kept for 10 s, and the job goes on above it. Rows count as complete only against what the holder said.

Tests, failing before: job_that_comes_again_has_runs_of_its_own, holder_lost_twice_may_hold_more_than_was_known.

--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -7,6 +7,9 @@
 
 // A caller that lost an answer asks again within this.
 constexpr duration answer_retention = 5s;
+// No run of a job that was given up is reported later than this: its lease and
+// the calls that end it are over.
+constexpr duration former_runs_retention = 10s;
 // A holder that reports a run as disowned may do so after the adoption.
 constexpr duration adoption_retention = 3s;
 // No message of a former holder is held up for longer.
@@ -113,10 +116,16 @@
         duration(static_cast<std::int64_t>(
             submission.queue.stretch * static_cast<double>(longest.count())));
     state.caller_leaves = now + submission.patience;
+    const auto former = former_runs_.find(id);
+    const auto first_run =
+        former == former_runs_.end() ? 1 : former->second.highest + 1;
     for (const auto& step : submission.work.steps) {
         step_state fresh;
         fresh.tasks.resize(step.count);
         fresh.remaining = step.count;
+        for (auto& task : fresh.tasks) {
+            task.run = first_run;
+        }
         state.steps.push_back(std::move(fresh));
     }
     state.submission = std::move(submission);
@@ -305,6 +314,7 @@
     withdraw(state);
     observer_.count("jobs", to_string(answer.outcome));
     if (answer.outcome != job_outcome::completed) {
+        keep_runs(now, state);
         log_job(log_level::info, "job_failed", state, answer, now);
     } else {
         log_job(log_level::debug, "job_completed", state, answer, now);
@@ -316,6 +326,16 @@
     jobs_.erase(found);
 }
 
+void job_coordinator::keep_runs(timestamp now, const job_state& state) {
+    auto& kept = former_runs_[state.submission.work.id];
+    kept.until = now + former_runs_retention;
+    for (const auto& step : state.steps) {
+        for (const auto& task : step.tasks) {
+            kept.highest = std::max(kept.highest, task.run);
+        }
+    }
+}
+
 void job_coordinator::log_job(log_level level, std::string_view event,
                               const job_state& state, const job_answer& answer,
                               timestamp now) {
@@ -366,8 +386,9 @@
     timestamp now, const process_id& holder,
     const std::vector<std::string>& endpoints, timestamp over_by) {
     // Rows known here may lag behind; then only the bound is certain.
+    const auto held = views_.endpoints_held(holder);
     const bool complete =
-        !endpoints.empty() && endpoints.size() >= views_.endpoints_held(holder);
+        !endpoints.empty() && held && endpoints.size() >= *held;
     views_.forget(holder);
     lost_holder lost{{endpoints.begin(), endpoints.end()}, complete, over_by};
     for (const auto& endpoint : endpoints) {
@@ -585,6 +606,8 @@
     }
     std::erase_if(answers_,
                   [now](const auto& item) { return now > item.second.until; });
+    std::erase_if(former_runs_,
+                  [now](const auto& item) { return now > item.second.until; });
     std::erase_if(adoptions_, [now](const auto& item) {
         return now - item.second.at > adoption_retention;
     });
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -123,6 +123,12 @@
         timestamp until{0};
     };
 
+    // Runs of a job that was given up; it may come again.
+    struct kept_runs {
+        std::uint32_t highest = 0;
+        timestamp until{0};
+    };
+
     struct kept_adoption {
         process_id holder;
         endpoint_adoption adoption;
@@ -144,6 +150,7 @@
     // leaves, wherever it started now.
     static bool comes_too_late(timestamp now, const job_state& state);
     void withdraw(const job_state& state);
+    void keep_runs(timestamp now, const job_state& state);
     void finish(timestamp now, const std::string& id, const job_answer& answer);
     void refuse(timestamp now, caller_token token,
                 const job_submission& submission, const job_answer& answer);
@@ -160,6 +167,7 @@
     std::map<std::string, job_state> jobs_;
     std::map<caller_token, std::string> tokens_;
     std::map<std::string, kept_answer> answers_;
+    std::map<std::string, kept_runs> former_runs_;
     std::map<process_id, lost_holder> lost_holders_;
     std::optional<timestamp> no_holder_since_;
     std::map<std::string, kept_adoption> adoptions_;
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -178,6 +178,28 @@
     BOOST_TEST(answers.empty());
 }
 
+// A holder may still report runs of the time before.
+BOOST_AUTO_TEST_CASE(job_that_comes_again_has_runs_of_its_own) {
+    submit(1);
+    coordinator.drop_caller(now, 1);
+    submit(1);
+    BOOST_REQUIRE_EQUAL(placements(), 2U);
+    BOOST_TEST(assignments.back().second.items[0].run.run == 2U);
+    update(holder_a, 0, update_kind::lost, 1);
+    BOOST_TEST(placements() == 2U);
+}
+
+// Heard for a moment, but out of contact, it may have got more endpoints.
+BOOST_AUTO_TEST_CASE(holder_lost_twice_may_hold_more_than_was_known) {
+    submit(1);
+    add_holder_b();
+    coordinator.handle_holder_lost(now, holder_a, {"endpoint-1"}, now + 1s);
+    coordinator.handle_holder_lost(now, holder_a, {"endpoint-1"}, now + 1s);
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {}, {}});
+    BOOST_TEST(placements() == 1U);
+}
+
 // The end of the run may have been among the reports that were given up.
 BOOST_AUTO_TEST_CASE(task_whose_report_was_lost_is_placed_again_in_time) {
     submit(1);
