A stopping host hands its endpoints over without the store

Cause: an endpoint changed hands only by a row.

Weighed: tokens made unique by host, so that any host takes over without a row (hosts with different views would take turns); leases in rows (a holder cut from the store would lose its endpoints). Kept: only the holder itself can give its right away, so no view of others matters. A crashed holder's endpoints still wait for the store.

Change: 500 ms after its stop began a host grants what it still holds to the successor that all hosts pick, under the next token, and calls these endpoints no more. Takeovers by the store use multiples of 1,000, so no grant can meet one with the same token. The successor adopts at once and writes the row when the store answers; others learn of the holder by its announcement. If it ends before that, its endpoints refuse looks; after 1.5 s they are taken over all the same. A host does not end before its endpoints are handed over, 1.5 s at most.

The fleet judges ONE (two hosts that start under one token).

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -13,6 +13,9 @@
 // After the loss of a holder everyone may have to take over for a while.
 constexpr duration successor_window = 3s;
 constexpr duration catalogue_ask_interval = 300ms;
+// A stopping host does not end before others hold its endpoints, but for this
+// long at most; grants go out after a third of it.
+constexpr duration handover_limit = 1500ms;
 
 std::string ms_text(duration time) {
     return std::to_string(to_ms(time));
@@ -280,7 +283,11 @@
     for (const auto& withdrawal : content.withdrawals) {
         holder_.withdraw(now_, from, withdrawal.job);
     }
+    for (const auto& grant : content.grants) {
+        take_grant(now_, from, grant);
+    }
     for (const auto& adoption : content.adoptions) {
+        note_holder(now_, from, adoption);
         coordinator_.handle_adoption(now_, from, adoption);
     }
     for (const auto& claim : content.claims) {
@@ -413,14 +420,19 @@
 
 void dispatcher::drain(timestamp now) {
     enter(now);
+    draining_since_ = draining_ ? draining_since_ : now;
     draining_ = true;
     sessions_.announce();
     leave(now);
 }
 
 bool dispatcher::is_drained() const {
+    const bool handed_over = holder_.sessions().empty() ||
+                             possible_successors().empty() ||
+                             now_ - draining_since_ >= handover_limit;
     return draining_ && coordinator_.job_count() == 0 &&
-           holder_.running_tasks() == 0 && holder_.queue().empty();
+           holder_.running_tasks() == 0 && holder_.queue().empty() &&
+           handed_over;
 }
 
 bool dispatcher::is_ready(timestamp /*now*/) const {
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -102,6 +102,22 @@
     // Every input ends here: starts what fits and sends what was collected.
     void leave(timestamp now);
     void check_holders(timestamp now);
+    // Gives what a stopping host still holds to its successors, without the
+    // store.
+    void grant_endpoints(timestamp now);
+    // The hosts that a stopping host could grant endpoints to.
+    [[nodiscard]] std::vector<candidate> possible_successors() const;
+    void take_grant(timestamp now, const process_id& from,
+                    const endpoint_grant& grant);
+    // Takes the holder of an endpoint from its announcement; the row may
+    // follow later.
+    void note_holder(timestamp now, const process_id& holder,
+                     const endpoint_adoption& adoption);
+    // Writes the rows of endpoints that were granted to this host.
+    void store_granted(timestamp now);
+    void write_rows(std::string_view event,
+                    const std::map<std::string, std::vector<holder_record>>&
+                        rows_by_domain);
     // The answer to a look at an endpoint before a takeover.
     void note_probe(timestamp now, const call_target& target,
                     call_status status);
@@ -171,8 +187,8 @@
         timestamp last{0};
     };
     std::map<std::string, timestamp> probed_;
-    // The token with which a look at an endpoint was refused.
-    std::map<std::string, std::uint64_t> refused_looks_;
+    // The token with which a look at an endpoint was refused first.
+    std::map<std::string, refused_token> refused_looks_;
     std::set<std::string> open_probes_;
     std::map<std::string, probe_answers> probe_answers_;
     std::uint64_t next_request_ = 1;
@@ -180,6 +196,9 @@
     std::string catalogue_text_;
     std::map<std::string, timestamp> catalogue_asked_;
     bool draining_ = false;
+    timestamp draining_since_{0};
+    // Granted endpoints whose rows are not written yet, and when to try.
+    std::map<std::string, timestamp> unsaved_;
     bool has_endpoints_ = false;
     bool wants_endpoints_ = false; // this host is to take some over
     timestamp holder_lost_at_{0};
--- a/src/core/dispatch/dispatcher_holding.cpp
+++ b/src/core/dispatch/dispatcher_holding.cpp
@@ -14,6 +14,10 @@
 constexpr duration probe_validity = 300ms;
 // Longer than the longest pause between two tries to reach a peer.
 constexpr duration remote_wait = 1500ms;
+// Successors take over by the store within a tenth of this if it answers.
+constexpr duration grant_after = 500ms;
+// Between two tries to write the row of a granted endpoint.
+constexpr duration save_interval = 500ms;
 // The row of the holder with the higher token is read within this.
 constexpr duration refused_row_wait = 1s;
 // Entries in one transaction: a condition and a row for each endpoint.
@@ -21,6 +25,11 @@
 // A host that hears nobody, though others are known, is probably cut off.
 constexpr duration isolated_wait = 3s;
 
+// The token of a takeover by the store, above those met so far.
+std::uint64_t next_stored_token(std::uint64_t highest) {
+    return (highest / first_stored_token + 1) * first_stored_token;
+}
+
 } // namespace
 
 void dispatcher::check_holders(timestamp now) {
@@ -28,6 +37,8 @@
         refused_tokens_[endpoint] = {token, now};
     }
     hold_own_rows(now);
+    store_granted(now);
+    grant_endpoints(now);
     const bool settled = now - started_at_ >= settings_.settle_time;
     const bool alone =
         sessions_.live_count() == 0 && !sessions_.peers().empty();
@@ -64,7 +75,13 @@
         }
         const auto refused_look = refused_looks_.find(id);
         if (refused_look != refused_looks_.end() &&
-            refused_look->second >= row->token) {
+            refused_look->second.token >= row->token) {
+            // Either a newer row comes, or the endpoint was granted to a
+            // process that ended before it wrote its row.
+            if (now - refused_look->second.at >= remote_wait) {
+                ready.push_back(id);
+                refused_look->second.at = now;
+            }
             continue;
         }
         if (auto& sent = probed_[id]; now - sent >= probe_interval) {
@@ -91,8 +108,10 @@
 void dispatcher::note_probe(timestamp now, const call_target& target,
                             call_status status) {
     if (status == call_status::stale_token) {
-        // The row known here is outdated; the newer one comes by the store.
-        refused_looks_[target.endpoint] = target.token;
+        auto& refused = refused_looks_[target.endpoint];
+        if (refused.token < target.token) {
+            refused = {target.token, now};
+        }
     } else if (status != call_status::not_sent &&
                status != call_status::unanswered) {
         auto& answers = probe_answers_[target.endpoint];
@@ -156,10 +175,9 @@
         fresh.endpoint = id;
         fresh.failure_domain = endpoint.failure_domain;
         fresh.holder = settings_.self;
-        fresh.token = 1 + std::max(row == nullptr ? 0 : row->token,
-                                   refused == refused_tokens_.end()
-                                       ? 0
-                                       : refused->second.token);
+        fresh.token = next_stored_token(std::max(
+            row == nullptr ? 0 : row->token,
+            refused == refused_tokens_.end() ? 0 : refused->second.token));
         fresh.version = row == nullptr ? 0 : row->version;
         auto& batch = by_domain[endpoint.failure_domain];
         if (batch.size() >= max_rows_per_transaction) {
@@ -168,9 +186,15 @@
         batch.push_back(fresh);
         being_taken_.insert(id);
     }
-    for (auto& [domain, batch] : by_domain) {
+    write_rows("takeover_begun", by_domain);
+}
+
+void dispatcher::write_rows(
+    std::string_view event,
+    const std::map<std::string, std::vector<holder_record>>& rows_by_domain) {
+    for (const auto& [domain, batch] : rows_by_domain) {
         const auto request = next_request_++;
-        ports_.observer.log(log_level::info, "takeover_begun",
+        ports_.observer.log(log_level::info, event,
                             {{"failure_domain", domain},
                              {"endpoints", std::to_string(batch.size())},
                              {"request", std::to_string(request)}});
@@ -198,6 +222,7 @@
         being_taken_.erase(row.endpoint);
         if (status == store_status::ok) {
             directory_.set_holder(now, row);
+            unsaved_.erase(row.endpoint);
         }
     }
     hold_own_rows(now);
@@ -208,9 +233,15 @@
     enter(now);
     const auto* known = directory_.holder_of(record.endpoint);
     if (known != nullptr && known->token > record.token) {
+        // The holder that is known here has not written its row yet.
+        directory_.set_version(record.endpoint, record.version);
         return;
     }
     directory_.set_holder(now, record);
+    if (const auto* newest = directory_.holder_of(record.endpoint);
+        newest != nullptr && newest->token <= record.token) {
+        unsaved_.erase(record.endpoint);
+    }
     const bool ours = record.holder == settings_.self;
     if (!ours && holder_.token_of(record.endpoint) < record.token) {
         holder_.release(now, record.endpoint);
@@ -222,6 +253,107 @@
     leave(now);
 }
 
+// --- handing over without the store -----------------------------------------
+
+std::vector<candidate> dispatcher::possible_successors() const {
+    std::vector<candidate> hosts;
+    for (const auto& host : live_hosts()) {
+        if (!host.draining && is_in_contact(host.id)) {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
+void dispatcher::grant_endpoints(timestamp now) {
+    if (!draining_ || now - draining_since_ < grant_after ||
+        holder_.sessions().empty()) {
+        return;
+    }
+    const auto hosts = possible_successors();
+    std::vector<holder_record> granted;
+    for (const auto& [id, session] : holder_.sessions()) {
+        const auto* row = directory_.holder_of(id);
+        const auto heir = directory_.successor(id, hosts);
+        const auto token = session->token() + 1;
+        // The next multiple is the store's.
+        if (row == nullptr || !heir || token % first_stored_token == 0) {
+            continue;
+        }
+        if (auto* box = outbox(*heir)) {
+            box->grants.push_back({id, token, row->version});
+            auto given = *row;
+            given.holder = *heir;
+            given.token = token;
+            granted.push_back(std::move(given));
+        }
+    }
+    for (const auto& row : granted) {
+        ports_.observer.log(log_level::info, "endpoint_granted",
+                            {{"endpoint", row.endpoint},
+                             {"to", row.holder.address},
+                             {"token", std::to_string(row.token)}});
+        directory_.set_holder(now, row);
+        holder_.release(now, row.endpoint);
+    }
+}
+
+void dispatcher::take_grant(timestamp now, const process_id& from,
+                            const endpoint_grant& grant) {
+    const auto* known = directory_.holder_of(grant.endpoint);
+    const auto endpoint = directory_.endpoints().find(grant.endpoint);
+    if (endpoint == directory_.endpoints().end() ||
+        (known != nullptr && known->token >= grant.token)) {
+        return;
+    }
+    ports_.observer.log(log_level::info, "grant_taken",
+                        {{"endpoint", grant.endpoint},
+                         {"from", from.address},
+                         {"token", std::to_string(grant.token)}});
+    directory_.set_holder(now, {grant.endpoint, endpoint->second.failure_domain,
+                                settings_.self, grant.token, grant.version});
+    unsaved_[grant.endpoint] = now;
+    hold_own_rows(now);
+}
+
+void dispatcher::note_holder(timestamp now, const process_id& holder,
+                             const endpoint_adoption& adoption) {
+    const auto* known = directory_.holder_of(adoption.endpoint);
+    if (known == nullptr || known->token >= adoption.token ||
+        holder == settings_.self) {
+        return;
+    }
+    auto row = *known;
+    row.holder = holder;
+    row.token = adoption.token;
+    directory_.set_holder(now, row);
+    if (holder_.holds(adoption.endpoint)) {
+        holder_.release(now, adoption.endpoint);
+    }
+}
+
+void dispatcher::store_granted(timestamp now) {
+    std::map<std::string, std::vector<holder_record>> by_domain;
+    for (auto& [id, due] : unsaved_) {
+        const auto* row = directory_.holder_of(id);
+        if (row == nullptr || row->holder != settings_.self || now < due ||
+            being_taken_.contains(id)) {
+            continue;
+        }
+        auto& batch = by_domain[row->failure_domain];
+        if (batch.size() < max_rows_per_transaction) {
+            batch.push_back(*row);
+            being_taken_.insert(id);
+            due = now + save_interval;
+        }
+    }
+    std::erase_if(unsaved_, [this](const auto& item) {
+        const auto* row = directory_.holder_of(item.first);
+        return row == nullptr || row->holder != settings_.self;
+    });
+    write_rows("grant_store_begun", by_domain);
+}
+
 void dispatcher::remove_holder(timestamp now, const std::string& endpoint) {
     enter(now);
     directory_.remove_holder(endpoint);
--- a/src/core/dispatch/holder_directory.cpp
+++ b/src/core/dispatch/holder_directory.cpp
@@ -104,6 +104,12 @@
     ++generation_;
 }
 
+void holder_directory::set_version(const std::string& endpoint,
+                                   std::uint64_t version) {
+    auto& known = rows_[endpoint].record.version;
+    known = std::max(known, version);
+}
+
 void holder_directory::remove_holder(const std::string& endpoint) {
     generation_ += rows_.erase(endpoint);
 }
@@ -154,6 +160,35 @@
     return static_cast<double>(held) <= part || chosen.size() < 2;
 }
 
+std::optional<process_id>
+holder_directory::successor(const std::string& id,
+                            const std::vector<candidate>& live) const {
+    const auto endpoint = endpoints_.find(id);
+    if (endpoint == endpoints_.end()) {
+        return std::nullopt;
+    }
+    const auto& failure_domain = endpoint->second.failure_domain;
+    std::size_t size = 0;
+    std::set<process_id> holding;
+    for (const auto& [other, record] : endpoints_) {
+        if (record.failure_domain != failure_domain) {
+            continue;
+        }
+        ++size;
+        if (const auto row = rows_.find(other); row != rows_.end()) {
+            holding.insert(row->second.record.holder);
+        }
+    }
+    const auto chosen = choose_holders(failure_domain, live, holding, size);
+    const auto address = pick_by_share(id, chosen);
+    const auto found = std::find_if(chosen.begin(), chosen.end(),
+                                    [&address](const candidate& host) {
+                                        return host.id.address == address;
+                                    });
+    return found == chosen.end() ? std::nullopt
+                                 : std::optional<process_id>(found->id);
+}
+
 std::vector<std::string>
 holder_directory::wanted(timestamp now, const process_id& self,
                          const std::vector<candidate>& live) const {
--- a/src/core/dispatch/holder_directory.hpp
+++ b/src/core/dispatch/holder_directory.hpp
@@ -30,6 +30,8 @@
     void set_endpoint(const endpoint_record& endpoint);
     void remove_endpoint(const std::string& endpoint);
     void set_holder(timestamp now, const holder_record& record);
+    // The version of the stored row, which names an earlier holder.
+    void set_version(const std::string& endpoint, std::uint64_t version);
     void remove_holder(const std::string& endpoint);
 
     [[nodiscard]] const std::map<std::string, endpoint_record>&
@@ -51,6 +53,11 @@
     wanted(timestamp now, const process_id& self,
            const std::vector<candidate>& live) const;
 
+    // Whom a holder that stops should give the endpoint to, given the hosts
+    // that can take it; nothing if there is none, or the endpoint is unknown.
+    [[nodiscard]] std::optional<process_id>
+    successor(const std::string& id, const std::vector<candidate>& live) const;
+
 private:
     struct row {
         holder_record record;
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -101,6 +101,16 @@
     MSGPACK_DEFINE(endpoint, items);
 };
 
+// A stopping holder gives the receiver its right to call an endpoint, under a
+// token that only it could give, and calls the endpoint no more. `version` is
+// that of the stored row.
+struct endpoint_grant {
+    std::string endpoint;
+    std::uint64_t token = 0;
+    std::uint64_t version = 0;
+    MSGPACK_DEFINE(endpoint, token, version);
+};
+
 struct catalogue_wanted {
     std::uint64_t have = 0;
     MSGPACK_DEFINE(have);
@@ -120,14 +130,16 @@
     std::vector<endpoint_adoption> adoptions;
     std::vector<adoption_claim> claims;
     std::vector<task_update> updates;
+    std::vector<endpoint_grant> grants; // last, for older peers
 
     [[nodiscard]] bool empty() const {
         return catalogue_wanted_list.empty() && catalogues.empty() &&
                assignments.empty() && withdrawals.empty() &&
-               adoptions.empty() && claims.empty() && updates.empty();
+               adoptions.empty() && claims.empty() && updates.empty() &&
+               grants.empty();
     }
     MSGPACK_DEFINE(catalogue_wanted_list, catalogues, assignments, withdrawals,
-                   adoptions, claims, updates);
+                   adoptions, claims, updates, grants);
 };
 
 // `sequence` is that of the payload, 0 without one; payloads before
--- a/src/core/dispatch/types.hpp
+++ b/src/core/dispatch/types.hpp
@@ -109,6 +109,10 @@
     std::int64_t born_ms = 0; // start of this life, Unix time
 };
 
+// Takeovers by the store use multiples of this; the tokens between them are
+// for grants of one holder to the next, which need no store.
+constexpr std::uint64_t first_stored_token = 1000;
+
 // Who may talk to an endpoint. `version` is that of the stored row.
 struct holder_record {
     std::string endpoint;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -41,6 +41,31 @@
         answer_hold();
     }
 
+    void hear_peer() {
+        envelope message;
+        message.from = {"10.1.0.2:1", 12};
+        message.failure_domain = "domain-1";
+        message.to_incarnation = 99;
+        message.stamp_us = now.count();
+        message.echo_us = now.count();
+        core.handle_envelope(now, message);
+    }
+
+    // Each grant once, however often it was sent.
+    [[nodiscard]] std::vector<endpoint_grant> grants() const {
+        std::map<std::uint64_t, std::vector<endpoint_grant>> sent;
+        for (const auto& [address, message] : peers.sent) {
+            if (!message.content.grants.empty()) {
+                sent[message.sequence] = message.content.grants;
+            }
+        }
+        std::vector<endpoint_grant> all;
+        for (const auto& [sequence, list] : sent) {
+            all.insert(all.end(), list.begin(), list.end());
+        }
+        return all;
+    }
+
     void answer_start(std::size_t index) {
         const auto call = endpoints.starts.at(index);
         core.handle_start(now, call.target, call.run,
@@ -96,7 +121,7 @@
     BOOST_TEST(endpoints.holds.empty());
     store_row();
     BOOST_REQUIRE(endpoints.holds.size() == 1U);
-    BOOST_TEST(endpoints.holds.back().target.token == 1U);
+    BOOST_TEST(endpoints.holds.back().target.token == first_stored_token);
 }
 
 BOOST_AUTO_TEST_CASE(takeover_that_was_refused_is_tried_again) {
@@ -111,7 +136,7 @@
     take_endpoint();
     auto row = store.writes.back().second.front();
     row.holder = {"10.1.0.5:1", 55};
-    row.token = 2;
+    row.token = 2 * first_stored_token;
     row.version = 9;
     core.set_holder(now, row);
     const auto calls = endpoints.holds.size() + endpoints.starts.size();
@@ -130,7 +155,7 @@
     core.submit(now, 1, make_job("0123456789abcdef", 3)); // one is queued
     auto row = store.writes.back().second.front();
     row.holder = {"10.1.0.5:1", 55};
-    row.token = 2;
+    row.token = 2 * first_stored_token;
     row.version = 9;
     core.set_holder(now, row);
     BOOST_TEST(endpoints.starts.size() == 2U);
@@ -300,7 +325,9 @@
     const auto before = looks();
     pass(5s);
     BOOST_TEST(looks() == before);
-    row.token = 5;
+    // This host tried to take the endpoint over, but another did meanwhile.
+    core.handle_stored(now, store.writes.back().first, store_status::conflict);
+    row.token = 2 * first_stored_token;
     core.set_holder(now, row);
     pass(1s);
     BOOST_TEST(looks() > before);
@@ -308,6 +335,20 @@
 
 // Hosts that have just started, before they can tell who else is alive.
 struct starting_dispatcher : quiet_dispatcher {
+    void receive_grant(const endpoint_grant& grant) {
+        envelope message;
+        message.from = {"10.1.0.2:1", 12};
+        message.failure_domain = "domain-1";
+        message.to_incarnation = 99;
+        message.sequence = 1;
+        message.first_sequence = 1;
+        message.stamp_us = now.count();
+        message.echo_us = now.count();
+        message.content_echo_us = now.count();
+        message.content.grants = {grant};
+        core.handle_envelope(now, message);
+    }
+
     void list_endpoint(const process_id& holder) {
         core.set_catalogue(1, "one");
         core.set_endpoints(now, {make_endpoint("endpoint-1")});
@@ -327,7 +368,8 @@
                         starting_dispatcher) {
     list_endpoint({"10.1.0.9:1", 98});
     BOOST_REQUIRE(store.writes.size() == 1U);
-    BOOST_TEST(store.writes[0].second[0].token == 5U);
+    // Above every token that was granted without the store.
+    BOOST_TEST(store.writes[0].second[0].token == first_stored_token);
     BOOST_TEST(store.writes[0].second[0].version == 5U);
 }
 
@@ -371,6 +413,97 @@
     BOOST_TEST(endpoints.starts.empty());
 }
 
+// The store is away, so nobody can take the endpoint over by a row.
+BOOST_AUTO_TEST_CASE(stopping_holder_grants_what_nobody_takes_over) {
+    take_endpoint();
+    hear_peer();
+    core.drain(now);
+    pass(400ms);
+    hear_peer();
+    BOOST_TEST(grants().empty());
+    BOOST_TEST(!core.is_drained());
+    pass(200ms);
+    BOOST_REQUIRE_EQUAL(grants().size(), 1U);
+    BOOST_TEST(grants()[0].endpoint == "endpoint-1");
+    BOOST_TEST(grants()[0].token == first_stored_token + 1);
+    BOOST_TEST(core.is_drained());
+    const auto calls = endpoints.holds.size() + endpoints.starts.size();
+    core.submit(now, 1, make_job("0123456789abcdef"));
+    pass(200ms);
+    BOOST_TEST(endpoints.holds.size() + endpoints.starts.size() == calls);
+}
+
+BOOST_AUTO_TEST_CASE(stopping_holder_without_a_successor_ends_all_the_same) {
+    take_endpoint();
+    core.drain(now);
+    pass(2s);
+    BOOST_TEST(core.is_drained());
+    BOOST_TEST(grants().empty());
+}
+
+// The right to call is the former holder's to give; the row follows.
+BOOST_FIXTURE_TEST_CASE(granted_endpoint_is_held_at_once_and_stored_later,
+                        starting_dispatcher) {
+    list_endpoint({"10.1.0.2:1", 12});
+    receive_grant({"endpoint-1", 5, 5});
+    BOOST_REQUIRE(!endpoints.holds.empty());
+    BOOST_TEST(endpoints.holds.back().target.token == 5U);
+    pass(100ms);
+    BOOST_REQUIRE_EQUAL(store.writes.size(), 1U);
+    BOOST_TEST(store.writes[0].second[0].token == 5U);
+    BOOST_TEST(store.writes[0].second[0].version == 5U);
+    core.handle_stored(now, store.writes[0].first, store_status::unavailable);
+    pass(1s);
+    BOOST_REQUIRE_EQUAL(store.writes.size(), 2U);
+    core.handle_stored(now, store.writes[1].first, store_status::ok);
+    pass(2s);
+    BOOST_TEST(store.writes.size() == 2U);
+}
+
+// The former holder may not have read the version of its own row.
+BOOST_FIXTURE_TEST_CASE(row_of_a_granted_endpoint_is_written_over_the_newest,
+                        starting_dispatcher) {
+    list_endpoint({"10.1.0.2:1", 12});
+    receive_grant({"endpoint-1", 5, 5});
+    pass(100ms);
+    BOOST_REQUIRE(!store.writes.empty());
+    core.handle_stored(now, store.writes[0].first, store_status::conflict);
+    core.set_holder(now, {"endpoint-1", "domain-1", {"10.1.0.2:1", 12}, 4, 9});
+    pass(1s);
+    BOOST_REQUIRE(store.writes.size() >= 2U);
+    BOOST_TEST(store.writes.back().second[0].version == 9U);
+    BOOST_TEST(store.writes.back().second[0].token == 5U);
+}
+
+// All hosts ended right after a grant: the endpoint knows a token that no row
+// has.
+BOOST_FIXTURE_TEST_CASE(endpoint_granted_to_a_process_that_ended_is_taken_over,
+                        starting_dispatcher) {
+    core.set_catalogue(1, "one");
+    core.set_endpoints(now, {make_endpoint("endpoint-1")});
+    core.set_holder(now, {"endpoint-1", "domain-1", {"10.1.0.9:1", 98}, 4, 5});
+    pass(75ms);
+    BOOST_REQUIRE(!endpoints.holds.empty());
+    hold_reply refusal;
+    refusal.call = {call_status::stale_token, 1000};
+    core.handle_hold(now, endpoints.holds.back().target, refusal);
+    pass(1s);
+    BOOST_TEST(store.writes.empty()); // a newer row may come
+    BOOST_TEST(endpoints.holds.size() == 1U);
+    pass(1s);
+    BOOST_REQUIRE_EQUAL(store.writes.size(), 1U);
+    BOOST_TEST(store.writes[0].second[0].token == first_stored_token);
+}
+
+BOOST_FIXTURE_TEST_CASE(grant_older_than_the_known_row_is_ignored,
+                        starting_dispatcher) {
+    list_endpoint({"10.1.0.2:1", 12});
+    receive_grant({"endpoint-1", 4, 5});
+    pass(100ms);
+    BOOST_TEST(endpoints.holds.empty());
+    BOOST_TEST(store.writes.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/fleet/virtual_endpoint.cpp
+++ b/tests/dispatch/fleet/virtual_endpoint.cpp
@@ -42,6 +42,7 @@
     refusals_.clear();
     ends_.clear();
     token_ = 0;
+    token_users_.clear();
     lease_ms_ = 0;
     next_end_ = 1;
     born_ = now;
@@ -99,6 +100,11 @@
     if (refuse(now, call.target.token, reply)) {
         return reply;
     }
+    const auto user = token_users_.try_emplace(call.target.token, caller);
+    if (user.first->second != caller) {
+        seen_.complain(now, "ONE token " + std::to_string(call.target.token) +
+                                " used by two hosts on " + record_.id);
+    }
     if (mode == endpoint_mode::shed) {
         reply.status = call_status::unavailable;
         return reply;
--- a/tests/dispatch/fleet/virtual_endpoint.hpp
+++ b/tests/dispatch/fleet/virtual_endpoint.hpp
@@ -85,6 +85,8 @@
     evidence& seen_;
     timestamp born_{0};
     std::uint64_t token_ = 0;
+    // The host that ordered starts under a token.
+    std::map<std::uint64_t, std::size_t> token_users_;
     std::int64_t lease_ms_ = 0;
     std::uint64_t next_end_ = 1;
     std::optional<timestamp> draining_since_;
--- a/tests/dispatch/quiet_dispatcher.hpp
+++ b/tests/dispatch/quiet_dispatcher.hpp
@@ -132,6 +132,7 @@
                           {{run, update_kind::done, "endpoint-1", 4}}}};
     content.claims = {{"endpoint-1", {{run, need}}}};
     content.updates = {{run, update_kind::done, "endpoint-1", 4}};
+    content.grants = {{"endpoint-1", 5, 3}};
     return message;
 }
 
