Nothing from before a standstill is started

The host woke before 700 ms and started a queued task under its old token: two runs at a time. The same is one of the troubles of similar systems: a paused process acts on a permission that has run out.

Ruled out: a later placement by the coordinators (250 ms more for each task of a holder that is really gone); taking every new life only by a new row (endpoints that crash while the store is away would stay unused).

Change: after a gap between inputs that shows a standstill queued tasks go back to their coordinators, and no endpoint is used before it has answered a list asked for since. If another life answers, the host counts as fenced: only a new row, which conflicts if another host took over, lets it call the endpoint again.

Tests, failing before: life_that_began_during_a_standstill_is_not_used, life_that_goes_on_after_a_standstill_is_used.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -61,6 +61,7 @@
         coordinator_.abandon_all(now, "process_stood_still");
     }
     sessions_.tick(now);
+    holder_.handle_standstill(now);
 }
 
 void dispatcher::leave(timestamp now) {
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -198,6 +198,14 @@
     }
 }
 
+void endpoint_holder::handle_standstill(timestamp now) {
+    now_ = now;
+    return_all();
+    for (auto& [id, session] : sessions_) {
+        session->suspend(now);
+    }
+}
+
 void endpoint_holder::return_all() {
     for (const auto& task :
          queue_.extract([](const queued_task&) { return true; })) {
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -52,6 +52,9 @@
                const adoption_claim& claim);
     // Drops and stops what a coordinator that is not heard any more asked for.
     void abandon(timestamp now, const process_id& coordinator);
+    // The process stood still: queued tasks, which others may have placed
+    // again, go back, and no endpoint is used before it has answered.
+    void handle_standstill(timestamp now);
     // Gives tasks back unstarted that would fit the free rooms, in thousandths
     // of a core, that endpoints of other holders have.
     void return_queued(std::vector<std::uint32_t> rooms);
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -88,9 +88,16 @@
     gone_ = true;
 }
 
+void endpoint_session::suspend(timestamp now) {
+    suspended_calls_ = calls_sent_;
+    next_poll_ = now;
+    poll(now);
+}
+
 bool endpoint_session::takes_work() const {
     return phase_ == session_phase::active && !gone_ && failed_calls_ == 0 &&
-           clock_.is_known() && endpoint_.state == endpoint_state::ready;
+           !suspended_calls_ && clock_.is_known() &&
+           endpoint_.state == endpoint_state::ready;
 }
 
 std::int64_t endpoint_session::renew_deadline(timestamp now) {
@@ -118,7 +125,7 @@
                                  now - idle_since_ >= idle_acknowledgement;
         // Nothing else would tell that it answers again.
         const bool silent = failed_calls_ > 0;
-        if (!occupied && !acknowledge && !silent) {
+        if (!occupied && !acknowledge && !silent && !suspended_calls_) {
             return;
         }
         // A lease is not renewed on an endpoint that may be out of reach, so
@@ -190,7 +197,15 @@
         next_poll_ = now + std::min(retry_pause * pauses, longest_retry_pause);
         return;
     }
-    if (reply.born_ms != 0 && reply.born_ms != endpoint_.born_ms) {
+    const bool later_life =
+        reply.born_ms != 0 && reply.born_ms != endpoint_.born_ms;
+    if (later_life && suspended_calls_) {
+        return fence();
+    }
+    if (suspended_calls_ && reply.number > *suspended_calls_) {
+        suspended_calls_.reset();
+    }
+    if (later_life) {
         if (endpoint_.born_ms != 0 && clock_.is_known()) {
             begin_life(now);
         }
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -63,6 +63,10 @@
                const adoption_claim& claim);
     // The endpoint has left the platform's list.
     void mark_gone();
+    // The process stood still: others may have taken the endpoint over. It is
+    // used again only once it has answered in the life that was known. A later
+    // life knows no token, so it counts as taken over.
+    void suspend(timestamp now);
 
     // --- state ---
     [[nodiscard]] const endpoint_record& endpoint() const { return endpoint_; }
@@ -114,6 +118,8 @@
     std::optional<std::uint64_t> look_;
     std::uint64_t calls_sent_ = 0;  // for lists
     std::uint64_t newest_list_ = 0; // number of its call
+    // Lists asked for later than this call tell whether the life goes on.
+    std::optional<std::uint64_t> suspended_calls_;
     timestamp next_poll_{0};
     timestamp idle_since_{0};
     timestamp claims_until_{0};
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -358,6 +358,27 @@
     BOOST_TEST(!session->health().is_slow(now));
 }
 
+// While this process stood still another may have taken the endpoint over, and
+// a later life has forgotten its token.
+BOOST_AUTO_TEST_CASE(life_that_began_during_a_standstill_is_not_used) {
+    answer_hold({});
+    BOOST_TEST(session->takes_work());
+    session->suspend(now);
+    BOOST_TEST(!session->takes_work());
+    answer_hold({}, {}, 2000);
+    BOOST_TEST(events.fenced == 1);
+    BOOST_TEST(!session->takes_work());
+}
+
+BOOST_AUTO_TEST_CASE(life_that_goes_on_after_a_standstill_is_used) {
+    answer_hold({});
+    session->suspend(now);
+    BOOST_TEST(port.holds.size() == 2U);
+    answer_hold({});
+    BOOST_TEST(events.fenced == 0);
+    BOOST_TEST(session->takes_work());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
