A full page of the list of endpoints is followed by the next at once

The store gives 500 rows a reply; 350 endpoints write 230 a second. A host that held nothing read every 4.2 s, so it fell behind; when it became a holder it read 500 rows every 0.7 s and was still 2 s behind (seen in a trial with a log line for each reply: four replies of 500 rows, none with the row).

Test, failing before: full_page_of_changes_is_followed_by_the_next_at_once.

--- a/tests/platform/table_follower_test.cpp
+++ b/tests/platform/table_follower_test.cpp
@@ -16,6 +16,7 @@
         std::string part;
         std::string from;
         std::uint64_t after = 0;
+        bool at_once = false; // from within the answer to the call before
     };
 
     explicit scripted_source(event_loop& loop)
@@ -23,11 +24,11 @@
 
     void read(const std::string& /*table*/, const std::string& part,
               const std::string& from, handler done) override {
-        take({true, part, from, 0}, std::move(done));
+        take({true, part, from, 0, answering_}, std::move(done));
     }
     void follow(const std::string& /*table*/, std::uint64_t after,
                 duration /*wait*/, handler done) override {
-        take({false, {}, {}, after}, std::move(done));
+        take({false, {}, {}, after, answering_}, std::move(done));
     }
 
     std::vector<call> calls;
@@ -47,12 +48,15 @@
         }
         const auto reply = replies.front();
         replies.pop_front();
+        answering_ = true;
         std::exchange(done_, {})(reply);
+        answering_ = false;
     }
 
     event_loop& loop_;
     timer_watcher timer_;
     handler done_;
+    bool answering_ = false;
 };
 
 stored_row row_of(const std::string& key) {
@@ -144,6 +148,17 @@
     BOOST_TEST(source.calls.at(3).after == 30U);
 }
 
+// 350 endpoints write 230 rows a second; a host that reads them every few
+// seconds would fall behind by a page each time.
+BOOST_AUTO_TEST_CASE(full_page_of_changes_is_followed_by_the_next_at_once) {
+    play({ok(7, {"a"}), ok(507, texts(most_rows_of_a_reply, "b")),
+          ok(509, {"c", "d"}), ok(510, {"e"})});
+    BOOST_TEST(!source.calls.at(1).at_once);
+    BOOST_TEST(source.calls.at(2).at_once);
+    BOOST_TEST(source.calls.at(2).after == 507U);
+    BOOST_TEST(!source.calls.at(3).at_once);
+}
+
 BOOST_AUTO_TEST_CASE(lost_answer_is_asked_for_again_from_the_same_version) {
     play({ok(7, {"a"}), rows_reply{}, ok(8, {"b"})});
     BOOST_TEST(source.calls.at(1).after == 7U);
