A host that hears nobody trusts no later life of an endpoint

A host cut off from all others kept its endpoints by its token, as it should; others had taken them over; one crashed, its next life knew no token, and the cut-off host started its queued tasks there.

Ruled out: giving endpoints up when nobody is heard (cut-off hosts go on serving); taking every new life only by a new row (endpoints that crash while the store is away would stay unused).

Change: while a host hears no other and until it has read a list asked for since, another life of an endpoint counts as taken over.

Test: life_that_began_while_no_host_was_heard_is_not_used.

--- a/src/core/dispatch/dispatcher_holding.cpp
+++ b/src/core/dispatch/dispatcher_holding.cpp
@@ -42,6 +42,9 @@
     const bool settled = now - started_at_ >= settings_.settle_time;
     const bool alone =
         sessions_.live_count() == 0 && !sessions_.peers().empty();
+    if (alone) {
+        holder_.note_isolation();
+    }
     const bool isolated = alone && now - started_at_ < isolated_wait;
     if (draining_ || !has_endpoints_) {
         return;
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -206,6 +206,12 @@
     }
 }
 
+void endpoint_holder::note_isolation() {
+    for (auto& [id, session] : sessions_) {
+        session->distrust_later_lives();
+    }
+}
+
 void endpoint_holder::return_all() {
     for (const auto& task :
          queue_.extract([](const queued_task&) { return true; })) {
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -199,9 +199,12 @@
     }
     const bool later_life =
         reply.born_ms != 0 && reply.born_ms != endpoint_.born_ms;
-    if (later_life && suspended_calls_) {
+    if (later_life && (suspended_calls_ || isolated_calls_)) {
         return fence();
     }
+    if (isolated_calls_ && reply.number > *isolated_calls_) {
+        isolated_calls_.reset();
+    }
     if (suspended_calls_ && reply.number > *suspended_calls_) {
         suspended_calls_.reset();
     }
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -379,6 +379,18 @@
     BOOST_TEST(session->takes_work());
 }
 
+// A host that hears nobody goes on, but a later life of the endpoint may have
+// another holder.
+BOOST_AUTO_TEST_CASE(life_that_began_while_no_host_was_heard_is_not_used) {
+    answer_hold({});
+    session->distrust_later_lives();
+    BOOST_TEST(session->takes_work());
+    start(0);
+    answer_start(0);
+    answer_hold({}, {}, 2000);
+    BOOST_TEST(events.fenced == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
