A grant that was held up is ignored

Cause: read in the diff: a grant that waits behind a cut names a token that was right when it was sent. If others took the endpoint over meanwhile and it began another life, it would take the old token. Change: grants count only if their message is fresh, like assignments. A check in set_holder that was always true is gone. Test, failing before: grant_that_was_held_up_is_ignored.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -285,7 +285,10 @@
         holder_.withdraw(now_, from, withdrawal.job);
     }
     for (const auto& grant : content.grants) {
-        take_grant(now_, from, grant);
+        // Others have taken over what was granted long ago.
+        if (fresh) {
+            take_grant(now_, from, grant);
+        }
     }
     for (const auto& adoption : content.adoptions) {
         note_holder(now_, from, adoption);
--- a/src/core/dispatch/dispatcher_holding.cpp
+++ b/src/core/dispatch/dispatcher_holding.cpp
@@ -241,10 +241,7 @@
         return;
     }
     directory_.set_holder(now, record);
-    if (const auto* newest = directory_.holder_of(record.endpoint);
-        newest != nullptr && newest->token <= record.token) {
-        unsaved_.erase(record.endpoint);
-    }
+    unsaved_.erase(record.endpoint);
     const bool ours = record.holder == settings_.self;
     if (!ours && holder_.token_of(record.endpoint) < record.token) {
         holder_.release(now, record.endpoint);
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -335,7 +335,8 @@
 
 // Hosts that have just started, before they can tell who else is alive.
 struct starting_dispatcher : quiet_dispatcher {
-    void receive_grant(const endpoint_grant& grant) {
+    // `age`: since the sender had heard this host.
+    void receive_grant(const endpoint_grant& grant, duration age = 0ms) {
         envelope message;
         message.from = {"10.1.0.2:1", 12};
         message.failure_domain = "domain-1";
@@ -344,7 +345,7 @@
         message.first_sequence = 1;
         message.stamp_us = now.count();
         message.echo_us = now.count();
-        message.content_echo_us = now.count();
+        message.content_echo_us = (now - age).count();
         message.content.grants = {grant};
         core.handle_envelope(now, message);
     }
@@ -495,6 +496,14 @@
     BOOST_TEST(store.writes[0].second[0].token == first_stored_token);
 }
 
+BOOST_FIXTURE_TEST_CASE(grant_that_was_held_up_is_ignored,
+                        starting_dispatcher) {
+    list_endpoint({"10.1.0.2:1", 12});
+    receive_grant({"endpoint-1", 5, 5}, 1s);
+    pass(100ms);
+    BOOST_TEST(endpoints.holds.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(grant_older_than_the_known_row_is_ignored,
                         starting_dispatcher) {
     list_endpoint({"10.1.0.2:1", 12});
