Contact is back only by an echo

A peer that was out of contact counted as in contact as soon as there was a payload for it, since the limits then count from the beginning of the work in common; tasks were placed with a holder that heard nothing yet. Test, failing before: contact_is_back_only_by_an_echo.

--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -150,8 +150,7 @@
 void peer_sessions::note_echo(timestamp now, peer& from,
                               const envelope& message) {
     from.echoed_at = std::max(from.echoed_at, timestamp(message.echo_us));
-    const auto since = from.close_since.value_or(timestamp{0});
-    if (now - std::max(from.echoed_at, since) <= settings_.abandon_after &&
+    if (now - from.echoed_at <= settings_.abandon_after &&
         std::exchange(from.out_of_contact, false)) {
         events_.on_back_in_contact(from.id);
     }
--- a/tests/dispatch/peer_sessions_test.cpp
+++ b/tests/dispatch/peer_sessions_test.cpp
@@ -197,6 +197,34 @@
     BOOST_TEST(a.back_in_contact == before + 1);
 }
 
+// After a cut between domains one direction may be open before the other; that
+// there is work in common from now on says nothing.
+BOOST_AUTO_TEST_CASE(contact_is_back_only_by_an_echo) {
+    side c("c:1", 3, "domain-2");
+    a.sessions.add(now, "c:1");
+    c.sessions.add(now, "a:1");
+    const auto run_with_c = [&](duration time, bool cut_to_c) {
+        for (const auto end = now + time; now < end; now += 25ms) {
+            a.sessions.tick(now);
+            c.sessions.tick(now);
+            a.sessions.flush(now);
+            move(a, c, cut_to_c);
+            move(c, a, false);
+        }
+    };
+    a.sessions.pending_for({"b:1", 2})->withdrawals.push_back({"job-0"});
+    run_with_c(500ms, false);
+    a.sessions.pending_for({"c:1", 3})->withdrawals.push_back({"job-1"});
+    run_with_c(500ms, false);
+    run_with_c(8s, true); // c hears nothing; no work in common any more
+    const int before = a.back_in_contact;
+    a.sessions.pending_for({"c:1", 3})->withdrawals.push_back({"job-2"});
+    run_with_c(500ms, true);
+    BOOST_TEST(a.back_in_contact == before);
+    run_with_c(500ms, false);
+    BOOST_TEST(a.back_in_contact == before + 1);
+}
+
 // What can't be kept any longer may have been an assignment, a claim or an
 // end: neither side may go on as if the other knew it.
 BOOST_AUTO_TEST_CASE(both_sides_learn_that_payloads_were_dropped) {
