Log what tells the hypotheses on second runs apart

A second run could not be traced to its cause: the logs did not say that a job came again to its coordinator, that a run was claimed from an adoption, for which coordinator and under which token a repeated run was started, or that an endpoint did not confirm a stop. Four events, all rare, none in the path of a first run.

--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -256,6 +256,16 @@
                                   const call_reply& reply) {
     now_ = now;
     if (auto* session = find(endpoint, token)) {
+        if (reply.status != call_status::ok) {
+            observer_.log(log_level::info, "stop_not_confirmed",
+                          {{"job", run.task.job},
+                           {"task", std::to_string(run.task.step) + "." +
+                                        std::to_string(run.task.index)},
+                           {"run", std::to_string(run.run)},
+                           {"endpoint", endpoint},
+                           {"token", std::to_string(token)},
+                           {"outcome", std::string(to_string(reply.status))}});
+        }
         session->handle_stop(now, run, reply);
     }
 }
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -122,6 +122,9 @@
     void report(const endpoint_session& session, const run_entry& entry,
                 update_kind kind);
     void return_task(const queued_task& task);
+    // Logs the start of a run above 1: its coordinator gave an earlier one up.
+    void log_repeated_run(const endpoint_session& session,
+                          const queued_task& task);
 
     const dispatch_settings& settings_;
     endpoint_port& port_;
--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -52,6 +52,9 @@
             return false;
         }
         observer_.record(latency_metric::queue_time, now - task.queued_at);
+        if (task.run.run > 1) {
+            log_repeated_run(*chosen->session, task);
+        }
         run_entry entry;
         entry.run = task.run;
         entry.need = task.need;
@@ -66,6 +69,20 @@
     });
 }
 
+void endpoint_holder::log_repeated_run(const endpoint_session& session,
+                                       const queued_task& task) {
+    observer_.log(
+        log_level::info, "repeated_run_started",
+        {{"job", task.run.task.job},
+         {"task", std::to_string(task.run.task.step) + "." +
+                      std::to_string(task.run.task.index)},
+         {"run", std::to_string(task.run.run)},
+         {"endpoint", session.endpoint().id},
+         {"token", std::to_string(session.token())},
+         {"coordinator", task.coordinator.address},
+         {"queued_ms", std::to_string(to_ms(now_ - task.queued_at))}});
+}
+
 bool endpoint_holder::is_slow_outlier(timestamp now,
                                       const endpoint_session& session) const {
     return !most_are_slow_ && session.health().is_slow(now);
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -62,6 +62,17 @@
     callers_.answer(token, answer);
 }
 
+void job_coordinator::log_resubmission(const job_submission& submission,
+                                       std::string_view state,
+                                       std::uint32_t first_run) {
+    observer_.log(log_level::info, "job_submitted_again",
+                  {{"job", submission.work.id},
+                   {"request", submission.request_id},
+                   {"queue", submission.queue.name},
+                   {"state", std::string(state)},
+                   {"first_run", std::to_string(first_run)}});
+}
+
 void job_coordinator::submit(timestamp now, caller_token token,
                              job_submission submission) {
     const auto id = submission.work.id;
@@ -72,6 +83,7 @@
     }
     if (const auto running = jobs_.find(id); running != jobs_.end()) {
         // Resubmitted while it runs: the new connection gets the answer.
+        log_resubmission(submission, "open", 0);
         job_of_caller_.erase(running->second.token);
         running->second.token = token;
         running->second.caller_deadline = now + submission.caller_timeout;
@@ -121,6 +133,9 @@
     const auto former = former_runs_.find(id);
     const auto first_run =
         former == former_runs_.end() ? 1 : former->second.highest_run + 1;
+    if (former != former_runs_.end()) {
+        log_resubmission(submission, "given_up", first_run);
+    }
     for (const auto& step : submission.work.steps) {
         step_state fresh;
         fresh.tasks.resize(step.count);
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -154,6 +154,10 @@
     void finish(timestamp now, const std::string& id, const job_answer& answer);
     void refuse(timestamp now, caller_token token,
                 const job_submission& submission, const job_answer& answer);
+    // `state`: of the job here when it came again. `first_run` is that of its
+    // tasks, 0 if they go on with their present runs.
+    void log_resubmission(const job_submission& submission,
+                          std::string_view state, std::uint32_t first_run);
     void log_job(log_level level, std::string_view event,
                  const job_state& state, const job_answer& answer,
                  timestamp now);
--- a/src/core/dispatch/job_coordinator_holders.cpp
+++ b/src/core/dispatch/job_coordinator_holders.cpp
@@ -134,6 +134,16 @@
     const task_run run{{state.submission.work.id, step, index}, task.run};
     if (std::find(adoption.running.begin(), adoption.running.end(), run) !=
         adoption.running.end()) {
+        observer_.log(
+            log_level::info, "run_claimed",
+            {{"job", run.task.job},
+             {"task", std::to_string(step) + "." + std::to_string(index)},
+             {"run", std::to_string(run.run)},
+             {"endpoint", adoption.endpoint},
+             {"endpoint_known", on_endpoint ? "yes" : "no"},
+             {"former", task.holder.address},
+             {"holder", holder.address},
+             {"token", std::to_string(adoption.token)}});
         task.holder = holder;
         task.endpoint = adoption.endpoint;
         task.token = adoption.token;
