A start that was sent never counts as not sent

Cause: libcurl repeats a request whose reused connection breaks before an answer. The body can't be rewound, so nothing is sent twice; but if the second connection is refused, the transfer ends with CURLE_COULDNT_CONNECT, which http_client took for not_sent. The holder reported the run as refused, and the coordinator placed the task again at once, while the endpoint ran it.

Fix: not_sent needs, beside the failed connection, that no byte of the request was handed to any connection (CURLINFO_REQUEST_SIZE). Otherwise the start is unanswered: it counts until a stop, a list or the lease proves its end. The same client serves starts of the own interface, stops, and the store, where not_sent means "nothing was done" too.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -60,7 +60,7 @@
     if (sent.method != "GET") {
         // libcurl cannot rewind a body that it reads through a callback
         // without seeking, so it does not repeat the request when a reused
-        // connection breaks.
+        // connection breaks, although it opens another connection.
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, sent.method.c_str());
         curl_easy_setopt(easy, CURLOPT_READFUNCTION, &read_request_body);
@@ -154,8 +154,13 @@
         result.outcome = http_outcome::answered;
         result.status = static_cast<int>(status);
     } else {
-        result.outcome = code == CURLE_COULDNT_CONNECT ? http_outcome::not_sent
-                                                       : http_outcome::lost;
+        // The attempt that could not connect may have followed one that sent
+        // the request on a reused connection.
+        long bytes_sent = 0;
+        curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &bytes_sent);
+        result.outcome = code == CURLE_COULDNT_CONNECT && bytes_sent == 0
+                             ? http_outcome::not_sent
+                             : http_outcome::lost;
         result.error = curl_easy_strerror(code);
     }
     const auto ended = std::move(open_.extract(easy).mapped());
--- a/src/adapters/http_client.hpp
+++ b/src/adapters/http_client.hpp
@@ -27,7 +27,7 @@
 
 enum class http_outcome {
     answered,
-    not_sent, // no connection could be made
+    not_sent, // nothing was sent: no connection could be made
     lost,     // no response, but the server may have received the request
 };
 
