An unknown status of an endpoint says nothing of a call's effect

An endpoint's page names 200, 400, 409, 421, 429 and 503; any other status (a server error after the run was begun, an answer of something on the way) counted as a permanent refusal, so that the task was placed again at once while the endpoint might run it.

--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -120,6 +120,21 @@
     BOOST_TEST(reply.instance_started_ms == 17);
 }
 
+// Guards against a task that runs twice: a server error, taken for a refusal,
+// lets the task be placed again while the endpoint may run it.
+BOOST_AUTO_TEST_CASE(status_that_names_no_refusal_counts_as_unanswered) {
+    for (const int status : {404, 500, 502, 504}) {
+        BOOST_TEST_CONTEXT("HTTP status " << status) {
+            BOOST_TEST(to_string(parse_call_reply(status, "{}").status) ==
+                       "unanswered");
+        }
+    }
+    BOOST_TEST(to_string(parse_call_reply(400, "{}").status) == "rejected");
+    BOOST_TEST(to_string(parse_call_reply(409, "").status) == "rejected");
+    BOOST_TEST(to_string(parse_call_reply(429, "").status) == "unavailable");
+    BOOST_TEST(to_string(parse_call_reply(503, "").status) == "unavailable");
+}
+
 BOOST_AUTO_TEST_CASE(damaged_jobs_are_parsed_or_rejected) {
     std::mt19937_64 random(11);
     int refused = 0;
