Fault proxy: refuse closes the listener

The proxy accepted connections and reset them, so the soak never played a refused connection to a process that lives, and could not show the fault "A start that was sent never counts as not sent": after a reset the second connection was always made. Refused links have no listener now; one that can't listen again answers the control call with 503.

--- a/testing/fault_proxy.cpp
+++ b/testing/fault_proxy.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <utility>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -47,9 +48,13 @@
 
 fault_link::~fault_link() {
     connections_.clear();
+    stop_listening();
+}
+
+void fault_link::stop_listening() {
     accept_watcher_.reset();
     if (listener_ >= 0) {
-        close(listener_);
+        close(std::exchange(listener_, -1));
     }
 }
 
@@ -65,12 +70,16 @@
     return absl::OkStatus();
 }
 
-void fault_link::set_fault(link_fault fault, duration delay) {
+absl::Status fault_link::set_fault(link_fault fault, duration delay) {
     fault_ = fault;
     delay_ = fault == link_fault::delay ? delay : duration{0};
     if (fault == link_fault::refuse) {
+        // Only a closed listener makes the kernel refuse connections.
         connections_.clear();
+        stop_listening();
+        return absl::OkStatus();
     }
+    return listener_ < 0 ? start() : absl::OkStatus();
 }
 
 void fault_link::accept_one() {
@@ -83,7 +92,7 @@
     const int target =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const bool usable =
-        fault_ != link_fault::refuse && address.ok() && target >= 0 &&
+        address.ok() && target >= 0 &&
         (connect(target, reinterpret_cast<const sockaddr*>(&*address),
                  sizeof(*address)) == 0 ||
          errno == EINPROGRESS);
--- a/testing/fault_proxy.hpp
+++ b/testing/fault_proxy.hpp
@@ -24,7 +24,7 @@
     cut_to_target, // stalled until the fault is cleared
     cut_to_client,
     silent, // stalled in both directions
-    refuse, // open and new connections are reset
+    refuse, // open connections are reset, new ones are refused
 };
 
 // One proxied address with its connections. Owned by the program's main object.
@@ -39,9 +39,10 @@
     // Fails if the proxy can't listen at the address.
     absl::Status start();
     // Applies to open and new connections. `delay` is only used with
-    // `link_fault::delay`.
-    void set_fault(link_fault fault, duration delay);
-    // Resets the open connections; new ones are accepted.
+    // `link_fault::delay`. Fails if the proxy can't listen again after
+    // `link_fault::refuse`.
+    absl::Status set_fault(link_fault fault, duration delay);
+    // Resets the open connections; new ones are accepted unless refused.
     void reset_connections() { connections_.clear(); }
     [[nodiscard]] const std::string& listen() const { return listen_; }
 
@@ -64,6 +65,7 @@
         bool broken = false;
     };
 
+    void stop_listening();
     void accept_one();
     void read_from(connection& open, std::size_t side);
     void write_to(connection& open, std::size_t way);
--- a/testing/fault_proxy_main.cpp
+++ b/testing/fault_proxy_main.cpp
@@ -6,6 +6,7 @@
 // "delay_ms": N} sets the fault of a link; "reset" resets its connections once.
 #include <map>
 
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <gflags/gflags.h>
 
@@ -23,6 +24,7 @@
 constexpr std::size_t max_body_bytes = 4096;
 constexpr int http_ok = 200;
 constexpr int http_bad_request = 400;
+constexpr int http_unavailable = 503;
 
 const std::map<std::string, link_fault> fault_names{
     {"none", link_fault::none},
@@ -69,6 +71,7 @@
         const auto wanted = body->value("link", "all");
         const auto delay =
             std::chrono::milliseconds(body->value("delay_ms", 0));
+        absl::Status status;
         for (const auto& link : links_) {
             if (wanted != "all" && wanted != link->listen()) {
                 continue;
@@ -76,9 +79,14 @@
             if (name == "reset") {
                 link->reset_connections();
             } else {
-                link->set_fault(fault->second, delay);
+                status.Update(link->set_fault(fault->second, delay));
             }
         }
+        if (!status.ok()) {
+            return control_.respond(
+                request.token,
+                {http_unavailable, absl::StrCat(status.message(), "\n")});
+        }
         control_.respond(request.token, {http_ok, "{}\n"});
     }
 
