Payloads survive a peer that was forgotten: streams identify numberings

What callers saw: after one host had forgotten another whose process lived on (its `hosts` row removed while it was lost, or 10 min without contact), a task could start twice under one run number, and accepted jobs never started.

Cause: `remove()` and `forget_expired_peers()` erase the sequence numbers of both directions; the other process, of the same incarnation, keeps its own. (a) The side that forgot counted received payloads from 0 and handled those again whose acknowledgement had been lost. (b) Its own payloads began at 1 again; the other side ignored them up to the highest number it had received, and acknowledged that number, so that the sender dropped them as delivered.

Change: each numbering is a stream with an identifier that grows within an incarnation. An envelope names the sender's stream and the receiver's stream that the sender has heard; sequences and acknowledgements count only if both are the present ones. A newer stream of the same incarnation counts as dropped payloads on the side that remembers, which drops what it numbered for the receiver's former state; the side that forgot learns of a gap by `first_sequence` as before. The fields are the last of the array; envelopes without them (0) are handled as before, so towards a peer of the version before, both faults stay.

make_full_envelope has streams; the fuzz test's host knows its sender, so that damaged payloads are still handled and not just ignored.

--- a/src/core/dispatch/messages.cpp
+++ b/src/core/dispatch/messages.cpp
@@ -12,6 +12,7 @@
 // these limits, and sums of values within them do not overflow.
 constexpr std::int64_t max_stamp_us = std::int64_t{1} << 60;
 constexpr std::int64_t max_time_us = 86'400'000'000;
+constexpr std::uint64_t max_stream = max_stamp_us;
 constexpr double max_cpu_share = 1024.0;
 
 absl::Status out_of_range(std::string_view field) {
@@ -62,6 +63,12 @@
     if (message.sequence != 0 && message.first_sequence > message.sequence) {
         return out_of_range("first_sequence");
     }
+    if (message.stream > max_stream) {
+        return out_of_range("stream");
+    }
+    if (message.ack_stream > max_stream) {
+        return out_of_range("ack_stream");
+    }
     const auto share = message.about.cpu_share;
     if (!std::isfinite(share) || share < 0.0 || share > max_cpu_share) {
         return out_of_range("about.cpu_share");
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -148,6 +148,12 @@
 // until the sender knows the receiver's. `stamp_us` is the sender's clock,
 // `echo_us` the latest stamp received from the receiver, and `content_echo_us`
 // the value of `echo_us` when the payload was first sent.
+//
+// `stream` identifies the sender's numbering: a sender that has forgotten the
+// receiver begins a new one with a higher `stream`. `ack_stream` is the latest
+// `stream` received from the receiver: `ack` counts payloads of that one, and
+// the payload was sent to a receiver that remembers it. Both are 0 in envelopes
+// of older versions.
 struct envelope {
     process_id from;
     std::string failure_domain;
@@ -159,11 +165,14 @@
     std::int64_t content_echo_us = 0;
     advert about;
     payload content;
-    std::uint64_t first_sequence = 0; // last, so that older peers can read it
+    std::uint64_t first_sequence = 0;
+    // Last, so that older peers can read the fields before them.
+    std::uint64_t stream = 0;
+    std::uint64_t ack_stream = 0;
 
     MSGPACK_DEFINE(from, failure_domain, to_incarnation, sequence, ack,
                    stamp_us, echo_us, content_echo_us, about, content,
-                   first_sequence);
+                   first_sequence, stream, ack_stream);
 };
 
 std::string_view to_string(update_kind kind);
--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -25,9 +25,16 @@
     auto& added = peers_[address];
     added.id.address = address;
     added.added_at = now;
+    added.stream = next_stream(now);
     port_.connect(address);
 }
 
+std::uint64_t peer_sessions::next_stream(timestamp now) {
+    last_stream_ =
+        std::max(static_cast<std::uint64_t>(now.count()), last_stream_ + 1);
+    return last_stream_;
+}
+
 void peer_sessions::remove(const std::string& address) {
     const auto found = peers_.find(address);
     if (found != peers_.end() && found->second.lost) {
@@ -60,6 +67,8 @@
     message.about = events_.make_advert();
     message.content_echo_us = what.echo_us;
     message.content = what.content;
+    message.stream = to.stream;
+    message.ack_stream = to.peer_stream;
     to.sent_at = now;
     port_.send(address, message);
 }
@@ -119,6 +128,7 @@
         }
         from.id = message.from;
         from.received = 0;
+        from.peer_stream = 0;
         from.unacknowledged.clear();
         from.pending = {};
         from.next_sequence = 1;
@@ -132,13 +142,18 @@
         events_.on_live(from.id);
     }
     from.peer_stamp_us = std::max(from.peer_stamp_us, message.stamp_us);
+    follow_stream(from, message);
     const bool for_us = message.to_incarnation == settings_.self.incarnation;
+    const bool counts = for_us && is_of_present_streams(from, message);
     if (for_us) {
         handle_echo(now, from, message);
+    }
+    if (counts) {
+        handle_ack(now, from, message);
         detect_dropped_payloads(from, message);
     }
     events_.on_advert(from.id, from.failure_domain, from.about);
-    if (for_us && message.sequence == from.received + 1) {
+    if (counts && message.sequence == from.received + 1) {
         from.received = message.sequence;
         record_payload(now, from);
         const bool fresh =
@@ -147,6 +162,27 @@
     }
 }
 
+void peer_sessions::follow_stream(peer& from, const envelope& message) {
+    if (message.stream <= from.peer_stream) {
+        return;
+    }
+    const bool first = std::exchange(from.peer_stream, message.stream) == 0;
+    if (first) {
+        return;
+    }
+    from.received = 0;
+    from.unacknowledged.clear();
+    from.pending = {};
+    events_.on_payloads_dropped(from.id);
+}
+
+bool peer_sessions::is_of_present_streams(const peer& from,
+                                          const envelope& message) {
+    const bool older_version = message.stream == 0;
+    return message.stream == from.peer_stream &&
+           (older_version || message.ack_stream == from.stream);
+}
+
 void peer_sessions::handle_echo(timestamp now, peer& from,
                                 const envelope& message) {
     from.echoed_at = std::max(from.echoed_at, timestamp(message.echo_us));
@@ -154,6 +190,10 @@
         std::exchange(from.out_of_contact, false)) {
         events_.on_in_contact(from.id);
     }
+}
+
+void peer_sessions::handle_ack(timestamp now, peer& from,
+                               const envelope& message) {
     while (!from.unacknowledged.empty() &&
            from.unacknowledged.front().sequence <= message.ack) {
         from.unacknowledged.pop_front();
--- a/src/core/dispatch/peer_sessions.hpp
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -8,6 +8,13 @@
 // recently heard this process, so that delayed messages start no tasks. If too
 // many payloads stay unacknowledged they are dropped, and both sides are
 // notified through `on_payloads_dropped()`.
+//
+// A host that forgets a peer forgets what it has received from it, while the
+// peer's process may live on. Each numbering of payloads is therefore a stream
+// with an identifier, and a payload is handled only if its sender has heard the
+// receiver's present stream, that is, if it was numbered for a receiver that
+// remembers the ones before it. A peer whose stream changes has forgotten this
+// host, which counts as dropped payloads.
 #ifndef FIGRIDGE_CORE_DISPATCH_PEER_SESSIONS_HPP
 #define FIGRIDGE_CORE_DISPATCH_PEER_SESSIONS_HPP
 
@@ -77,7 +84,9 @@
         std::optional<timestamp> active_since;
         bool lost = true;
         bool out_of_contact = true;
-        std::uint64_t received = 0;
+        std::uint64_t received = 0;    // of the peer's stream
+        std::uint64_t peer_stream = 0; // 0: unknown, or an older version
+        std::uint64_t stream = 0;      // of the payloads sent to the peer
         std::uint64_t next_sequence = 1;
         std::deque<sent_payload> unacknowledged;
         timestamp resend_at{0};
@@ -123,7 +132,16 @@
     bool update_activity(timestamp now, peer& other) const;
     void record_payload(timestamp now, peer& other) const;
     void check_contact(timestamp now, peer& other);
+    // Identifies a numbering; above all earlier results.
+    std::uint64_t next_stream(timestamp now);
+    // Notices that the peer has begun a new stream.
+    void follow_stream(peer& from, const envelope& message);
+    // Whether sender and receiver mean the same two streams, so that sequences
+    // and acknowledgements in the envelope count.
+    static bool is_of_present_streams(const peer& from,
+                                      const envelope& message);
     void handle_echo(timestamp now, peer& from, const envelope& message);
+    static void handle_ack(timestamp now, peer& from, const envelope& message);
     // Skips payloads that the sender dropped before they arrived here.
     void detect_dropped_payloads(peer& from, const envelope& message);
     void resend(timestamp now, const std::string& address, peer& to);
@@ -134,6 +152,7 @@
     peer_port& port_;
     peer_session_events& events_;
     std::map<std::string, peer> peers_;
+    std::uint64_t last_stream_ = 0;
     bool announce_ = false;
 };
 
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -252,6 +252,7 @@
         });
     BOOST_TEST(asked);
     message.sequence = 1;
+    message.ack_stream = peers.sent.back().second.stream;
     message.content.catalogues = {{"two"}};
     core.handle_envelope(now, message);
     BOOST_TEST(texts == std::vector<std::string>{"two"});
@@ -302,6 +303,43 @@
     BOOST_TEST(error_of([](envelope& m) {
                    m.content.updates[0].kind = static_cast<update_kind>(77);
                }) == "content.updates.kind: out of range");
+    BOOST_TEST(error_of([](envelope& m) {
+                   m.stream = std::numeric_limits<std::uint64_t>::max();
+               }) == "stream: out of range");
+    BOOST_TEST(error_of([](envelope& m) {
+                   m.ack_stream = std::numeric_limits<std::uint64_t>::max();
+               }) == "ack_stream: out of range");
+}
+
+// The fields of an envelope before it had streams.
+struct older_envelope : envelope {
+    MSGPACK_DEFINE(from, failure_domain, to_incarnation, sequence, ack,
+                   stamp_us, echo_us, content_echo_us, about, content,
+                   first_sequence);
+};
+
+// Guards against hosts of two versions that can't read each other during an
+// update.
+BOOST_AUTO_TEST_CASE(envelopes_of_an_older_version_can_be_read_and_read_ours) {
+    const auto sent = make_full_envelope();
+    msgpack::sbuffer packed;
+    msgpack::pack(packed, sent);
+    older_envelope older;
+    msgpack::unpack(packed.data(), packed.size()).get().convert(older);
+    BOOST_TEST(older.first_sequence == sent.first_sequence);
+    BOOST_TEST(older.stream == 0U);
+    packed.clear();
+    msgpack::pack(packed, older);
+    envelope read;
+    msgpack::unpack(packed.data(), packed.size()).get().convert(read);
+    BOOST_TEST(read.first_sequence == sent.first_sequence);
+    BOOST_TEST(read.stream == 0U);
+    BOOST_TEST(read.ack_stream == 0U);
+    packed.clear();
+    msgpack::pack(packed, sent);
+    msgpack::unpack(packed.data(), packed.size()).get().convert(read);
+    BOOST_TEST(read.stream == sent.stream);
+    BOOST_TEST(read.ack_stream == sent.ack_stream);
 }
 
 BOOST_AUTO_TEST_CASE(changed_settings_keep_the_process_identity) {
@@ -587,6 +625,109 @@
     BOOST_TEST(endpoints.stops.size() == 1U);
 }
 
+// A coordinator and the holder of endpoint-1, connected by a link.
+struct two_hosts_fixture {
+    two_hosts_fixture() {
+        for (auto* host : {&coordinator, &holder}) {
+            host->core.set_catalogue(1, "one");
+        }
+        coordinator.core.add_member(now, "10.1.0.2:1");
+        holder.core.add_member(now, "10.1.0.9:1");
+        run_for(500ms);
+        holder.core.set_endpoints(now,
+                                  {quiet_dispatcher::make_endpoint(endpoint)});
+        holder.core.set_holder(
+            now, {endpoint, "domain-1", {"10.1.0.2:1", 12}, 4, 5});
+        run_for(500ms);
+    }
+
+    static dispatch_settings holder_settings() {
+        auto settings = quiet_dispatcher::make_settings();
+        settings.self = {"10.1.0.2:1", 12};
+        return settings;
+    }
+
+    void deliver(quiet_dispatcher& from, quiet_dispatcher& to, bool cut) {
+        for (const auto& [address, message] :
+             std::exchange(from.peers.sent, {})) {
+            if (!cut) {
+                to.core.handle_envelope(now, message);
+            }
+        }
+    }
+
+    // The endpoint answers the calls of the holder at once.
+    void answer_holder() {
+        for (const auto& call : std::exchange(holder.endpoints.starts, {})) {
+            started.push_back(call.run);
+            running.push_back({call.run, 10});
+            holder.core.handle_start(now, call.target, call.run,
+                                     {call_status::ok, to_ms(now)});
+        }
+        for (const auto& call : std::exchange(holder.endpoints.stops, {})) {
+            std::erase_if(running, [&call](const running_entry& entry) {
+                return entry.run == call.run;
+            });
+            holder.core.handle_stop(now, call.target, call.run,
+                                    {call_status::ok, to_ms(now)});
+        }
+        for (const auto& call : std::exchange(holder.endpoints.holds, {})) {
+            hold_reply reply;
+            reply.number = call.number;
+            reply.call = {call_status::ok, to_ms(now)};
+            reply.instance_started_ms = 1000;
+            reply.running = running;
+            holder.core.handle_hold(now, call.target, reply);
+        }
+    }
+
+    void run_for(duration time, bool cut = false) {
+        for (const auto end = now + time; now < end;) {
+            now += 25ms;
+            coordinator.core.tick(now);
+            holder.core.tick(now);
+            answer_holder();
+            deliver(coordinator, holder, cut);
+            deliver(holder, coordinator, cut);
+            answer_holder();
+        }
+    }
+
+    [[nodiscard]] std::size_t starts_of(const std::string& job) const {
+        return static_cast<std::size_t>(std::count_if(
+            started.begin(), started.end(),
+            [&job](const task_run& run) { return run.task.job == job; }));
+    }
+
+    std::string endpoint = "endpoint-1";
+    quiet_dispatcher coordinator;
+    quiet_dispatcher holder{holder_settings()};
+    timestamp now{100s};
+    std::vector<task_run> started;
+    std::vector<running_entry> running;
+};
+
+// Guards against jobs that are accepted and never start: after a partition in
+// which the coordinator forgot the holder, the holder ignored its assignments
+// and acknowledged them.
+BOOST_FIXTURE_TEST_CASE(job_starts_at_a_holder_that_was_forgotten_in_a_cut,
+                        two_hosts_fixture) {
+    for (const auto* job : {"0123456789abcde0", "0123456789abcde1"}) {
+        coordinator.core.submit(now, 1, quiet_dispatcher::make_job(job));
+        run_for(100ms);
+        BOOST_REQUIRE_EQUAL(starts_of(job), 1U);
+    }
+    run_for(4s, true);
+    coordinator.core.remove_member("10.1.0.2:1");
+    run_for(100ms, true);
+    coordinator.core.add_member(now, "10.1.0.2:1");
+    run_for(1s);
+    coordinator.core.submit(now, 2,
+                            quiet_dispatcher::make_job("0123456789abcdef"));
+    run_for(100ms);
+    BOOST_TEST(starts_of("0123456789abcdef") == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/peer_sessions_test.cpp
+++ b/tests/dispatch/peer_sessions_test.cpp
@@ -265,6 +265,133 @@
     BOOST_TEST(a.sessions.is_live({"b:1", 3}));
 }
 
+// Guards against a task that starts twice under one run number: a receiver that
+// forgot a peer counted its payloads from 0 again and handled them twice.
+BOOST_AUTO_TEST_CASE(payload_is_not_handled_again_after_its_receiver_forgot) {
+    send_to_b("job-1");
+    run_for(25ms, false, true); // handled, but not acknowledged
+    run_for(1s, true, true);
+    b.sessions.remove("a:1");
+    BOOST_REQUIRE(b.sessions.peers().empty());
+    b.sessions.add(now, "a:1");
+    run_for(3s);
+    BOOST_TEST(b.received.size() == 1U);
+    BOOST_TEST(a.dropped == 1); // whether it was handled is unknown
+    send_to_b("job-2");
+    run_for(500ms);
+    BOOST_REQUIRE_EQUAL(b.received.size(), 2U);
+    BOOST_TEST(b.received[1].first == "job-2");
+    BOOST_TEST(b.received[1].second);
+}
+
+// Guards against payloads that vanish: a sender that forgot a peer began at
+// sequence 1 again, below the sequences that the peer had received and
+// acknowledged.
+BOOST_AUTO_TEST_CASE(payloads_arrive_after_their_sender_forgot_the_peer) {
+    for (const auto* job : {"job-1", "job-2", "job-3"}) {
+        send_to_b(job);
+        run_for(100ms);
+    }
+    run_for(1s, true, true);
+    a.sessions.remove("b:1");
+    BOOST_REQUIRE(a.sessions.peers().empty());
+    a.sessions.add(now, "b:1");
+    run_for(1s);
+    BOOST_TEST(b.dropped == 1);
+    send_to_b("job-4");
+    run_for(100ms);
+    BOOST_REQUIRE_EQUAL(b.received.size(), 4U);
+    BOOST_TEST(b.received[3].first == "job-4");
+    run_for(2s);
+    BOOST_TEST(a.sessions.peers().at("b:1").unacknowledged.empty());
+    BOOST_TEST(b.received.size() == 4U);
+}
+
+// Guards against payloads that vanish after a partition of an hour, in which
+// both hosts forgot each other at different times.
+BOOST_AUTO_TEST_CASE(payloads_arrive_after_both_sides_forgot_the_other) {
+    send_to_b("job-1");
+    run_for(100ms);
+    run_for(1s, true, true);
+    a.sessions.remove("b:1");
+    a.sessions.add(now, "b:1");
+    run_for(1s, true, true);
+    b.sessions.remove("a:1");
+    b.sessions.add(now, "a:1");
+    run_for(1s);
+    send_to_b("job-2");
+    run_for(100ms);
+    BOOST_REQUIRE_EQUAL(b.received.size(), 2U);
+    BOOST_TEST(b.received[1].first == "job-2");
+}
+
+// Guards against payloads that count as delivered although they were lost: an
+// envelope of the stream before may be read after the sender began a new one.
+BOOST_AUTO_TEST_CASE(held_up_envelope_of_an_earlier_stream_counts_for_nothing) {
+    envelope held_up;
+    held_up.from = {"a:1", 1};
+    held_up.to_incarnation = 2;
+    held_up.stream = a.sessions.peers().at("b:1").stream;
+    held_up.ack_stream = b.sessions.peers().at("a:1").stream;
+    held_up.sequence = 1;
+    held_up.first_sequence = 1;
+    held_up.ack = 9;
+    held_up.content.withdrawals.push_back({"job-1"});
+    run_for(1s, true, true);
+    a.sessions.remove("b:1");
+    a.sessions.add(now, "b:1");
+    run_for(500ms);
+    b.sessions.pending_for({"a:1", 1})->withdrawals.push_back({"job-2"});
+    b.sessions.flush(now);
+    b.sent.clear();
+    b.sessions.handle_envelope(now, held_up);
+    BOOST_TEST(b.received.empty());
+    BOOST_TEST(b.sessions.peers().at("a:1").unacknowledged.size() == 1U);
+    send_to_b("job-3");
+    run_for(2s);
+    BOOST_REQUIRE_EQUAL(b.received.size(), 1U);
+    BOOST_TEST(b.received[0].first == "job-3");
+    BOOST_REQUIRE_EQUAL(a.received.size(), 1U);
+    BOOST_TEST(a.received[0].first == "job-2");
+    BOOST_TEST(b.dropped == 1);
+}
+
+// During an update hosts exchange payloads with peers of the version before,
+// whose envelopes have no streams.
+BOOST_AUTO_TEST_CASE(payloads_of_a_version_without_streams_arrive) {
+    const auto exchange = [this](duration time) {
+        for (const auto end = now + time; now < end; now += 25ms) {
+            for (auto* host : {&a, &b}) {
+                host->sessions.tick(now);
+                host->sessions.flush(now);
+                for (auto& message : host->sent) {
+                    message.stream = 0;
+                    message.ack_stream = 0;
+                }
+            }
+            deliver(a, b, false);
+            deliver(b, a, false);
+        }
+    };
+    // New processes, which have not heard a stream of each other yet.
+    envelope hello;
+    hello.from = {"a:1", 3};
+    b.sessions.handle_envelope(now, hello);
+    hello.from = {"b:1", 4};
+    a.sessions.handle_envelope(now, hello);
+    a.settings.self.incarnation = 3;
+    b.settings.self.incarnation = 4;
+    exchange(1s);
+    a.sessions.pending_for({"b:1", 4})->withdrawals.push_back({"job-1"});
+    exchange(25ms);
+    a.sessions.pending_for({"b:1", 4})->withdrawals.push_back({"job-2"});
+    exchange(2s);
+    BOOST_REQUIRE_EQUAL(b.received.size(), 2U);
+    BOOST_TEST(b.received[1].first == "job-2");
+    BOOST_TEST(a.sessions.peers().at("b:1").unacknowledged.empty());
+    BOOST_TEST(a.dropped + b.dropped == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/dispatch/quiet_dispatcher.hpp
+++ b/tests/dispatch/quiet_dispatcher.hpp
@@ -45,8 +45,9 @@
 
 // A host of domain-1. It receives only what the test passes to it.
 struct quiet_dispatcher {
-    quiet_dispatcher()
-        : core(make_settings(), {peers, endpoints, store, callers, observer}) {
+    explicit quiet_dispatcher(
+        const dispatch_settings& settings = make_settings())
+        : core(settings, {peers, endpoints, store, callers, observer}) {
         core.start(now);
     }
 
@@ -133,6 +134,10 @@
     content.claims = {{"endpoint-1", {{run, need}}}};
     content.updates = {{run, update_kind::done, "endpoint-1", 4}};
     content.grants = {{"endpoint-1", 5, 3}};
+    message.first_sequence = 1;
+    message.stream = 4'000'000;
+    message.ack_stream =
+        100'000'000; // of a host that knows the peer from 100 s
     return message;
 }
 
--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -207,6 +207,7 @@
     msgpack::pack(packed, dispatch::make_full_envelope());
     const std::string good(packed.data(), packed.size());
     dispatch::quiet_dispatcher host;
+    host.core.add_member(host.now, "10.1.0.2:1");
     int thrown = 0;
     int handled = 0;
     for (int round = 0; round < rounds; ++round) {
