A removed peer is given up as a coordinator and as a holder

What callers saw: a task could run twice at the same time when the `hosts` row of its coordinator was removed within a cut, as a draining host does.

Cause: a peer is removed if it is lost (450 ms), a holder gives its coordinator up when that is out of contact (700 ms). Once the peer was removed, nothing watched the contact any more: what it had queued here still started, and its runs went on with renewed leases, while the coordinator placed its tasks again after the bound.

Change: removing a peer, by its row or after 10 min, gives up what it had queued and running here; tasks of this host that are placed there wait for the bound even if the peer is heard again, since what was under way in either direction is lost with its state.

Failed before: run_of_a_removed_coordinator_is_stopped (the run went on for the whole second of the test; nothing would have ended it). task_assigned_to_a_host_removed_since_is_placed_again passed before, by the gap in the holder's own payloads; it now holds without one.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -229,6 +229,11 @@
     }
 }
 
+void dispatcher::on_removed(const process_id& peer) {
+    holder_.abandon(now_, peer);
+    coordinator_.handle_reports_lost(peer, runs_end_by(false));
+}
+
 void dispatcher::on_forgotten(const std::string& address) {
     ports_.observer.log(log_level::info, "peer_forgotten", {{"peer", address}});
     if (on_member_forgotten) {
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -168,6 +168,7 @@
     void on_out_of_contact(const process_id& peer) override;
     void on_in_contact(const process_id& peer) override;
     void on_payloads_dropped(const process_id& peer) override;
+    void on_removed(const process_id& peer) override;
     void on_forgotten(const std::string& address) override;
     advert make_advert() override;
 
--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -38,8 +38,15 @@
 void peer_sessions::remove(const std::string& address) {
     const auto found = peers_.find(address);
     if (found != peers_.end() && found->second.lost) {
-        port_.disconnect(address);
-        peers_.erase(found);
+        erase(address);
+    }
+}
+
+void peer_sessions::erase(const std::string& address) {
+    port_.disconnect(address);
+    const auto removed = peers_.extract(address).mapped().id;
+    if (removed.incarnation != 0) {
+        events_.on_removed(removed);
     }
 }
 
@@ -308,8 +315,7 @@
         }
     }
     for (const auto& address : forgotten) {
-        port_.disconnect(address);
-        peers_.erase(address);
+        erase(address);
         events_.on_forgotten(address);
     }
 }
--- a/src/core/dispatch/peer_sessions.hpp
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -51,6 +51,10 @@
     // Payloads to or from the peer were dropped, so neither side may rely on
     // the state reported earlier.
     virtual void on_payloads_dropped(const process_id& peer) = 0;
+    // A lost peer was removed, with the payloads to and from it that were not
+    // handled yet. Its process may live on, and may count this host as lost
+    // only later.
+    virtual void on_removed(const process_id& peer) = 0;
     // The peer was not heard for `forget_after` and was removed.
     virtual void on_forgotten(const std::string& address) = 0;
     virtual advert make_advert() = 0;
@@ -100,6 +104,7 @@
     // Connects to a peer, unless it is known already. Its failure domain may be
     // unknown until it is heard.
     void add(timestamp now, const std::string& address);
+    // Removes a peer if it is lost.
     void remove(const std::string& address);
 
     void handle_envelope(timestamp now, const envelope& message);
@@ -146,6 +151,7 @@
     void detect_dropped_payloads(peer& from, const envelope& message);
     void resend(timestamp now, const std::string& address, peer& to);
     void mark_lost(peer& other, bool restarted);
+    void erase(const std::string& address);
     void forget_expired_peers(timestamp now);
 
     const dispatch_settings& settings_;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -728,6 +728,40 @@
     BOOST_TEST(starts_of("0123456789abcdef") == 1U);
 }
 
+// Guards against two runs of a task at the same time: a coordinator that was
+// removed after `suspect_after`, but before `abandon_after`, was never given
+// up, so its run went on here while it placed the task again.
+BOOST_FIXTURE_TEST_CASE(run_of_a_removed_coordinator_is_stopped,
+                        two_hosts_fixture) {
+    auto job = quiet_dispatcher::make_job("0123456789abcdef");
+    job.caller_timeout = 20s;
+    coordinator.core.submit(now, 1, job);
+    run_for(100ms);
+    BOOST_REQUIRE_EQUAL(running.size(), 1U);
+    run_for(575ms, true);
+    BOOST_REQUIRE_EQUAL(running.size(), 1U);
+    holder.core.remove_member("10.1.0.9:1");
+    run_for(1s, true);
+    BOOST_TEST(running.empty());
+}
+
+// Guards against a job that waits until its caller gives up: the assignment was
+// lost together with the state of its holder, which was then heard again.
+BOOST_FIXTURE_TEST_CASE(task_assigned_to_a_host_removed_since_is_placed_again,
+                        two_hosts_fixture) {
+    auto job = quiet_dispatcher::make_job("0123456789abcdef");
+    job.caller_timeout = 20s;
+    coordinator.core.submit(now, 1, job);
+    run_for(575ms, true);
+    coordinator.core.remove_member("10.1.0.2:1");
+    coordinator.core.add_member(now, "10.1.0.2:1");
+    run_for(1500ms);
+    BOOST_TEST(started.empty()); // the first run might still start
+    run_for(1500ms);
+    BOOST_REQUIRE_EQUAL(started.size(), 1U);
+    BOOST_TEST(started[0].run == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/peer_sessions_test.cpp
+++ b/tests/dispatch/peer_sessions_test.cpp
@@ -37,6 +37,7 @@
     }
     void on_in_contact(const process_id& /*peer*/) override { ++in_contact; }
     void on_payloads_dropped(const process_id& /*peer*/) override { ++dropped; }
+    void on_removed(const process_id& /*peer*/) override {}
     void on_forgotten(const std::string& address) override {
         forgotten.push_back(address);
     }
