Envelopes of the past count neither as a restart nor as news

What callers saw: nothing yet; found by asking what an envelope proves if two connections of a peer are read out of order.

Cause: any incarnation other than the known one counted as a restart, unless it was known as a former one. Besides, load and state were taken from whatever envelope came last, and an old one made a lost peer live.

Change: another incarnation counts as the later process if it echoes a stamp that this host sent after it heard the known one, or, if it is new here, if its stamp is not older than the known one's or the known one is lost. The echo also brings back a process that was taken for ended; its numbering then begins a new stream. State, load and life are taken only from envelopes that are not older than the newest.

Failed before: held_up_envelope_of_an_unknown_former_process_is_ignored, process_taken_for_ended_comes_back_by_an_echo, envelope_older_than_the_newest_brings_no_news. Envelopes of the tests of restarts now have stamps, as all sent ones do; what they check is the same.

--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -122,33 +122,22 @@
     }
     add(now, message.from.address);
     auto& from = peers_.at(message.from.address);
-    if (from.former_incarnations.contains(message.from.incarnation)) {
-        return;
-    }
     if (from.id.incarnation != message.from.incarnation) {
-        if (from.id.incarnation != 0) {
-            from.former_incarnations.insert(from.id.incarnation);
-            mark_lost(from, true);
-            if (!std::exchange(from.out_of_contact, true)) {
-                events_.on_out_of_contact(from.id);
-            }
+        if (!is_of_successor(from, message)) {
+            return;
         }
-        from.id = message.from;
-        from.received = 0;
-        from.peer_stream = 0;
-        from.unacknowledged.clear();
-        from.pending = {};
-        from.next_sequence = 1;
-        from.echoed_at = timestamp{0};
-        from.peer_stamp_us = 0;
+        begin_incarnation(now, from, message.from);
     }
-    from.failure_domain = message.failure_domain;
-    from.about = message.about;
-    from.heard_at = now;
-    if (std::exchange(from.lost, false)) {
-        events_.on_live(from.id);
+    const bool newest = message.stamp_us >= from.peer_stamp_us;
+    if (newest) {
+        from.peer_stamp_us = message.stamp_us;
+        from.failure_domain = message.failure_domain;
+        from.about = message.about;
+        from.heard_at = now;
+        if (std::exchange(from.lost, false)) {
+            events_.on_live(from.id);
+        }
     }
-    from.peer_stamp_us = std::max(from.peer_stamp_us, message.stamp_us);
     follow_stream(from, message);
     const bool for_us = message.to_incarnation == settings_.self.incarnation;
     const bool counts = for_us && is_of_present_streams(from, message);
@@ -159,7 +148,9 @@
         handle_ack(now, from, message);
         detect_dropped_payloads(from, message);
     }
-    events_.on_advert(from.id, from.failure_domain, from.about);
+    if (newest) {
+        events_.on_advert(from.id, from.failure_domain, from.about);
+    }
     if (counts && message.sequence == from.received + 1) {
         from.received = message.sequence;
         record_payload(now, from);
@@ -169,6 +160,46 @@
     }
 }
 
+bool peer_sessions::is_of_successor(const peer& known,
+                                    const envelope& message) const {
+    if (known.id.incarnation == 0) {
+        return true;
+    }
+    // The process has received what this one sent after it heard the known one.
+    const bool proven = message.to_incarnation == settings_.self.incarnation &&
+                        timestamp(message.echo_us) > known.first_heard_at;
+    // Without a proof the stamps decide, which are of one clock unless the
+    // machine has changed or was started again.
+    const bool likely =
+        !known.former_incarnations.contains(message.from.incarnation) &&
+        (known.lost || message.stamp_us >= known.peer_stamp_us);
+    return proven || likely;
+}
+
+void peer_sessions::begin_incarnation(timestamp now, peer& from,
+                                      const process_id& id) {
+    if (from.id.incarnation != 0) {
+        from.former_incarnations.insert(from.id.incarnation);
+        mark_lost(from, true);
+        if (!std::exchange(from.out_of_contact, true)) {
+            events_.on_out_of_contact(from.id);
+        }
+    }
+    if (from.former_incarnations.erase(id.incarnation) > 0) {
+        // It has received payloads of the present numbering.
+        from.stream = next_stream(now);
+    }
+    from.id = id;
+    from.first_heard_at = now;
+    from.received = 0;
+    from.peer_stream = 0;
+    from.unacknowledged.clear();
+    from.pending = {};
+    from.next_sequence = 1;
+    from.echoed_at = timestamp{0};
+    from.peer_stamp_us = 0;
+}
+
 void peer_sessions::follow_stream(peer& from, const envelope& message) {
     if (message.stream <= from.peer_stream) {
         return;
--- a/src/core/dispatch/peer_sessions.hpp
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -78,7 +78,8 @@
         process_id id;
         std::string failure_domain;
         advert about;
-        timestamp heard_at{0}; // 0: never
+        timestamp heard_at{0};       // 0: never
+        timestamp first_heard_at{0}; // of this incarnation
         timestamp added_at{0};
         timestamp echoed_at{0}; // latest own stamp the peer has received
         std::int64_t peer_stamp_us = 0;
@@ -137,6 +138,12 @@
     bool update_activity(timestamp now, peer& other) const;
     void record_payload(timestamp now, peer& other) const;
     void check_contact(timestamp now, peer& other);
+    // Whether the envelope is of a process that followed the known one at its
+    // address. Envelopes of a former one may be read later.
+    [[nodiscard]] bool is_of_successor(const peer& known,
+                                       const envelope& message) const;
+    // Begins the exchange with another process at the peer's address.
+    void begin_incarnation(timestamp now, peer& from, const process_id& id);
     // Identifies a numbering; above all earlier results.
     std::uint64_t next_stream(timestamp now);
     // Notices that the peer has begun a new stream.
--- a/tests/dispatch/peer_sessions_test.cpp
+++ b/tests/dispatch/peer_sessions_test.cpp
@@ -250,6 +250,7 @@
     a.sent.clear();
     envelope hello;
     hello.from = {"b:1", 3};
+    hello.stamp_us = now.count();
     a.sessions.handle_envelope(now, hello);
     BOOST_REQUIRE_EQUAL(a.lost.size(), 1U);
     BOOST_TEST(a.lost[0]);
@@ -260,6 +261,7 @@
 BOOST_AUTO_TEST_CASE(envelope_of_a_former_incarnation_is_ignored) {
     envelope hello;
     hello.from = {"b:1", 3};
+    hello.stamp_us = now.count();
     a.sessions.handle_envelope(now, hello);
     hello.from = {"b:1", 2};
     a.sessions.handle_envelope(now, hello);
@@ -376,6 +378,7 @@
     };
     // New processes, which have not heard a stream of each other yet.
     envelope hello;
+    hello.stamp_us = now.count();
     hello.from = {"a:1", 3};
     b.sessions.handle_envelope(now, hello);
     hello.from = {"b:1", 4};
@@ -393,6 +396,57 @@
     BOOST_TEST(a.dropped + b.dropped == 0);
 }
 
+// Guards against a live peer that counts as ended: an envelope of the process
+// before it, which this host never heard, may be read after its own.
+BOOST_AUTO_TEST_CASE(held_up_envelope_of_an_unknown_former_process_is_ignored) {
+    envelope held_up;
+    held_up.from = {"b:1", 1};
+    held_up.stamp_us = timestamp(9s).count(); // before the process heard
+    a.sessions.handle_envelope(now, held_up);
+    BOOST_TEST(a.lost.empty());
+    BOOST_TEST(a.sessions.is_live({"b:1", 2}));
+}
+
+// Guards against a host that never hears a live peer again: stamps of another
+// machine say nothing, so the process before may have seemed the later one.
+BOOST_AUTO_TEST_CASE(process_taken_for_ended_comes_back_by_an_echo) {
+    send_to_b("job-1");
+    run_for(100ms);
+    envelope held_up;
+    held_up.from = {"b:1", 1};
+    held_up.stamp_us = timestamp(1h).count();
+    a.sessions.handle_envelope(now, held_up);
+    BOOST_REQUIRE(a.sessions.is_live({"b:1", 1}));
+    run_for(1s);
+    BOOST_REQUIRE(a.sessions.is_live({"b:1", 2}));
+    send_to_b("job-2");
+    run_for(100ms);
+    BOOST_REQUIRE_EQUAL(b.received.size(), 2U);
+    BOOST_TEST(b.received[1].first == "job-2");
+    a.sessions.handle_envelope(now, held_up);
+    BOOST_TEST(a.sessions.is_live({"b:1", 2}));
+}
+
+// Guards against state and life of the past taken for the present: bytes of a
+// reset connection may be read after those of its successor.
+BOOST_AUTO_TEST_CASE(envelope_older_than_the_newest_brings_no_news) {
+    envelope newest;
+    newest.from = {"b:1", 2};
+    newest.failure_domain = "domain-1";
+    newest.stamp_us = now.count();
+    newest.about.draining = true;
+    a.sessions.handle_envelope(now, newest);
+    auto older = newest;
+    older.stamp_us -= 1000;
+    older.about.draining = false;
+    a.sessions.handle_envelope(now, older);
+    BOOST_TEST(a.sessions.peers().at("b:1").about.draining);
+    run_for(600ms, false, true);
+    BOOST_REQUIRE(!a.sessions.is_live({"b:1", 2}));
+    a.sessions.handle_envelope(now, older);
+    BOOST_TEST(!a.sessions.is_live({"b:1", 2}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
