Withdrawals take effect in the order in which they were sent

What callers saw: a job that came again in the first input after its coordinator had stood still for 1.3 s or longer was never started, if a place of its own endpoints was chosen. And a run could go on that nobody needed.

Cause: the contents of a payload are handled by kind, assignments before withdrawals before claims. A process that stood still withdraws its jobs; the withdrawal removed the task of the same job that came again in that input. A job that ends in the input in which one of its runs is claimed is withdrawn first; the claim arrived after the withdrawal and kept the run.

Change: claims before withdrawals before assignments; a withdrawal removes the unsent assignments of its job, so that one sent before it does not survive it.

Failed before: job_that_comes_again_right_after_a_pause_is_started (0 starts), claimed_run_of_a_job_withdrawn_with_it_is_stopped (0 stops).

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -292,6 +292,14 @@
             on_catalogue_text(catalogue.text);
         }
     }
+    // A claim was sent before a withdrawal of its job, an assignment after it;
+    // see `send_withdrawal()`.
+    for (const auto& claim : content.claims) {
+        holder_.claim(now_, from, claim);
+    }
+    for (const auto& withdrawal : content.withdrawals) {
+        holder_.withdraw(now_, from, withdrawal.job);
+    }
     for (const auto& assignment : content.assignments) {
         if (fresh) {
             holder_.assign(now_, from, assignment);
@@ -301,9 +309,6 @@
             send_update(from, {item.run, update_kind::returned, {}, 0});
         }
     }
-    for (const auto& withdrawal : content.withdrawals) {
-        holder_.withdraw(now_, from, withdrawal.job);
-    }
     for (const auto& grant : content.grants) {
         // Other hosts may have taken over an endpoint granted long ago.
         if (fresh) {
@@ -314,9 +319,6 @@
         record_announced_holder(now_, from, adoption);
         coordinator_.handle_adoption(now_, from, adoption);
     }
-    for (const auto& claim : content.claims) {
-        holder_.claim(now_, from, claim);
-    }
     for (const auto& update : content.updates) {
         coordinator_.handle_update(now_, from, update);
     }
@@ -349,6 +351,10 @@
 void dispatcher::send_withdrawal(const process_id& holder,
                                  const job_withdrawal& withdrawal) {
     if (auto* pending = outbox(holder)) {
+        std::erase_if(pending->assignments,
+                      [&withdrawal](const task_assignment& assignment) {
+                          return assignment.job == withdrawal.job;
+                      });
         pending->withdrawals.push_back(withdrawal);
     }
 }
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -762,6 +762,44 @@
     BOOST_TEST(started[0].run == 2U);
 }
 
+// Guards against a job that waits until its caller gives up: a process that
+// stood still withdraws its jobs, and the withdrawal removed the task of the
+// same job that came again in the same input.
+BOOST_AUTO_TEST_CASE(job_that_comes_again_right_after_a_pause_is_started) {
+    complete_takeover();
+    core.submit(now, 1, make_job("0123456789abcde0", 2)); // fills the endpoint
+    const auto job = make_job("0123456789abcdef");
+    core.submit(now, 2, job); // queued
+    const auto before = endpoints.starts.size();
+    now += 1400ms;
+    core.submit(now, 3, job);
+    answer_hold();
+    advance(100ms);
+    const auto starts = std::count_if(
+        endpoints.starts.begin() + static_cast<std::ptrdiff_t>(before),
+        endpoints.starts.end(), [](const start_call& call) {
+            return call.run.task.job == "0123456789abcdef";
+        });
+    BOOST_TEST(starts == 1);
+}
+
+// Guards against a run that nobody needs: a job may end in the input in which
+// one of its runs is claimed, and the withdrawal came before the claim.
+BOOST_AUTO_TEST_CASE(claimed_run_of_a_job_withdrawn_with_it_is_stopped) {
+    BOOST_REQUIRE(store.writes.size() == 1U);
+    core.handle_write_result(now, store.writes.back().first, store_status::ok);
+    receive_from_peer();
+    const task_run run{{"0123456789abcdef", 0, 0}, 1};
+    answer_hold({run});
+    task_need need;
+    need.room = {6000, 64, 0};
+    payload content;
+    content.withdrawals = {{run.task.job}};
+    content.claims = {{"endpoint-1", {{run, need}}}};
+    receive_from_peer("domain-1", content);
+    BOOST_TEST(endpoints.stops.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
