--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -800,6 +800,53 @@
     BOOST_TEST(endpoints.stops.size() == 1U);
 }
 
+// Guards against an earlier holder that comes back: the reply to its write may
+// arrive after the row of the next holder.
+BOOST_AUTO_TEST_CASE(late_reply_to_a_takeover_does_not_undo_a_later_one) {
+    BOOST_REQUIRE(store.writes.size() == 1U);
+    auto row = store.writes.back().second.front();
+    row.holder = {"10.1.0.5:1", 55};
+    row.token = 2 * stored_token_stride;
+    row.version = 9;
+    core.set_holder(now, row);
+    core.handle_write_result(now, store.writes.back().first, store_status::ok);
+    advance(100ms);
+    for (const auto& call : endpoints.holds) {
+        BOOST_TEST(call.target.token == row.token); // probes only
+        BOOST_TEST(!call.lease_deadline_ms.has_value());
+    }
+}
+
+// Guards against one token in two hands: a host that has granted an endpoint
+// away reads its own row again, which is the stored one until the receiver
+// writes its own.
+BOOST_AUTO_TEST_CASE(granted_endpoint_is_not_granted_again_after_its_old_row) {
+    complete_takeover();
+    receive_from_peer();
+    core.drain(now);
+    advance(400ms);
+    receive_from_peer();
+    advance(200ms);
+    BOOST_REQUIRE_EQUAL(grants().size(), 1U);
+    const auto calls = endpoints.holds.size();
+    store_row();
+    receive_from_peer();
+    advance(200ms);
+    BOOST_TEST(grants().size() == 1U);
+    BOOST_TEST(endpoints.holds.size() == calls);
+}
+
+// Guards against an endpoint that is given up to a former holder: its adoption
+// may have been held up by a cut.
+BOOST_AUTO_TEST_CASE(held_up_adoption_of_a_former_holder_releases_nothing) {
+    complete_takeover();
+    payload content;
+    content.adoptions = {{"endpoint-1", {"10.1.0.5:1", 55}, 4, {}, {}}};
+    receive_from_peer("domain-1", content);
+    core.submit(now, 1, make_job("0123456789abcdef"));
+    BOOST_TEST(endpoints.starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/peer_sessions_test.cpp
+++ b/tests/dispatch/peer_sessions_test.cpp
@@ -447,6 +447,30 @@
     BOOST_TEST(!a.sessions.is_live({"b:1", 2}));
 }
 
+// Guards against a live peer that counts as lost: the attempt that was refused
+// may have begun before its process listened.
+BOOST_AUTO_TEST_CASE(refused_link_counts_only_if_nothing_was_heard_since) {
+    a.sessions.handle_link_refused(now, "b:1", now - 1s);
+    BOOST_TEST(a.sessions.is_live({"b:1", 2}));
+    now += 100ms;
+    a.sessions.handle_link_refused(now, "b:1", now - 10ms);
+    BOOST_TEST(!a.sessions.is_live({"b:1", 2}));
+    BOOST_REQUIRE_EQUAL(a.lost.size(), 1U);
+    BOOST_TEST(!a.lost[0]); // its process may have heard this host
+}
+
+// Guards against a wait of `resend_interval` for payloads that were lost with
+// the connection before, and against their being handled twice.
+BOOST_AUTO_TEST_CASE(restored_link_brings_unacknowledged_payloads_once) {
+    send_to_b("job-1");
+    a.sessions.flush(now);
+    a.sent.clear();
+    a.sessions.handle_link_restored(now, "b:1");
+    a.sessions.handle_link_restored(now, "b:1");
+    deliver(a, b, false);
+    BOOST_TEST(b.received.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
