--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -847,6 +847,28 @@
     BOOST_TEST(endpoints.starts.size() == 1U);
 }
 
+// Guards against an input that is handled within another: the store answers a
+// call at once when the budget of calls is used up.
+BOOST_FIXTURE_TEST_CASE(store_that_refuses_at_once_is_asked_again,
+                        quiet_dispatcher) {
+    bool has_budget = false;
+    store.on_write = [&](std::uint64_t request) {
+        if (!has_budget) {
+            core.handle_write_result(now, request, store_status::unavailable);
+        }
+    };
+    core.set_catalogue(1, "one");
+    core.set_endpoints(now, {make_endpoint("endpoint-1")});
+    core.set_endpoint(now, make_endpoint("endpoint-2"));
+    advance(800ms);
+    BOOST_TEST(store.writes.size() > 1U);
+    BOOST_TEST(endpoints.holds.empty());
+    has_budget = true;
+    advance(100ms);
+    core.handle_write_result(now, store.writes.back().first, store_status::ok);
+    BOOST_TEST(endpoints.holds.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/quiet_dispatcher.hpp
+++ b/tests/dispatch/quiet_dispatcher.hpp
@@ -29,9 +29,13 @@
     void replace(std::uint64_t request,
                  const std::vector<holder_record>& rows) override {
         writes.emplace_back(request, rows);
+        if (on_write) {
+            on_write(request);
+        }
     }
 
     std::vector<std::pair<std::uint64_t, std::vector<holder_record>>> writes;
+    std::function<void(std::uint64_t request)> on_write;
 };
 
 class recording_caller_port final : public caller_port {
