Tests: a resend before the new stream is heard, a withdrawn assignment

assignment_withdrawn_in_the_same_input_is_not_sent fails if send_withdrawal() keeps the unsent assignments.

--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -869,6 +869,40 @@
     BOOST_TEST(endpoints.holds.size() == 2U);
 }
 
+// Guards against a task that starts for a job that has been answered: its
+// assignment and the withdrawal of its job may be sent in one payload.
+BOOST_AUTO_TEST_CASE(assignment_withdrawn_in_the_same_input_is_not_sent) {
+    const auto receive = [this](std::uint64_t sequence,
+                                const payload& content) {
+        envelope message;
+        message.from = {"10.1.0.2:1", 12};
+        message.failure_domain = "domain-1";
+        message.to_incarnation = 99;
+        message.stamp_us = now.count();
+        message.echo_us = now.count();
+        message.content_echo_us = now.count();
+        message.about = {1, false, 0.25, 1, 16'000, 0, 0, 16'000, 32'768, {}};
+        message.about.free_cpu = {16'000};
+        message.sequence = sequence;
+        message.content = content;
+        core.handle_envelope(now, message);
+    };
+    receive(0, {});
+    auto job = make_job("0123456789abcdef", 2);
+    job.queue.attempts = 1;
+    core.submit(now, 1, job);
+    BOOST_REQUIRE(!peers.sent.back().second.content.assignments.empty());
+    payload ends;
+    ends.updates = {
+        {{{job.work.id, 0, 0}, 1}, update_kind::returned, {}, 0},
+        {{{job.work.id, 0, 1}, 1}, update_kind::failed, "endpoint-2", 4}};
+    receive(1, ends);
+    BOOST_REQUIRE_EQUAL(callers.answers.size(), 1U);
+    const auto& sent = peers.sent.back().second.content;
+    BOOST_TEST(sent.withdrawals.size() == 1U);
+    BOOST_TEST(sent.assignments.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/peer_sessions_test.cpp
+++ b/tests/dispatch/peer_sessions_test.cpp
@@ -277,6 +277,8 @@
     b.sessions.remove("a:1");
     BOOST_REQUIRE(b.sessions.peers().empty());
     b.sessions.add(now, "a:1");
+    run_for(2s, false, true); // sent again before a hears b's new stream
+    BOOST_TEST(b.received.size() == 1U);
     run_for(3s);
     BOOST_TEST(b.received.size() == 1U);
     BOOST_TEST(a.dropped == 1); // whether it was handled is unknown
