A run found on an endpoint doesn't replace a queued task

Cause: two coordinators of one job both begin at run 1. When an endpoint changed hands, a coordinator whose task was queued at the former holder took a run 1 on the endpoint's list for its own. An ended one placed the task again as run 2; a running one was claimed, and its end placed the task again. The former holder, which may live, still had run 1 in its queue and started it.

Change: only the holder that started a run knows whose it is. - An end listed by an endpoint that the task isn't known to be on proves nothing unless it is `done`, which has done the task whoever started it. The task's own run is then withdrawn with the job. - A running entry is still claimed within the claim window, but kept beside the task's own run (`found_run`). It replaces that one only when its holder has reported the endpoint under a lower token, or that the run is over, or when the bound has passed. If the found run ends first, the task waits for its own. - A retained adoption applies when `started` names its endpoint under a lower token, as it did with `disowned`. A run that it doesn't list is not given up then: its end follows on the link of its start. That order is not needed for safety; if the link drops it, the bound decides.

Why no task waits for nobody: the own run's holder reports or is lost, and a lost one has a bound; the same holds for the holder of a found run.

--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -190,6 +190,8 @@
             task.token = 0;
             task.holder_lost = false;
             task.report_lost = false;
+            task.own_run_open = false;
+            task.found.reset();
             assignments[*holder].items.push_back(
                 {{{submission.work.id, s, i}, task.run}, need, task.avoid});
         }
@@ -225,10 +227,15 @@
     job_state* state = nullptr;
     auto* task = find(update.run.task, &state);
     const bool current = task != nullptr && task->run == update.run.run &&
-                         task->phase == task_phase::placed &&
-                         task->holder == holder;
-    if (current) {
+                         task->phase == task_phase::placed;
+    if (!current) {
+        return;
+    }
+    if (task->holder == holder) {
         apply_update(now, *state, *task, update);
+    } else if (task->found && task->found->holder == holder &&
+               task->found->endpoint == update.endpoint) {
+        apply_found_update(now, *state, *task, update);
     }
 }
 
@@ -241,6 +248,7 @@
         task.endpoint = update.endpoint;
         task.token = update.token;
         state.any_started = true;
+        apply_kept_adoption(now, state, task, update);
         return;
     case update_kind::done: {
         task.phase = task_phase::done;
@@ -271,16 +279,7 @@
         task.holder_lost = true;
         task.report_lost = true; // the former holder sends no more reports
         task.runs_end_by = now + disowned_run_limit;
-        const auto kept = recent_adoptions_.find(update.endpoint);
-        if (kept != recent_adoptions_.end()) {
-            adoption_claim claim{update.endpoint, {}};
-            apply_adoption(now, kept->second.holder, kept->second.adoption,
-                           state, update.run.task.step, update.run.task.index,
-                           claim);
-            if (!claim.items.empty()) {
-                events_.send_claim(kept->second.holder, claim);
-            }
-        }
+        apply_kept_adoption(now, state, task, update);
         break;
     }
     default:
@@ -294,6 +293,78 @@
     }
 }
 
+void job_coordinator::apply_kept_adoption(timestamp now, job_state& state,
+                                          task_state& task,
+                                          const task_update& update) {
+    if (task.found && task.found->endpoint == task.endpoint &&
+        task.found->token > task.token) {
+        follow_found_run(task);
+        return;
+    }
+    const auto kept = recent_adoptions_.find(update.endpoint);
+    if (kept == recent_adoptions_.end()) {
+        return;
+    }
+    const auto& [holder, adoption, at] = kept->second;
+    const auto is_run = [&update](const task_update& ended) {
+        return ended.run == update.run;
+    };
+    const bool listed =
+        std::find(adoption.running.begin(), adoption.running.end(),
+                  update.run) != adoption.running.end() ||
+        std::any_of(adoption.ended.begin(), adoption.ended.end(), is_run);
+    if (update.kind == update_kind::started && !listed) {
+        return; // the end of the run follows on the link of its start
+    }
+    adoption_claim claim{update.endpoint, {}};
+    apply_adoption(now, holder, adoption, state, update.run.task.step,
+                   update.run.task.index, claim);
+    if (!claim.items.empty()) {
+        events_.send_claim(holder, claim);
+    }
+}
+
+void job_coordinator::apply_found_update(timestamp now, job_state& state,
+                                         task_state& task,
+                                         const task_update& update) {
+    switch (update.kind) {
+    case update_kind::started:
+        return;
+    case update_kind::done:
+        task.own_run_open = true;
+        return apply_update(now, state, task, update);
+    case update_kind::disowned: {
+        task.found->ends_by = now + disowned_run_limit;
+        task.found->report_lost = true;
+        const auto kept = recent_adoptions_.find(update.endpoint);
+        if (kept == recent_adoptions_.end() ||
+            kept->second.adoption.token <= task.found->token) {
+            return;
+        }
+        adoption_claim claim{update.endpoint, {}};
+        apply_adoption_to_found(now, kept->second.holder, kept->second.adoption,
+                                state, task, update.run, claim);
+        if (!claim.items.empty()) {
+            events_.send_claim(kept->second.holder, claim);
+        }
+        return;
+    }
+    default:
+        task.found.reset();
+        return;
+    }
+}
+
+void job_coordinator::follow_found_run(task_state& task) {
+    task.holder = task.found->holder;
+    task.endpoint = task.found->endpoint;
+    task.token = task.found->token;
+    task.holder_lost = task.found->ends_by.has_value();
+    task.report_lost = task.found->report_lost;
+    task.runs_end_by = task.found->ends_by.value_or(timestamp{0});
+    task.found.reset();
+}
+
 void job_coordinator::reschedule(const task_key& key, task_state& task,
                                  update_kind cause, const std::string& endpoint,
                                  std::string_view why) {
@@ -306,7 +377,11 @@
          {"why", std::string(why)},
          {"holder", task.holder.address},
          {"endpoint", task.endpoint.empty() ? "unknown" : task.endpoint},
-         {"token", std::to_string(task.token)}});
+         {"token", std::to_string(task.token)},
+         {"follows_found_run", task.found ? "yes" : "no"}});
+    if (task.found) {
+        return follow_found_run(task);
+    }
     task.phase = task_phase::unplaced;
     task.holder_lost = false;
     ++task.moves;
@@ -328,8 +403,11 @@
     std::set<process_id> holders;
     for (const auto& step : state.steps) {
         for (const auto& task : step.tasks) {
-            if (task.phase == task_phase::placed) {
+            if (task.phase == task_phase::placed || task.own_run_open) {
                 holders.insert(task.holder);
+                if (task.found) {
+                    holders.insert(task.found->holder);
+                }
             }
         }
     }
@@ -423,7 +501,8 @@
         const auto& tasks = state.steps[i].tasks;
         const bool waits =
             std::any_of(tasks.begin(), tasks.end(), [](const task_state& task) {
-                return task.phase != task_phase::done && task.endpoint.empty();
+                return task.phase != task_phase::done &&
+                       task.endpoint.empty() && !task.found;
             });
         if (waits) {
             return true;
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -86,6 +86,17 @@
 private:
     enum class task_phase { blocked, unplaced, placed, done };
 
+    // A run with the number of the task's own that a later holder found on an
+    // endpoint, and that was claimed. It may be the one of another coordinator
+    // of the job: both number their runs from 1.
+    struct found_run {
+        process_id holder;
+        std::string endpoint;
+        std::uint64_t token = 0;
+        std::optional<timestamp> ends_by; // set while `holder` is lost
+        bool report_lost = false;
+    };
+
     struct task_state {
         task_phase phase = task_phase::blocked;
         process_id holder;
@@ -98,6 +109,10 @@
         timestamp runs_end_by{0}; // set if `holder_lost`
         bool holder_lost = false;
         bool report_lost = false; // its end may never be reported
+        // Replaces the task's own run once that one has certainly ended.
+        std::optional<found_run> found;
+        // Done by a found run; the task's own may still be queued or run.
+        bool own_run_open = false;
     };
 
     struct step_state {
@@ -135,13 +150,33 @@
     task_state* find(const task_key& key, job_state** owner = nullptr);
     void unblock_steps(job_state& state);
     void place(timestamp now, job_state& state);
-    // Makes a task ready for placement. It gets a new run number unless the run
-    // never reached an endpoint (`returned`), and avoids `endpoint` if `cause`
-    // is `failed`, `refused` or `lost`. `why` is only logged.
+    // Makes a task ready for placement, unless `found` replaces its run. It
+    // gets a new run number unless the run never reached an endpoint
+    // (`returned`), and avoids `endpoint` if `cause` is `failed`, `refused` or
+    // `lost`. `why` is only logged.
     void reschedule(const task_key& key, task_state& task, update_kind cause,
                     const std::string& endpoint, std::string_view why);
     void apply_update(timestamp now, job_state& state, task_state& task,
                       const task_update& update);
+    // Report of the holder of `task.found`.
+    void apply_found_update(timestamp now, job_state& state, task_state& task,
+                            const task_update& update);
+    // Applies the retained adoption of the task's endpoint to a task that was
+    // reported on it after the adoption had arrived.
+    void apply_kept_adoption(timestamp now, job_state& state, task_state& task,
+                             const task_update& update);
+    // Precondition: `task.found` is set.
+    static void follow_found_run(task_state& task);
+    void claim_run(const process_id& holder, const endpoint_adoption& adoption,
+                   const task_run& run, const task_need& need,
+                   const process_id& former, bool endpoint_known,
+                   adoption_claim& claim);
+    // Precondition: `task.found` is on the endpoint of the adoption, which is
+    // later. May end the job.
+    void apply_adoption_to_found(timestamp now, const process_id& holder,
+                                 const endpoint_adoption& adoption,
+                                 job_state& state, task_state& task,
+                                 const task_run& run, adoption_claim& claim);
     void apply_adoption(timestamp now, const process_id& holder,
                         const endpoint_adoption& adoption, job_state& state,
                         std::uint32_t step, std::uint32_t index,
--- a/src/core/dispatch/job_coordinator_holders.cpp
+++ b/src/core/dispatch/job_coordinator_holders.cpp
@@ -13,6 +13,9 @@
             for (const auto& task : step.tasks) {
                 if (task.phase == task_phase::placed) {
                     found.insert(task.holder);
+                    if (task.found) {
+                        found.insert(task.found->holder);
+                    }
                 }
             }
         }
@@ -31,6 +34,10 @@
                     task.holder_lost = true;
                     task.runs_end_by = runs_end_by;
                 }
+                if (task.found && task.found->holder == holder &&
+                    !task.found->ends_by) {
+                    task.found->ends_by = runs_end_by;
+                }
             }
         }
     }
@@ -43,6 +50,10 @@
                 if (task.holder == holder && !task.report_lost) {
                     task.holder_lost = false;
                 }
+                if (task.found && task.found->holder == holder &&
+                    !task.found->report_lost) {
+                    task.found->ends_by.reset();
+                }
             }
         }
     }
@@ -58,6 +69,10 @@
                     task.report_lost = true;
                     task.runs_end_by = runs_end_by;
                 }
+                if (task.found && task.found->holder == holder) {
+                    task.found->report_lost = true;
+                    task.found->ends_by = runs_end_by;
+                }
             }
         }
     }
@@ -123,41 +138,52 @@
     if (on_endpoint && adoption.token <= task.token) {
         return; // started after this adoption
     }
+    const task_run run{{state.submission.work.id, step, index}, task.run};
+    if (task.phase != task_phase::placed) {
+        return;
+    }
+    if (task.found && task.found->endpoint == adoption.endpoint) {
+        if (adoption.token > task.found->token) {
+            apply_adoption_to_found(now, holder, adoption, state, task, run,
+                                    claim);
+        }
+        return;
+    }
     // The adoption applies even if this host has not noticed the loss of the
     // former holder.
     const bool maybe_on_endpoint =
         task.holder == adoption.former && task.endpoint.empty();
-    if (task.phase != task_phase::placed || task.holder == holder ||
-        (!on_endpoint && !maybe_on_endpoint)) {
+    if (task.holder == holder || (!on_endpoint && !maybe_on_endpoint)) {
         return;
     }
-    const task_run run{{state.submission.work.id, step, index}, task.run};
+    const auto& need = state.submission.work.steps[step].need;
     if (std::find(adoption.running.begin(), adoption.running.end(), run) !=
         adoption.running.end()) {
-        observer_.log(
-            log_level::info, "run_claimed",
-            {{"job", run.task.job},
-             {"task", std::to_string(step) + "." + std::to_string(index)},
-             {"run", std::to_string(run.run)},
-             {"endpoint", adoption.endpoint},
-             {"endpoint_known", on_endpoint ? "yes" : "no"},
-             {"former", task.holder.address},
-             {"holder", holder.address},
-             {"token", std::to_string(adoption.token)}});
-        task.holder = holder;
-        task.endpoint = adoption.endpoint;
-        task.token = adoption.token;
-        task.holder_lost = false;
-        task.report_lost = false;
-        claim.items.push_back({run, state.submission.work.steps[step].need});
+        if (task.found && !on_endpoint) {
+            return; // at most one of two such runs is the task's own
+        }
+        claim_run(holder, adoption, run, need, task.holder, on_endpoint, claim);
+        if (on_endpoint) {
+            task.holder = holder;
+            task.token = adoption.token;
+            task.holder_lost = false;
+            task.report_lost = false;
+        } else {
+            task.found = found_run{holder, adoption.endpoint, adoption.token,
+                                   std::nullopt, false};
+        }
         return;
     }
     const auto ended = std::find_if(
         adoption.ended.begin(), adoption.ended.end(),
         [&run](const task_update& update) { return update.run == run; });
     if (ended != adoption.ended.end()) {
-        task.holder = holder;
-        apply_update(now, state, task, *ended);
+        // Another coordinator's run that is done has done the task as well; any
+        // other end of it says nothing of the task's own run.
+        if (on_endpoint || ended->kind == update_kind::done) {
+            task.own_run_open = !on_endpoint;
+            apply_update(now, state, task, *ended);
+        }
         return;
     }
     if (on_endpoint) {
@@ -165,4 +191,45 @@
     }
 }
 
+void job_coordinator::claim_run(const process_id& holder,
+                                const endpoint_adoption& adoption,
+                                const task_run& run, const task_need& need,
+                                const process_id& former, bool endpoint_known,
+                                adoption_claim& claim) {
+    observer_.log(log_level::info, "run_claimed",
+                  {{"job", run.task.job},
+                   {"task", std::to_string(run.task.step) + "." +
+                                std::to_string(run.task.index)},
+                   {"run", std::to_string(run.run)},
+                   {"endpoint", adoption.endpoint},
+                   {"endpoint_known", endpoint_known ? "yes" : "no"},
+                   {"former", former.address},
+                   {"holder", holder.address},
+                   {"token", std::to_string(adoption.token)}});
+    claim.items.push_back({run, need});
+}
+
+void job_coordinator::apply_adoption_to_found(
+    timestamp now, const process_id& holder, const endpoint_adoption& adoption,
+    job_state& state, task_state& task, const task_run& run,
+    adoption_claim& claim) {
+    if (std::find(adoption.running.begin(), adoption.running.end(), run) !=
+        adoption.running.end()) {
+        claim_run(holder, adoption, run,
+                  state.submission.work.steps[run.task.step].need,
+                  task.found->holder, true, claim);
+        task.found = found_run{holder, adoption.endpoint, adoption.token,
+                               std::nullopt, false};
+        return;
+    }
+    const auto ended = std::find_if(
+        adoption.ended.begin(), adoption.ended.end(),
+        [&run](const task_update& update) { return update.run == run; });
+    task.found.reset();
+    if (ended != adoption.ended.end() && ended->kind == update_kind::done) {
+        task.own_run_open = true;
+        apply_update(now, state, task, *ended);
+    }
+}
+
 } // namespace figridge::dispatch
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -367,10 +367,8 @@
 }
 
 // Guards against duplicate runs: two coordinators of one job both start with
-// run 1, and the endpoint may still list the end of the other's run. Listed in
-// KNOWN-RED.txt; run by the test ends_of_other_coordinators.
-BOOST_AUTO_TEST_CASE(end_of_another_coordinators_run_is_not_ours,
-                     *boost::unit_test::disabled()) {
+// run 1, and the endpoint may still list the end of the other's run.
+BOOST_AUTO_TEST_CASE(end_of_another_coordinators_run_is_not_ours) {
     submit(1); // queued at holder_a, or running on another of its endpoints
     add_holder_b();
     coordinator.handle_adoption(
@@ -383,6 +381,116 @@
     BOOST_TEST(placements() == 1U);
 }
 
+// Guards against duplicate runs: the same with a lost holder, which may start
+// the task until it drops the tasks of this host.
+BOOST_AUTO_TEST_CASE(end_of_another_coordinators_run_waits_for_the_bound) {
+    submit(1);
+    add_holder_b();
+    coordinator.handle_holder_lost(holder_a, now + 1000ms);
+    coordinator.handle_adoption(
+        now, holder_b,
+        {"endpoint-1",
+         holder_a,
+         8,
+         {},
+         {{run_of(0), update_kind::stopped, "endpoint-1", 8}}});
+    advance(1000ms);
+    BOOST_TEST(placements() == 1U);
+    advance(50ms);
+    BOOST_TEST(placements() == 2U);
+}
+
+// Guards against duplicate runs: the run that was claimed may be that of
+// another coordinator, while the task is queued at its holder.
+BOOST_AUTO_TEST_CASE(lost_found_run_does_not_replace_a_queued_task) {
+    submit(1);
+    add_holder_b();
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {run_of(0)}, {}});
+    BOOST_TEST(claims.size() == 1U);
+    update(holder_b, 0, update_kind::lost);
+    BOOST_TEST(placements() == 1U);
+    update(holder_a, 0, update_kind::started, 1, "endpoint-2");
+    update(holder_a, 0, update_kind::done, 1, "endpoint-2");
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::completed));
+}
+
+// Guards against duplicate runs: the task's own run has not started, but one of
+// another coordinator with its number goes on.
+BOOST_AUTO_TEST_CASE(returned_task_is_not_placed_beside_a_found_run) {
+    submit(1);
+    add_holder_b();
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {run_of(0)}, {}});
+    coordinator.handle_update(now, holder_a,
+                              {run_of(0), update_kind::returned, {}, 0});
+    BOOST_TEST(placements() == 1U);
+    update(holder_b, 0, update_kind::lost);
+    BOOST_TEST(placements() == 2U);
+}
+
+// Guards against duplicate runs and tasks that wait forever: the holder of a
+// found run is lost too.
+BOOST_AUTO_TEST_CASE(found_run_of_a_lost_holder_is_waited_for) {
+    submit(1);
+    add_holder_b();
+    coordinator.handle_holder_lost(holder_a, now + 500ms);
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {run_of(0)}, {}});
+    coordinator.handle_holder_lost(holder_b, now + 1000ms);
+    advance(1000ms);
+    BOOST_TEST(placements() == 1U);
+    add_holder_b(); // started again
+    advance(50ms);
+    BOOST_TEST(placements() == 2U);
+}
+
+// Guards against runs that go on for nobody: the task was done by a run of
+// another coordinator, and its holder still has its own.
+BOOST_AUTO_TEST_CASE(own_run_of_a_task_done_by_a_found_run_is_withdrawn) {
+    submit(1);
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {run_of(0)}, {}});
+    update(holder_b, 0, update_kind::done);
+    BOOST_TEST(answers.size() == 1U);
+    BOOST_TEST((std::find(withdrawals.begin(), withdrawals.end(), holder_a) !=
+                withdrawals.end()));
+}
+
+// Guards against runs whose end is lost: the report of a start arrives after
+// the adoption of its endpoint.
+BOOST_AUTO_TEST_CASE(kept_adoption_is_applied_when_the_start_is_reported) {
+    submit(2);
+    add_holder_b();
+    coordinator.handle_adoption(
+        now, holder_b,
+        {"endpoint-1",
+         holder_a,
+         8,
+         {run_of(0)},
+         {{run_of(1), update_kind::lost, "endpoint-1", 8}}});
+    BOOST_TEST(claims.size() == 1U);
+    update(holder_a, 0, update_kind::started);
+    update(holder_a, 1, update_kind::started);
+    BOOST_TEST(placements() == 3U);
+    update(holder_b, 0, update_kind::lost);
+    BOOST_TEST(placements() == 4U);
+}
+
+// Guards against tasks that run again although they are done: the end of a run
+// follows the report of its start.
+BOOST_AUTO_TEST_CASE(started_run_that_an_adoption_lacks_is_not_given_up) {
+    submit(1);
+    add_holder_b();
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {}, {}});
+    update(holder_a, 0, update_kind::started);
+    BOOST_TEST(placements() == 1U);
+    update(holder_a, 0, update_kind::done);
+    BOOST_TEST(answers.size() == 1U);
+}
+
 // Guards against tasks that wait forever: after a network cut, the report that
 // a run is disowned may arrive before contact with its holder is restored.
 BOOST_AUTO_TEST_CASE(disowned_task_is_placed_again_after_contact_is_restored) {
