A later adoption by a task's own holder applies

What callers saw: a task that waits until its caller's deadline. A holder whose claim has not arrived loses the endpoint and takes it again; it finds the run unclaimed, stops it after the claim window and reports to nobody. With a run reported before, the task waited for the 1,300 ms of a disowned run.

Cause: apply_adoption returned if the adoption came from the task's own holder. The endpoint and the tokens already say which runs are older than the adoption.

Evidence: later_adoption_by_the_tasks_own_holder_claims_again fails on the code before (1 claim instead of 2, 1 placement instead of 2).

Why it is safe: the run was reported on this endpoint under a lower token, and the endpoint refuses calls under it since the list was read.

--- a/src/core/dispatch/job_coordinator_holders.cpp
+++ b/src/core/dispatch/job_coordinator_holders.cpp
@@ -151,9 +151,10 @@
     }
     // The adoption applies even if this host has not noticed the loss of the
     // former holder.
-    const bool maybe_on_endpoint =
-        task.holder == adoption.former && task.endpoint.empty();
-    if (task.holder == holder || (!on_endpoint && !maybe_on_endpoint)) {
+    const bool maybe_on_endpoint = task.holder == adoption.former &&
+                                   task.holder != holder &&
+                                   task.endpoint.empty();
+    if (!on_endpoint && !maybe_on_endpoint) {
         return;
     }
     const auto& need = state.submission.work.steps[step].need;
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -491,6 +491,24 @@
     BOOST_TEST(answers.size() == 1U);
 }
 
+// Guards against tasks that wait forever: the task's holder loses the endpoint
+// and takes it again before the claim of the run has arrived, so that the run
+// is stopped and reported to nobody.
+BOOST_AUTO_TEST_CASE(later_adoption_by_the_tasks_own_holder_claims_again) {
+    submit(1);
+    update(holder_a, 0, update_kind::started);
+    add_holder_b();
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {run_of(0)}, {}});
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_b, 9, {run_of(0)}, {}});
+    BOOST_TEST(claims.size() == 2U);
+    BOOST_TEST(placements() == 1U);
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_b, 10, {}, {}});
+    BOOST_TEST(placements() == 2U);
+}
+
 // Guards against tasks that wait forever: after a network cut, the report that
 // a run is disowned may arrive before contact with its holder is restored.
 BOOST_AUTO_TEST_CASE(disowned_task_is_placed_again_after_contact_is_restored) {
