A run of a job that the same adoption ended is not claimed

What callers saw: nothing by itself; a run goes on though its job has failed, and its holder counts its room until it ends. If the job comes again to this host, its next run may stand beside it.

Cause: handle_adoption sends the claim after the loop over the jobs. An end on the list can use up the attempts of a job whose other run was claimed in that loop; the claim then follows the withdrawal, and the holder keeps the run.

Evidence: run_of_a_job_that_the_adoption_ends_is_not_claimed fails on the code before (one claim).

Not mended here: a claim and a withdrawal that one payload carries for two inputs; dispatcher::handle_payload handles withdrawals before claims.

--- a/src/core/dispatch/job_coordinator_holders.cpp
+++ b/src/core/dispatch/job_coordinator_holders.cpp
@@ -123,6 +123,10 @@
             place(now, remaining_job->second);
         }
     }
+    // The adoption may have ended the job of a run claimed before.
+    std::erase_if(claim.items, [this](const adoption_claim::item& item) {
+        return !jobs_.contains(item.run.task.job);
+    });
     if (!claim.items.empty()) {
         events_.send_claim(holder, claim);
     }
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -509,6 +509,25 @@
     BOOST_TEST(placements() == 2U);
 }
 
+// Guards against runs that go on for nobody, beside those of the job when it
+// comes again: the adoption that lists the run ends its job, and the claim
+// would follow the withdrawal.
+BOOST_AUTO_TEST_CASE(run_of_a_job_that_the_adoption_ends_is_not_claimed) {
+    submit(2, 1);
+    update(holder_a, 0, update_kind::started);
+    update(holder_a, 1, update_kind::started);
+    coordinator.handle_adoption(
+        now, holder_b,
+        {"endpoint-1",
+         holder_a,
+         8,
+         {run_of(0)},
+         {{run_of(1), update_kind::failed, "endpoint-1", 8}}});
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::failed));
+    BOOST_TEST(claims.empty());
+}
+
 // Guards against tasks that wait forever: after a network cut, the report that
 // a run is disowned may arrive before contact with its holder is restored.
 BOOST_AUTO_TEST_CASE(disowned_task_is_placed_again_after_contact_is_restored) {
