Reports of an earlier tenure of the same holder say nothing

What callers could see: a task running twice. A report that a run was disowned, under the token of an earlier tenure of its holder, makes the task wait for the bound and be placed again, while the run goes on under the later tenure.

Cause: handle_update compares the run and the holder only. The holder may have lost the endpoint, taken it again and got the coordinator's claim since.

Evidence: disowned_run_of_an_earlier_tenure_is_not_given_up fails on the code before (2 placements instead of 1). As far as read, one link keeps the order of the two, and an adoption that is retained (3 s) hides it; so it takes a payload that is handled late.

Change: `started` and `disowned` under a lower token than the task's on the same endpoint are ignored. Ends are not: a run that has ended has ended.

--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -231,6 +231,15 @@
     if (!current) {
         return;
     }
+    // The holder has lost the endpoint and taken it again since.
+    const bool of_earlier_tenure = task->holder == holder &&
+                                   task->endpoint == update.endpoint &&
+                                   update.token < task->token;
+    const bool ends_run = update.kind != update_kind::started &&
+                          update.kind != update_kind::disowned;
+    if (of_earlier_tenure && !ends_run) {
+        return;
+    }
     if (task->holder == holder) {
         apply_update(now, *state, *task, update);
     } else if (task->found && task->found->holder == holder &&
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -509,6 +509,21 @@
     BOOST_TEST(placements() == 2U);
 }
 
+// Guards against duplicate runs: a report that the run was disowned in an
+// earlier tenure of its holder is no news of the run claimed since.
+BOOST_AUTO_TEST_CASE(disowned_run_of_an_earlier_tenure_is_not_given_up) {
+    submit(1, 3, 10s);
+    coordinator.handle_update(
+        now, holder_a, {run_of(0), update_kind::started, "endpoint-1", 5});
+    coordinator.handle_adoption(now, holder_a,
+                                {"endpoint-1", holder_a, 8, {run_of(0)}, {}});
+    advance(3100ms); // the adoption is not retained any more
+    coordinator.handle_update(
+        now, holder_a, {run_of(0), update_kind::disowned, "endpoint-1", 5});
+    advance(1400ms);
+    BOOST_TEST(placements() == 1U);
+}
+
 // Guards against runs that go on for nobody, beside those of the job when it
 // comes again: the adoption that lists the run ends its job, and the claim
 // would follow the withdrawal.
