The lease of a revoked run is not extended

Cause: a coordinator that has lost a holder places a task again after 1,820 ms, and a caller resends its job after 1,300, because the holder stops the run or its lease ends. But while a stop got no answer, the session repeated it and went on renewing the lease of the endpoint, for all runs there, and starts extended it as well. The same for unclaimed runs found at a takeover or later, and for runs of a withdrawn job.

Now a run that may be placed again without a report of its end is revoked: until its stop is confirmed, polls carry no deadline and don't wait (one in 100 ms), and nothing is started on the endpoint. So the run ends 1,021 ms after the last renewal before. A stop is answered in some ms, and the lease is renewed at once then. Stops after an unanswered start and moves from a slow endpoint change nothing: such a run is placed again only when its end is certain.

Failed before: lease_ends_if_no_stop_of_an_abandoned_run_is_answered (a deadline 1,975 ms too late after 2 s), lease_ends_if_no_stop_of_a_withdrawn_run_is_answered, lease_ends_if_the_coordinator_is_abandoned_at_the_start, lease_of_an_unclaimed_run_ends_if_its_stop_is_unanswered (78 renewals instead of none), lease_of_an_unknown_run_ends_if_its_stop_is_unanswered.

--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -126,7 +126,7 @@
             }
         }
         for (const auto& run : runs) {
-            session->stop(now, run);
+            session->revoke(now, run);
         }
     }
 }
@@ -143,13 +143,13 @@
     for (auto& [id, session] : sessions_) {
         std::vector<task_run> runs;
         for (const auto& [run, entry] : session->ledger().entries()) {
-            if (entry.coordinator == coordinator && !entry.stop_wanted) {
+            if (entry.coordinator == coordinator) {
                 runs.push_back(run);
+                stopped += entry.stop_wanted ? 0 : 1;
             }
         }
-        stopped += runs.size();
         for (const auto& run : runs) {
-            session->stop(now, run);
+            session->revoke(now, run);
         }
     }
     if (!dropped.empty() || stopped > 0) {
--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -24,7 +24,8 @@
     for (auto& [id, session] : sessions_) {
         const auto& health = session->health();
         const bool open =
-            session->accepts_tasks() && health.accepts_tasks(now) &&
+            session->accepts_tasks() && !session->awaits_revocation() &&
+            health.accepts_tasks(now) &&
             !(health.is_on_probation() && !session->ledger().empty());
         if (open && session->free_resources().cpu_millis > 0) {
             available.push_back({session.get(), session->free_resources()});
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -104,6 +104,14 @@
            endpoint_.state == endpoint_state::ready;
 }
 
+bool endpoint_session::awaits_revocation() const {
+    return std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
+                       [](const auto& item) {
+                           return item.second.revoked &&
+                                  !item.second.stop_answered_at_call;
+                       });
+}
+
 std::int64_t endpoint_session::renew_deadline(timestamp now) {
     const auto deadline =
         clock_.lower_bound(now) + to_ms(settings_.lease_limit);
@@ -135,8 +143,11 @@
             return;
         }
         // The lease of an endpoint that may be unreachable is not renewed, so
-        // that its expiry can be awaited.
-        if (occupied && failed_calls_ == 0 && clock_.is_known()) {
+        // that its expiry can be awaited. The same goes for the lease of a
+        // revoked run, whose end its coordinator takes from a bound.
+        if (awaits_revocation()) {
+            next_poll_ = now + retry_delay;
+        } else if (occupied && failed_calls_ == 0 && clock_.is_known()) {
             call.lease_deadline_ms = renew_deadline(now);
             call.wait_ms =
                 static_cast<std::uint32_t>(to_ms(settings_.renew_interval));
@@ -274,6 +285,7 @@
             found.state = run_state::unclaimed;
             found.entered_at = now;
             found.stop_wanted = true;
+            found.revoked = true;
             ledger_.enter(found);
             continue;
         }
@@ -469,6 +481,13 @@
     }
 }
 
+void endpoint_session::revoke(timestamp now, const task_run& run) {
+    if (auto* entry = ledger_.find(run)) {
+        entry->revoked = true;
+        stop(now, run);
+    }
+}
+
 void endpoint_session::send_stops(timestamp now) {
     if (phase_ == session_phase::fenced || phase_ == session_phase::adopting) {
         return;
@@ -494,7 +513,11 @@
     }
     entry->stop_in_flight = false;
     if (reply.status == call_status::ok) {
+        const bool awaited = awaits_revocation();
         entry->stop_answered_at_call = calls_sent_;
+        if (awaited && !awaits_revocation()) {
+            next_poll_ = now; // the other runs need their lease renewed
+        }
     } else {
         entry->next_stop = now + retry_delay;
     }
@@ -547,6 +570,7 @@
         phase_ = session_phase::active;
         for (auto& [run, entry] : ledger_.entries()) {
             entry.stop_wanted |= entry.state == run_state::unclaimed;
+            entry.revoked |= entry.state == run_state::unclaimed;
         }
     }
     check_lease_expiry(now);
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -59,9 +59,14 @@
     void tick(timestamp now);
 
     // --- commands ---
-    // Precondition: `accepts_tasks()` and the need fits `free_resources()`.
+    // Precondition: `accepts_tasks()`, not `awaits_revocation()`, and the need
+    // fits `free_resources()`.
     void start(timestamp now, run_entry entry, const std::string& payload);
     void stop(timestamp now, const task_run& run);
+    // Stops a run whose task may be placed again without a report of its end,
+    // once its lease must have ended. Until the stop is confirmed, nothing
+    // extends the lease of the endpoint.
+    void revoke(timestamp now, const task_run& run);
     // Applies one coordinator's claims to the runs found at the takeover.
     void claim(timestamp now, const process_id& coordinator,
                const adoption_claim& claim);
@@ -80,6 +85,9 @@
     [[nodiscard]] std::uint64_t token() const { return token_; }
     [[nodiscard]] session_phase phase() const { return phase_; }
     [[nodiscard]] bool accepts_tasks() const;
+    // Whether a revoked run may still run. The lease is not extended then,
+    // neither by renewals nor by starts.
+    [[nodiscard]] bool awaits_revocation() const;
     // Whether the ledger has all runs of the endpoint.
     [[nodiscard]] bool knows_runs() const {
         return phase_ == session_phase::claiming ||
--- a/src/core/dispatch/run_ledger.hpp
+++ b/src/core/dispatch/run_ledger.hpp
@@ -32,6 +32,8 @@
     std::uint64_t confirmed_at_call = 0; // last call sent by then
     std::int64_t lease_deadline_ms = 0;  // sent with the start
     bool stop_wanted = false;
+    // The task may be placed again once the lease must have ended.
+    bool revoked = false;
     bool stop_in_flight = false;
     // Last call sent when the stop was answered.
     std::optional<std::uint64_t> stop_answered_at_call;
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -80,6 +80,47 @@
         return runs;
     }
 
+    // For this time, the endpoints list the runs started there in each reply to
+    // a poll, and answer no stop.
+    void stay_without_stops(duration time) {
+        for (const auto end = now + time; now < end;) {
+            const auto holds = port.holds;
+            for (; answered_holds < holds.size(); ++answered_holds) {
+                const auto& call = holds[answered_holds];
+                hold_reply reply;
+                reply.number = call.number;
+                reply.call = {call_status::ok, to_ms(now) + 500};
+                reply.instance_started_ms = 1000;
+                reply.running = runs_on(call.target.endpoint, 10);
+                holder.handle_hold(now, call.target.endpoint, 1, reply);
+            }
+            for (; unanswered_stops < port.stops.size(); ++unanswered_stops) {
+                const auto& call = port.stops[unanswered_stops];
+                holder.handle_stop(now, call.target.endpoint, 1, call.run, {});
+            }
+            now += 25ms;
+            holder.tick(now);
+            holder.dispatch(now);
+        }
+    }
+
+    // The latest lease deadline sent to an endpoint, by start or renewal.
+    [[nodiscard]] std::int64_t
+    latest_deadline(const std::string& endpoint) const {
+        std::int64_t latest = 0;
+        for (const auto& call : port.holds) {
+            if (call.target.endpoint == endpoint) {
+                latest = std::max(latest, call.lease_deadline_ms.value_or(0));
+            }
+        }
+        for (const auto& call : port.starts) {
+            if (call.target.endpoint == endpoint) {
+                latest = std::max(latest, call.lease_deadline_ms);
+            }
+        }
+        return latest;
+    }
+
     const process_id coordinator{"10.1.0.2:1", 9};
     dispatch_settings settings;
     recording_endpoint_port port;
@@ -88,6 +129,8 @@
     timestamp now{100s};
     endpoint_holder holder{settings, port, observer, events};
     std::size_t answered = 0;
+    std::size_t answered_holds = 2;
+    std::size_t unanswered_stops = 0;
 };
 
 } // namespace
@@ -227,6 +270,74 @@
     BOOST_TEST(events.updates.empty());
 }
 
+// Guards against duplicate runs: a run of an abandoned coordinator went on past
+// the bound after which that places the task again, because its stops got no
+// answer while the lease was renewed.
+BOOST_AUTO_TEST_CASE(lease_ends_if_no_stop_of_an_abandoned_run_is_answered) {
+    assign("job-1", 1);
+    answer_starts();
+    const auto busy = port.starts.front().target.endpoint;
+    stay_without_stops(500ms);
+    const auto abandoned_at = now;
+    holder.abandon(now, coordinator);
+    assign("job-2", 8); // starts extend the lease as well
+    stay_without_stops(2s);
+    const auto lease_ends = to_ms(abandoned_at) + 500 + 1000;
+    BOOST_TEST(latest_deadline(busy) <= lease_ends);
+}
+
+// Guards against duplicate runs: the same for a job whose caller left, which
+// may start at another host 1.3 s later.
+BOOST_AUTO_TEST_CASE(lease_ends_if_no_stop_of_a_withdrawn_run_is_answered) {
+    assign("job-1", 1);
+    assign("job-2", 3);
+    answer_starts();
+    const auto busy = port.starts.front().target.endpoint;
+    stay_without_stops(500ms);
+    const auto withdrawn_at = now;
+    holder.withdraw(now, coordinator, "job-1");
+    stay_without_stops(2s);
+    const auto lease_ends = to_ms(withdrawn_at) + 500 + 1000;
+    BOOST_TEST(latest_deadline(busy) <= lease_ends);
+}
+
+// Guards against duplicate runs: the same if the start is not answered yet.
+BOOST_AUTO_TEST_CASE(lease_ends_if_the_coordinator_is_abandoned_at_the_start) {
+    assign("job-1", 1);
+    const auto busy = port.starts.front().target.endpoint;
+    const auto abandoned_at = now;
+    holder.abandon(now, coordinator);
+    stay_without_stops(150ms);
+    holder.handle_start(now, busy, 1, port.starts.front().run, {});
+    stay_without_stops(2s);
+    const auto lease_ends = to_ms(abandoned_at) + 500 + 1000;
+    BOOST_TEST(latest_deadline(busy) <= lease_ends);
+}
+
+// An ordinary stop, which is answered, costs the other runs no lease.
+BOOST_AUTO_TEST_CASE(lease_is_renewed_as_soon_as_the_stop_is_answered) {
+    assign("job-1", 1);
+    assign("job-2", 3);
+    answer_starts();
+    stay_without_stops(100ms);
+    holder.withdraw(now, coordinator, "job-1");
+    BOOST_REQUIRE_EQUAL(port.stops.size(), 1U);
+    const auto& stop = port.stops.front();
+    const auto busy = stop.target.endpoint;
+    now += 2ms;
+    hold_reply list; // answers the poll that was in flight
+    list.number = port.holds.back().number;
+    list.call = {call_status::ok, to_ms(now) + 500};
+    list.instance_started_ms = 1000;
+    list.running = runs_on(busy, 10);
+    holder.handle_hold(now, busy, 1, list);
+    now += 3ms;
+    holder.handle_stop(now, busy, 1, stop.run,
+                       {call_status::ok, to_ms(now) + 500});
+    stay_without_stops(25ms);
+    BOOST_TEST(latest_deadline(busy) >= to_ms(now) + 500 + 950);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -395,6 +395,42 @@
     BOOST_TEST(events.fenced == 1);
 }
 
+// Guards against duplicate runs: renewals for other runs kept the lease of a
+// run whose stop got no answer, past the bound after which its task is placed
+// again.
+BOOST_AUTO_TEST_CASE(lease_of_an_unclaimed_run_ends_if_its_stop_is_unanswered) {
+    answer_hold({run_of(0)});
+    stay_without_stops({run_of(0)});
+    BOOST_TEST(renewals() == 0);
+    BOOST_TEST(port.stops.size() > 5U);
+    BOOST_TEST(port.holds.size() < 40U);
+}
+
+// Guards against duplicate runs: the same for a run that was found later.
+BOOST_AUTO_TEST_CASE(lease_of_an_unknown_run_ends_if_its_stop_is_unanswered) {
+    answer_hold({});
+    start(1);
+    answer_start(1);
+    answer_hold({run_of(0), run_of(1)});
+    const auto before = renewals();
+    stay_without_stops({run_of(0), run_of(1)});
+    BOOST_TEST(renewals() == before);
+}
+
+// A stop whose run is placed again only when its end is certain costs the other
+// runs no lease.
+BOOST_AUTO_TEST_CASE(unanswered_start_does_not_end_the_lease_of_other_runs) {
+    answer_hold({});
+    start(1);
+    answer_start(1);
+    start(0);
+    answer_start(0, call_status::unanswered);
+    const auto before = renewals();
+    stay_without_stops({run_of(0), run_of(1)});
+    BOOST_TEST(renewals() > before + 2);
+    BOOST_TEST(session->ledger().size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/dispatch/fleet/fleet_host.cpp
+++ b/tests/dispatch/fleet/fleet_host.cpp
@@ -206,7 +206,8 @@
          },
          [this, call](dispatcher& core) {
              core.handle_start(fleet_.now_, call.target, call.run, {});
-         }});
+         },
+         virtual_fleet::call_kind::start});
 }
 
 void fleet_host::stop(const stop_call& call) {
@@ -221,7 +222,8 @@
          },
          [this, call](dispatcher& core) {
              core.handle_stop(fleet_.now_, call.target, call.run, {});
-         }});
+         },
+         virtual_fleet::call_kind::stop});
 }
 
 void fleet_host::hold(const hold_call& call) {
@@ -245,7 +247,8 @@
              hold_reply none;
              none.number = call.number;
              core.handle_hold(fleet_.now_, call.target, none);
-         }});
+         },
+         virtual_fleet::call_kind::hold});
 }
 
 void fleet_host::replace(std::uint64_t request,
--- a/tests/dispatch/fleet/fleet_matrix.cpp
+++ b/tests/dispatch/fleet/fleet_matrix.cpp
@@ -181,6 +181,18 @@
         "freeze_for_long",
         [](auto& fleet, auto target) { fleet.freeze_host_for_long(target); },
         no_action));
+    faults.push_back(
+        {"late_stops",
+         [](auto& fleet, auto /*target*/) { fleet.set_late_orders(0.0, 1.0); },
+         [](auto& fleet, auto /*target*/) {
+             fleet.set_late_orders(0.0, 0.0);
+         }});
+    faults.push_back(
+        {"late_starts_and_stops",
+         [](auto& fleet, auto /*target*/) { fleet.set_late_orders(0.2, 1.0); },
+         [](auto& fleet, auto /*target*/) {
+             fleet.set_late_orders(0.0, 0.0);
+         }});
     return faults;
 }
 
--- a/tests/dispatch/fleet/virtual_fleet.cpp
+++ b/tests/dispatch/fleet/virtual_fleet.cpp
@@ -91,6 +91,7 @@
     late_share_ = 0.0;
     delayed_share_ = 0.0;
     lost_share_ = 0.0;
+    set_late_orders(0.0, 0.0);
     for (std::size_t i = 0; i < endpoints_.size(); ++i) {
         set_mode(i, endpoint_mode::normal);
         set_slowness(i, 1.0);
@@ -199,6 +200,15 @@
 
 // --- endpoints --------------------------------------------------------------
 
+// A random number is drawn only during this fault, so that seeded runs without
+// it stay the same.
+bool virtual_fleet::is_late_order(call_kind kind) {
+    const double share = kind == call_kind::start  ? late_starts_
+                         : kind == call_kind::stop ? late_stops_
+                                                   : 0.0;
+    return share > 0.0 && static_cast<double>(draw(1000)) < 1000.0 * share;
+}
+
 void virtual_fleet::call_endpoint(std::size_t index, const call_target& target,
                                   endpoint_call call) {
     const auto process = hosts_[index]->process;
@@ -246,7 +256,7 @@
         }
         advance_endpoint(endpoint);
     };
-    at(now_ + delay(), [this, index, id, execute] {
+    at(now_ + delay(), [this, index, id, execute, kind = call.kind] {
         auto& endpoint = endpoint_of(id);
         if (!has_path(*hosts_[index], endpoint)) {
             if (queue_calls_during_cuts_) {
@@ -254,8 +264,12 @@
             }
             return;
         }
-        if (static_cast<double>(draw(1000)) < 1000.0 * late_share_) {
-            const auto later = 2s + std::chrono::milliseconds(draw(4000));
+        const bool late =
+            static_cast<double>(draw(1000)) < 1000.0 * late_share_;
+        const bool late_order = is_late_order(kind);
+        if (late || late_order) {
+            const auto later = 2s + std::chrono::milliseconds(
+                                        draw(late_order ? 10'000 : 4000));
             const auto instance_started_ms =
                 endpoint_of(id).model->record().instance_started_ms;
             at(now_ + later, [this, id, instance_started_ms, execute] {
--- a/tests/dispatch/fleet/virtual_fleet.hpp
+++ b/tests/dispatch/fleet/virtual_fleet.hpp
@@ -91,6 +91,12 @@
     // From now on this share of the calls is executed 100 to 400 ms late,
     // around the call's time-out and the deadline of a start.
     void set_delayed_share(double share) { delayed_share_ = share; }
+    // From now on these shares of the starts and stops get no answer and are
+    // executed 2 to 12 s late.
+    void set_late_orders(double starts, double stops) {
+        late_starts_ = starts;
+        late_stops_ = stops;
+    }
     // From now on calls that meet a cut are queued until `heal_unevenly`.
     void queue_calls_during_cuts() { queue_calls_during_cuts_ = true; }
     void set_lost_share(double share) { lost_share_ = share; }
@@ -134,6 +140,8 @@
         std::vector<std::function<void()>> queued_by_cut;
     };
 
+    enum class call_kind { start, stop, hold };
+
     // `execute` runs a call at the endpoint and returns the input that gives
     // its reply to the host. `unanswered` is the input that the host gets
     // instead if no reply arrives before the timeout.
@@ -143,6 +151,7 @@
         std::function<std::function<void(dispatcher&)>(virtual_endpoint&)>
             execute;
         std::function<void(dispatcher&)> unanswered;
+        call_kind kind = call_kind::hold;
     };
 
     struct caller_job {
@@ -171,6 +180,8 @@
     // Delivers an input to a process; delayed if the host is frozen or slow.
     void deliver(std::size_t host, std::uint64_t process,
                  std::function<void(dispatcher&)> input);
+    // Whether this call is one of those that `set_late_orders` delays.
+    bool is_late_order(call_kind kind);
     void call_endpoint(std::size_t host, const call_target& target,
                        endpoint_call call);
     void disconnect_callers(std::size_t index, std::uint64_t process);
@@ -224,6 +235,8 @@
     double late_share_ = 0.0;
     double delayed_share_ = 0.0;
     double lost_share_ = 0.0;
+    double late_starts_ = 0.0;
+    double late_stops_ = 0.0;
     duration load_interval_{0};
     std::map<std::string, caller_job> jobs_;
     std::map<caller_token, std::string> tokens_;
--- a/tests/dispatch/session_fixture.hpp
+++ b/tests/dispatch/session_fixture.hpp
@@ -2,6 +2,8 @@
 #ifndef FIGRIDGE_TESTS_DISPATCH_SESSION_FIXTURE_HPP
 #define FIGRIDGE_TESTS_DISPATCH_SESSION_FIXTURE_HPP
 
+#include <algorithm>
+
 #include "core/dispatch/endpoint_session.hpp"
 
 namespace figridge::dispatch {
@@ -109,6 +111,29 @@
         }
     }
 
+    // For 2 s, the endpoint lists these runs in each reply to a poll, and
+    // answers no stop.
+    void stay_without_stops(const std::vector<task_run>& running) {
+        for (int i = 0; i < 80; ++i) {
+            if (port.holds.size() > answered_holds) {
+                answered_holds = port.holds.size();
+                answer_hold(running);
+            }
+            for (; unanswered_stops < port.stops.size(); ++unanswered_stops) {
+                session->handle_stop(now, port.stops[unanswered_stops].run, {});
+            }
+            pass(25ms);
+        }
+    }
+
+    // Number of calls that renewed the lease.
+    [[nodiscard]] std::ptrdiff_t renewals() const {
+        return std::count_if(port.holds.begin(), port.holds.end(),
+                             [](const hold_call& call) {
+                                 return call.lease_deadline_ms.has_value();
+                             });
+    }
+
     [[nodiscard]] std::int64_t clock_ms() const { return to_ms(now) + 500; }
 
     dispatch_settings settings;
@@ -117,6 +142,8 @@
     endpoint_record endpoint;
     timestamp now{10s};
     std::unique_ptr<endpoint_session> session;
+    std::size_t answered_holds = 0;
+    std::size_t unanswered_stops = 0;
 };
 
 } // namespace figridge::dispatch
