The clock of an idle endpoint is read every 20 s

Seen by callers: nothing on record. On an endpoint with a slow clock that was idle for some time, a start without an answer could be carried out later than 300 ms after it was sent, by 2% of the time since its last call, and the task waited for it that long. The bound for the runs of a host that has ended (1,120 ms) does not cover starts later than the lease. After two minutes the deadline was 2.7 s ahead of the endpoint's clock.

Cause: the deadline of a start is counted on the clock as it would be if it did not run slow, and nothing reads the clock of an endpoint without runs. Nor did anything read it after the restart of an idle endpoint that was learned from the platform's list: that endpoint stayed unused until a call was due.

Now such an endpoint is polled when its clock is unknown or was read 20 s ago, without a lease and a wait. A start is carried out at most 300 + 400 ms late, less than a lease. Cost: 0.05 calls a second for each idle endpoint.

--- a/src/core/dispatch/endpoint_clock.hpp
+++ b/src/core/dispatch/endpoint_clock.hpp
@@ -26,6 +26,9 @@
     // ignored.
     void read(timestamp now, std::int64_t clock_ms);
 
+    // Time since the last reading. Precondition: `is_known()`.
+    [[nodiscard]] duration age(timestamp now) const { return now - read_at_; }
+
     // Discards the readings, for an endpoint that has restarted.
     void reset() { clock_ms_ = -1; }
 
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -20,6 +20,9 @@
 // Ended runs are acknowledged with the next renewal, or after this delay if
 // the endpoint is idle.
 constexpr duration idle_acknowledgement_delay = 300ms;
+// Limits how far the clock of an idle endpoint can be behind the expected one,
+// so that no start is carried out later than a lease lasts.
+constexpr duration clock_reading_interval = 20s;
 // Added to the end of a lease before the runs of a silent endpoint count as
 // over.
 constexpr std::int64_t expiry_margin_ms = 20;
@@ -139,7 +142,10 @@
         // If no other call is due, only a poll shows that the endpoint answers
         // again.
         const bool silent = failed_calls_ > 0;
-        if (!occupied && !acknowledge && !silent && !suspended_at_call_) {
+        const bool reading_due =
+            !clock_.is_known() || clock_.age(now) >= clock_reading_interval;
+        if (!occupied && !acknowledge && !silent && !suspended_at_call_ &&
+            !reading_due) {
             return;
         }
         // The lease of an endpoint that may be unreachable is not renewed, so
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -431,6 +431,47 @@
     BOOST_TEST(session->ledger().size() == 2U);
 }
 
+// Guards against duplicate runs: the clock of an idle endpoint was not read, so
+// a start could be carried out later than the bound for the runs of a host that
+// ends allows.
+BOOST_AUTO_TEST_CASE(start_after_idleness_on_a_slow_clock_is_void_in_time) {
+    answer_hold({});
+    const auto read_at = now;
+    const auto first_reading = clock_ms();
+    const auto slow_clock = [&] {
+        return first_reading + to_ms(now - read_at) * 98 / 100;
+    };
+    for (int i = 0; i < 120; ++i) {
+        pass(1s);
+        if (port.holds.size() > answered_holds) {
+            answered_holds = port.holds.size();
+            hold_reply reply;
+            reply.number = port.holds.back().number;
+            reply.call = {call_status::ok, slow_clock()};
+            reply.instance_started_ms = 1000;
+            session->handle_hold(now, reply);
+        }
+    }
+    start(0);
+    const auto window = port.starts[0].lease_deadline_ms - slow_clock();
+    BOOST_TEST(window >= to_ms(settings.start_window));
+    BOOST_TEST(window <= to_ms(settings.lease_limit));
+    BOOST_TEST(port.holds.size() < 10U);
+}
+
+// Guards against endpoints that stay unused: the restart of an idle endpoint
+// was learned from the platform's list, and nothing read the new clock.
+BOOST_AUTO_TEST_CASE(idle_endpoint_that_restarted_is_used_again) {
+    answer_hold({});
+    auto restarted = endpoint;
+    restarted.instance_started_ms = 3000;
+    session->update(now, restarted);
+    pass(50ms);
+    BOOST_REQUIRE_EQUAL(port.holds.size(), 2U);
+    answer_hold({}, {}, 3000);
+    BOOST_TEST(session->accepts_tasks());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
