A start that the next instance may carry out is not lost in time

Seen by callers: nothing on record; found by the table of ends. If an endpoint restarts while a start is in flight, the next instance may carry it out, since its deadline is on the former clock. 1.2 s later the run was reported lost if its call had still no answer, and its task could start again.

Cause: only starts that are known to be without an answer were exempt when the time of the former instance's runs is over, not those whose call is open.

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -560,7 +560,8 @@
     auto entries = ledger_.entries();
     for (const auto& [run, entry] : entries) {
         const bool may_still_start =
-            entry.state == run_state::uncertain &&
+            (entry.state == run_state::uncertain ||
+             entry.state == run_state::starting) &&
             entry.lease_deadline_ms == unknown_deadline;
         if (!may_still_start) {
             over(entry, update_kind::lost);
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -472,6 +472,21 @@
     BOOST_TEST(session->accepts_tasks());
 }
 
+// Guards against duplicate runs: a start that the next instance may still carry
+// out was reported lost before its call was answered.
+BOOST_AUTO_TEST_CASE(start_in_flight_to_the_next_instance_is_not_lost_in_time) {
+    answer_hold({});
+    start(0);
+    auto restarted = endpoint;
+    restarted.instance_started_ms = 3000;
+    session->update(now, restarted);
+    pass(1500ms);
+    BOOST_TEST(events.ends.empty());
+    answer_start(0, call_status::unanswered);
+    BOOST_TEST(events.ends.empty());
+    BOOST_TEST(port.stops.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
