Replies to calls of a former session of an endpoint are ignored

Seen by callers: nothing on record; found by the table of starts. An endpoint that leaves the platform's list and comes back is held again under the same token. A late reply to a call of the former session was taken for the answer to the new one's first call: the endpoint was adopted from an old list, and lists were ignored until their numbers were above that of the late reply.

Cause: replies are matched by endpoint and token, and the call numbers began anew in each session. Now a session's numbers are above those of all former ones, and a reply to a former call is dropped. Adopted runs are marked as confirmed by the call that listed them; it was 0 before.

--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -22,8 +22,11 @@
         sessions_.erase(found);
     }
     session_events& events = *this;
-    auto session = std::make_unique<endpoint_session>(settings_, port_, events,
-                                                      endpoint, token, former);
+    // Far more than the calls of any session.
+    constexpr std::uint64_t call_numbers = std::uint64_t{1} << 40U;
+    auto session = std::make_unique<endpoint_session>(
+        settings_, port_, events, endpoint, token, former,
+        call_numbers * sessions_begun_++);
     auto& added = *session;
     sessions_[endpoint.id] = std::move(session);
     added.begin(now);
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -132,6 +132,7 @@
     holder_events& events_;
     std::map<std::string, std::unique_ptr<endpoint_session>> sessions_;
     std::vector<std::pair<std::string, std::uint64_t>> fenced_;
+    std::uint64_t sessions_begun_ = 0;
     task_queue queue_;
     timestamp now_{0};           // of the input being handled
     bool most_are_slow_ = false; // as of the last tick
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -61,9 +61,11 @@
 endpoint_session::endpoint_session(const dispatch_settings& settings,
                                    endpoint_port& port, session_events& events,
                                    const endpoint_record& endpoint,
-                                   std::uint64_t token, process_id former)
+                                   std::uint64_t token, process_id former,
+                                   std::uint64_t calls_before)
     : settings_(settings), port_(port), events_(events), endpoint_(endpoint),
-      token_(token), former_(std::move(former)), clock_(settings.clock_drift) {
+      token_(token), former_(std::move(former)), clock_(settings.clock_drift),
+      calls_before_(calls_before), calls_sent_(calls_before) {
     ledger_.set_capacity(endpoint.capacity);
 }
 
@@ -208,6 +210,9 @@
 }
 
 void endpoint_session::handle_hold(timestamp now, const hold_reply& reply) {
+    if (reply.number != 0 && reply.number <= calls_before_) {
+        return;
+    }
     const bool is_list_call = list_call_ == reply.number;
     (is_list_call ? list_call_ : poll_call_).reset();
     if (phase_ == session_phase::fenced) {
@@ -353,6 +358,7 @@
         entry.state = run_state::unclaimed;
         entry.entered_at = now;
         entry.confirmed_at = now;
+        entry.confirmed_at_call = reply.number;
         entry.progress_at = now;
         ledger_.enter(entry);
         found.running.push_back(running.run);
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -44,9 +44,12 @@
 // Owned by an `endpoint_holder`. Not thread-safe.
 class endpoint_session {
 public:
+    // `calls_before`: hold calls up to this number belong to former sessions of
+    // the endpoint, which may have had the same token.
     endpoint_session(const dispatch_settings& settings, endpoint_port& port,
                      session_events& events, const endpoint_record& endpoint,
-                     std::uint64_t token, process_id former);
+                     std::uint64_t token, process_id former,
+                     std::uint64_t calls_before = 0);
 
     // --- inputs ---
     void begin(timestamp now);
@@ -138,7 +141,8 @@
     // Numbers of the hold calls that are not answered yet.
     std::optional<std::uint64_t> poll_call_;
     std::optional<std::uint64_t> list_call_;
-    std::uint64_t calls_sent_ = 0;  // hold calls
+    std::uint64_t calls_before_;
+    std::uint64_t calls_sent_;      // number of the last hold call
     std::uint64_t newest_list_ = 0; // call number of the newest run list
     // The last call sent before the process was suspended or isolated. Answers
     // to later calls confirm that the instance is the same.
