A holder starts no task that may still run on one of its endpoints

Seen by callers: nothing on record. A job that came again through another coordinator, or a task placed again after the bound for its last run, was started by a holder whose own ledger still had a run of it.

Cause: only the same run on the same endpoint was looked for. Now the task waits in the queue until no endpoint held here has a run of it, and is not returned to its coordinator meanwhile, since another host would start it at once.

--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -194,7 +194,8 @@
         const auto room =
             std::find_if(free_cpu.begin(), free_cpu.end(),
                          [cpu](std::uint32_t free) { return free >= cpu; });
-        if (room == free_cpu.end()) {
+        // Another host would start it at once.
+        if (room == free_cpu.end() || has_run_of(task.run.task)) {
             return false;
         }
         *room -= cpu;
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -115,6 +115,8 @@
                                           const run_entry& entry);
     static bool reserve(std::vector<available_endpoint>& available,
                         const std::string& pool, const resources& need);
+    // Whether a run of the task may still run on an endpoint held here.
+    [[nodiscard]] bool has_run_of(const task_key& task) const;
     void disown(endpoint_session& session);
     // Reports the state of a run to its coordinator, if that is known. The
     // update carries the endpoint and the token under which it is held, by
--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -49,7 +49,9 @@
     }
     queue_.place_tasks(now, [&](const queued_task& task) {
         auto* chosen = choose(available, task);
-        if (chosen == nullptr) {
+        // The task may have come from another coordinator, or again after the
+        // bound for the end of its last run.
+        if (chosen == nullptr || has_run_of(task.run.task)) {
             return false;
         }
         observer_.record(latency_metric::queue_time, now - task.queued_at);
@@ -84,6 +86,13 @@
          {"queued_ms", std::to_string(to_ms(now_ - task.queued_at))}});
 }
 
+bool endpoint_holder::has_run_of(const task_key& task) const {
+    return std::any_of(sessions_.begin(), sessions_.end(),
+                       [&task](const auto& item) {
+                           return item.second->ledger().contains(task);
+                       });
+}
+
 bool endpoint_holder::is_slow_outlier(timestamp now,
                                       const endpoint_session& session) const {
     return !most_are_slow_ && session.health().is_slow(now);
@@ -164,8 +173,7 @@
     double best_cost = std::numeric_limits<double>::max();
     for (auto& option : available) {
         const auto& endpoint = option.session->endpoint();
-        if (endpoint.pool != task.pool || !fits(task.need.room, option.room) ||
-            option.session->ledger().find(task.run) != nullptr) {
+        if (endpoint.pool != task.pool || !fits(task.need.room, option.room)) {
             continue;
         }
         const auto& label = task.need.required_label;
--- a/src/core/dispatch/run_ledger.hpp
+++ b/src/core/dispatch/run_ledger.hpp
@@ -66,6 +66,11 @@
         const auto found = entries_.find(run);
         return found == entries_.end() ? nullptr : &found->second;
     }
+    // Whether any run of the task is entered.
+    [[nodiscard]] bool contains(const task_key& task) const {
+        const auto found = entries_.lower_bound({task, 0});
+        return found != entries_.end() && found->first.task == task;
+    }
     [[nodiscard]] bool empty() const { return entries_.empty(); }
     [[nodiscard]] std::size_t size() const { return entries_.size(); }
 
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -372,6 +372,33 @@
     BOOST_TEST((holder.sessions().at(id)->phase() == session_phase::claiming));
 }
 
+// Guards against duplicate runs: the job came again through another coordinator
+// while no stop of its run here had been answered.
+BOOST_AUTO_TEST_CASE(task_whose_run_may_go_on_here_does_not_start) {
+    assign("job-1", 1);
+    answer_starts();
+    holder.abandon(now, coordinator);
+    const auto run = port.starts.front().run;
+    task_assignment again;
+    again.job = "job-1";
+    again.pool = "pool";
+    again.objective_us = duration(200ms).count();
+    again.patience_us = duration(9s).count();
+    again.items = {{run, {{6000, 64, 0}, 60, {}, {}}, {}}};
+    holder.assign(now, {"10.1.0.3:1", 4}, again);
+    holder.dispatch(now);
+    BOOST_TEST(port.starts.size() == 1U);
+    holder.return_queued({16'000});
+    BOOST_TEST(holder.queue().size() == 1U);
+    stay_without_stops(500ms);
+    BOOST_TEST(port.starts.size() == 1U);
+    stay_without_stops(1s);
+    answer_hold("endpoint-1", {});
+    answer_hold("endpoint-2", {});
+    holder.dispatch(now);
+    BOOST_TEST(port.starts.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
