--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -399,6 +399,37 @@
     BOOST_TEST(port.starts.size() == 2U);
 }
 
+// Guards against duplicate runs: a coordinator out of contact places its tasks
+// again, so those that wait here must not start.
+BOOST_AUTO_TEST_CASE(queued_task_of_an_abandoned_coordinator_does_not_start) {
+    assign("job-1", 4);
+    answer_starts();
+    assign("job-2", 2);
+    BOOST_REQUIRE_EQUAL(holder.queue().size(), 2U);
+    events.updates.clear();
+    holder.abandon(now, coordinator);
+    BOOST_TEST(holder.queue().empty());
+    BOOST_REQUIRE_EQUAL(events.updates.size(), 2U);
+    BOOST_TEST((events.updates[0].kind == update_kind::returned));
+    answer_hold("endpoint-1", {});
+    answer_hold("endpoint-2", {});
+    holder.dispatch(now);
+    BOOST_TEST(port.starts.size() == 4U);
+}
+
+// Guards against duplicate runs: a reply that arrives after the endpoint has
+// changed hands says nothing to the coordinator.
+BOOST_AUTO_TEST_CASE(replies_after_a_release_are_ignored) {
+    assign("job-1", 1);
+    const auto start = port.starts.front();
+    holder.release(now, start.target.endpoint);
+    BOOST_REQUIRE_EQUAL(events.updates.size(), 1U);
+    BOOST_TEST((events.updates[0].kind == update_kind::disowned));
+    holder.handle_start(now, start.target.endpoint, 1, start.run,
+                        {call_status::too_late, to_ms(now) + 500});
+    BOOST_TEST(events.updates.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -487,6 +487,68 @@
     BOOST_TEST(port.stops.size() == 1U);
 }
 
+// Guards against duplicate runs: a claim that arrives after the claim window
+// must not renew the lease of a run whose stop is under way.
+BOOST_AUTO_TEST_CASE(late_claim_does_not_keep_a_run_that_is_being_stopped) {
+    answer_hold({run_of(0)});
+    pass(100ms);
+    adoption_claim claim{endpoint.id,
+                         {{run_of(0), {{6000, 64, 0}, 60, {}, {}}}}};
+    session->claim(now, {"10.1.0.2:1", 9}, claim);
+    stay_without_stops({run_of(0)}, 700ms);
+    BOOST_TEST(renewals() == 0);
+    BOOST_TEST(events.ends.empty());
+    session->handle_stop(now, run_of(0), {call_status::ok, clock_ms()});
+    answer_hold({});
+    pass(100ms);
+    answer_hold({});
+    BOOST_TEST(events.ends.size() == 1U);
+}
+
+// Guards against duplicate runs: only an answer that rules the run out ends it.
+BOOST_AUTO_TEST_CASE(refused_start_is_over_and_unanswered_start_is_not) {
+    answer_hold({});
+    const std::vector<std::pair<call_status, update_kind>> certain{
+        {call_status::outdated_run, update_kind::outdated},
+        {call_status::too_late, update_kind::refused},
+        {call_status::no_room, update_kind::refused},
+        {call_status::unavailable, update_kind::refused},
+        {call_status::rejected, update_kind::refused},
+        {call_status::not_sent, update_kind::refused},
+    };
+    std::uint32_t index = 0;
+    for (const auto& [status, kind] : certain) {
+        start(index);
+        answer_start(index, status);
+        BOOST_REQUIRE_EQUAL(events.ends.size(), index + 1);
+        BOOST_TEST((events.ends.back() == std::pair(run_of(index), kind)));
+        ++index;
+    }
+    start(index);
+    answer_start(index, call_status::unanswered);
+    BOOST_TEST(events.ends.size() == index);
+    BOOST_TEST(session->ledger().size() == 1U);
+}
+
+// Guards against tasks that wait for an instance that is gone, and against use
+// of the next one before its runs are known.
+BOOST_AUTO_TEST_CASE(answer_of_another_instance_ends_all_runs) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    start(1);
+    hold_reply other;
+    other.number = port.holds.back().number;
+    other.call = {call_status::other_instance, -1};
+    session->handle_hold(now, other);
+    BOOST_TEST(events.ends.size() == 2U);
+    BOOST_TEST(!session->accepts_tasks());
+    BOOST_TEST(!session->knows_runs());
+    answer_start(1, call_status::other_instance);
+    BOOST_TEST(events.ends.size() == 2U);
+    BOOST_TEST(events.started.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/dispatch/session_fixture.hpp
+++ b/tests/dispatch/session_fixture.hpp
@@ -111,10 +111,11 @@
         }
     }
 
-    // For 2 s, the endpoint lists these runs in each reply to a poll, and
+    // For this time, the endpoint lists these runs in each reply to a poll, and
     // answers no stop.
-    void stay_without_stops(const std::vector<task_run>& running) {
-        for (int i = 0; i < 80; ++i) {
+    void stay_without_stops(const std::vector<task_run>& running,
+                            duration time = 2s) {
+        for (const auto end = now + time; now < end;) {
             if (port.holds.size() > answered_holds) {
                 answered_holds = port.holds.size();
                 answer_hold(running);
