A lease does not outlast the resend of a lost coordinator's callers

Seen by callers: a task runs twice at the same time, if the host of its job ends and no stop of its run is answered for half a second.

Cause: a holder gives a silent coordinator up after 700 ms and a tick, and had renewed the lease until then, so the run could go on for 1,746 ms after the end of its coordinator, whose caller resends after 1,300.

Now no renewal and no start extends a lease beyond 1,270 ms after the coordinator of a run there was last in contact, which is the latest stamp of this process that it has echoed. 30 ms are left for the request. With contact up to 250 ms ago, more than a heartbeat, the lease has its full second; when the coordinator is given up, half a second of it is left for the stop.

Unit tests of the lease: lease_ends_before_the_caller_of_a_lost_coordinator_resends and lease_is_renewed_in_full_between_two_heartbeats; they don't build without the change, so they were not seen to fail.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -341,6 +341,16 @@
     to_self_.adoptions.push_back(adoption);
 }
 
+timestamp dispatcher::last_contact(const process_id& coordinator) const {
+    if (coordinator == settings_.self) {
+        return timestamp::max();
+    }
+    const auto found = sessions_.peers().find(coordinator.address);
+    const bool known =
+        found != sessions_.peers().end() && found->second.id == coordinator;
+    return known ? found->second.echoed_at : timestamp{0};
+}
+
 void dispatcher::send_assignment(const process_id& holder,
                                  const task_assignment& assignment) {
     if (auto* pending = outbox(holder)) {
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -153,6 +153,8 @@
     void send_update(const process_id& coordinator,
                      const task_update& update) override;
     void announce(const endpoint_adoption& adoption) override;
+    [[nodiscard]] timestamp
+    last_contact(const process_id& coordinator) const override;
     void send_assignment(const process_id& holder,
                          const task_assignment& assignment) override;
     void send_withdrawal(const process_id& holder,
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -19,6 +19,9 @@
     virtual void send_update(const process_id& coordinator,
                              const task_update& update) = 0;
     virtual void announce(const endpoint_adoption& adoption) = 0;
+    // See `session_events::last_contact`.
+    [[nodiscard]] virtual timestamp
+    last_contact(const process_id& coordinator) const = 0;
 };
 
 // Owned by a `dispatcher`. Not thread-safe.
@@ -95,6 +98,10 @@
                          update_kind kind) override;
     void on_started(endpoint_session& session, const run_entry& entry) override;
     void on_fenced(endpoint_session& session) override;
+    [[nodiscard]] timestamp
+    last_contact(const process_id& coordinator) const override {
+        return events_.last_contact(coordinator);
+    }
 
     endpoint_session* find(const std::string& endpoint, std::uint64_t token);
     // An endpoint that accepts tasks, and its free resources.
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -23,6 +23,9 @@
 // Limits how far the clock of an idle endpoint can be behind the expected one,
 // so that no start is carried out later than a lease lasts.
 constexpr duration clock_reading_interval = 20s;
+// A lease ends this long before the callers of a coordinator that has ended
+// resend their jobs: the time of a tick and a request.
+constexpr duration resend_margin = 30ms;
 // Added to the end of a lease before the runs of a silent endpoint count as
 // over.
 constexpr std::int64_t expiry_margin_ms = 20;
@@ -117,9 +120,33 @@
                        });
 }
 
-std::int64_t endpoint_session::renew_deadline(timestamp now) {
-    const auto deadline =
-        clock_.lower_bound(now) + to_ms(settings_.lease_limit);
+std::int64_t
+endpoint_session::latest_lease(timestamp now,
+                               const process_id& coordinator) const {
+    const auto contact = events_.last_contact(coordinator);
+    if (now <= contact) {
+        return clock_.lower_bound(now) + to_ms(settings_.lease_limit);
+    }
+    const auto left = settings_.resend_after - resend_margin - (now - contact);
+    const auto on_slow_clock = std::chrono::duration_cast<duration>(
+        left * (1.0 - settings_.clock_drift));
+    return clock_.lower_bound(now) +
+           to_ms(std::min(settings_.lease_limit, on_slow_clock));
+}
+
+std::optional<std::int64_t> endpoint_session::renew_deadline(timestamp now) {
+    if (awaits_revocation()) {
+        return std::nullopt;
+    }
+    auto deadline = clock_.lower_bound(now) + to_ms(settings_.lease_limit);
+    for (const auto& [run, entry] : ledger_.entries()) {
+        if (entry.state != run_state::unclaimed) {
+            deadline = std::min(deadline, latest_lease(now, entry.coordinator));
+        }
+    }
+    if (deadline <= clock_.lower_bound(now)) {
+        return std::nullopt;
+    }
     latest_deadline_ms_ = std::max(latest_deadline_ms_, deadline);
     return deadline;
 }
@@ -153,12 +180,14 @@
         // The lease of an endpoint that may be unreachable is not renewed, so
         // that its expiry can be awaited. The same goes for the lease of a
         // revoked run, whose end its coordinator takes from a bound.
-        if (awaits_revocation()) {
-            next_poll_ = now + retry_delay;
-        } else if (occupied && failed_calls_ == 0 && clock_.is_known()) {
+        if (occupied && failed_calls_ == 0 && clock_.is_known()) {
             call.lease_deadline_ms = renew_deadline(now);
-            call.wait_ms =
-                static_cast<std::uint32_t>(to_ms(settings_.renew_interval));
+            if (call.lease_deadline_ms) {
+                call.wait_ms =
+                    static_cast<std::uint32_t>(to_ms(settings_.renew_interval));
+            } else {
+                next_poll_ = now + retry_delay;
+            }
         }
     }
     acknowledged_sent_ = acknowledged_;
@@ -443,7 +472,8 @@
     entry.state = run_state::starting;
     entry.entered_at = now;
     entry.lease_deadline_ms =
-        clock_.expected(now) + to_ms(settings_.start_window);
+        std::min(clock_.expected(now) + to_ms(settings_.start_window),
+                 latest_lease(now, entry.coordinator));
     latest_deadline_ms_ =
         std::max(latest_deadline_ms_, entry.lease_deadline_ms);
     const auto& entered = ledger_.enter(std::move(entry));
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -39,6 +39,10 @@
     virtual void on_started(endpoint_session& session,
                             const run_entry& entry) = 0;
     virtual void on_fenced(endpoint_session& session) = 0;
+    // The latest time at which the coordinator is known to have heard this
+    // process; the largest value for this process itself.
+    [[nodiscard]] virtual timestamp
+    last_contact(const process_id& coordinator) const = 0;
 };
 
 // Owned by an `endpoint_holder`. Not thread-safe.
@@ -106,7 +110,12 @@
 
 private:
     [[nodiscard]] call_target target() const;
-    std::int64_t renew_deadline(timestamp now);
+    // The deadline of a renewal; nothing if the lease must not be extended.
+    std::optional<std::int64_t> renew_deadline(timestamp now);
+    // Time on the endpoint's clock until which the lease may last for the runs
+    // of this coordinator.
+    [[nodiscard]] std::int64_t
+    latest_lease(timestamp now, const process_id& coordinator) const;
     void poll(timestamp now);
     // Requests a run list beside the long poll if an uncertain run is waiting
     // for one.
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -15,6 +15,10 @@
         updates.push_back(update);
     }
     void announce(const endpoint_adoption& /*adoption*/) override {}
+    [[nodiscard]] timestamp
+    last_contact(const process_id& /*coordinator*/) const override {
+        return timestamp::max();
+    }
 
     std::vector<task_update> updates;
 };
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -549,6 +549,44 @@
     BOOST_TEST(events.started.size() == 1U);
 }
 
+// Guards against duplicate runs: the caller of a coordinator that ended resends
+// its job 1.3 s later, while the lease was renewed until 700 ms after that end.
+BOOST_AUTO_TEST_CASE(
+    lease_ends_before_the_caller_of_a_lost_coordinator_resends) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    events.contact = now;
+    const auto ended_at = clock_ms();
+    const auto resent_at = ended_at + to_ms(settings.resend_after);
+    for (int i = 0; i < 28; ++i) {
+        pass(25ms);
+        if (port.holds.size() > answered_holds) {
+            answered_holds = port.holds.size();
+            answer_hold({run_of(0)});
+        }
+        const auto lease = port.holds.back().lease_deadline_ms;
+        BOOST_REQUIRE(lease);
+        BOOST_TEST(clock_ms() + (*lease - clock_ms()) * 102 / 100 <= resent_at);
+        BOOST_TEST(*lease >= clock_ms() + 400);
+    }
+    pass(600ms); // out of contact for longer than a lease may last
+    answer_hold({run_of(0)});
+    BOOST_TEST(!port.holds.back().lease_deadline_ms);
+}
+
+// A coordinator in contact costs no lease time.
+BOOST_AUTO_TEST_CASE(lease_is_renewed_in_full_between_two_heartbeats) {
+    answer_hold({});
+    events.contact = now - 200ms;
+    start(0);
+    answer_start(0);
+    BOOST_TEST(port.holds.back().lease_deadline_ms.value_or(0) ==
+               clock_ms() + to_ms(settings.lease_limit));
+    BOOST_TEST(port.starts.back().lease_deadline_ms ==
+               clock_ms() + to_ms(settings.start_window));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/dispatch/session_fixture.hpp
+++ b/tests/dispatch/session_fixture.hpp
@@ -35,6 +35,12 @@
         started.push_back(entry.run);
     }
     void on_fenced(endpoint_session& /*session*/) override { ++fenced; }
+    [[nodiscard]] timestamp
+    last_contact(const process_id& /*coordinator*/) const override {
+        return contact;
+    }
+
+    timestamp contact = timestamp::max();
 
     std::vector<endpoint_adoption> adoptions;
     std::vector<std::pair<task_run, update_kind>> ends;
