Search of event orders: a bounded model of the dispatcher

order_search executes all schedules of a small deployment (real dispatchers in virtual time, two endpoints, one job) with a bounded number of deviations from the default order.

--- a/tests/dispatch/fleet/virtual_endpoint.cpp
+++ b/tests/dispatch/fleet/virtual_endpoint.cpp
@@ -178,8 +178,8 @@
     const auto found = runs_.find(task);
     if (found != runs_.end() && found->second.number == call.run.run) {
         ++observed_.stopped;
-        const auto takes =
-            std::chrono::milliseconds(task.index * 17 % stop_limit_ms);
+        const duration takes = stop_takes.value_or(
+            std::chrono::milliseconds(task.index * 17 % stop_limit_ms));
         if (!found->second.stops_at) {
             found->second.stops_at = now + takes;
         }
--- a/tests/dispatch/fleet/virtual_endpoint.hpp
+++ b/tests/dispatch/fleet/virtual_endpoint.hpp
@@ -63,6 +63,8 @@
     double slowness = 1.0;
     std::size_t calling_host = 0; // host of the current call
     bool is_late_call = false;    // the current call was delayed
+    // How long a stop takes; empty: it depends on the index of the task.
+    std::optional<duration> stop_takes;
 
 private:
     struct run {
--- /dev/null
+++ b/tests/dispatch/orders/order_model.hpp
@@ -0,0 +1,88 @@
+// A small deployment in virtual time whose order of events is chosen outside:
+// 3 or 4 dispatchers, two endpoints, a store and the caller of one job.
+//
+// A run follows a scenario: a few disruptions at fixed times. By default each
+// message arrives at once and each call is answered. At every decision point,
+// in the order in which a run meets them, a schedule can choose another option:
+// hold a message and all behind it on its link, break the connection, lose or
+// delay a call or its answer, delay a write of the store or the row that others
+// read, or disturb a host. Equal schedules give equal runs.
+#ifndef FIGRIDGE_TESTS_DISPATCH_ORDERS_ORDER_MODEL_HPP
+#define FIGRIDGE_TESTS_DISPATCH_ORDERS_ORDER_MODEL_HPP
+
+#include <string>
+#include <vector>
+
+#include "figridge/ports.hpp"
+
+namespace figridge::dispatch::orders {
+
+// Option `option` (from 1) instead of the default at decision point `point`.
+struct deviation {
+    std::size_t point = 0;
+    std::size_t option = 0;
+
+    auto operator<=>(const deviation&) const = default;
+};
+
+// In ascending order of points.
+using schedule = std::vector<deviation>;
+
+struct decision_point {
+    timestamp at{0};
+    std::size_t options = 0;  // without the default
+    bool disturbance = false; // of hosts, endpoints or all links of a host
+};
+
+enum class action_kind {
+    submit,       // the job, at the host `target`
+    cut,          // the host from all other hosts
+    cut_endpoint, // the host `target` from the endpoint `other`
+    heal,         // ends all cuts, link by link
+    stop,         // planned: drains the host, ends its process, starts it again
+    kill,
+    start,
+    freeze,
+    thaw,
+};
+
+struct scenario_step {
+    duration at{0}; // from the start of the scenario
+    action_kind kind = action_kind::submit;
+    std::size_t target = 0;
+    std::size_t other = 0;
+};
+
+struct scenario {
+    std::string name;
+    std::size_t hosts = 3;
+    std::vector<std::size_t> holders; // of the endpoints 0 and 1
+    std::uint32_t run_ms = 600;
+    std::uint32_t tasks = 1;
+    bool remote_coordinator = false; // host 0 is in a failure domain of its own
+    std::vector<scenario_step> steps;
+    duration length{3'000'000};
+};
+
+const std::vector<scenario>& all_scenarios();
+
+struct order_result {
+    std::vector<std::string> violations;
+    std::vector<decision_point> points;
+    std::uint64_t starts = 0;
+    std::string log;
+};
+
+struct order_options {
+    bool keep_log = false; // it also describes the deviations
+    // Also offers endpoints that answer but carry out no stop for 2.5 s.
+    bool lose_stops = false;
+};
+
+// Executes one run up to its end or the first violation.
+order_result execute(const scenario& plan, const schedule& chosen,
+                     const order_options& options);
+
+} // namespace figridge::dispatch::orders
+
+#endif
