--- a/tests/dispatch/orders/order_search.cpp
+++ b/tests/dispatch/orders/order_search.cpp
@@ -50,6 +50,7 @@
 DEFINE_uint64(threads, 2, "Threads.");
 DEFINE_uint64(most_found, 1,
               "Stop a scenario after this many schedules found.");
+DEFINE_bool(stop_at_first, false, "End the search at the first one found.");
 DEFINE_bool(list, false, "List the scenarios and how many choices they have.");
 
 namespace figridge::dispatch::orders {
@@ -286,6 +287,9 @@
                   << std::endl;
         total.executed += counts.executed;
         total.found += counts.found;
+        if (FLAGS_stop_at_first && total.found > 0) {
+            break;
+        }
     }
     if (!FLAGS_list && total.executed == 0) {
         std::cerr << "no scenario to search\n";
