Search of event orders: the frozen host is the one that took the endpoints over

In scenario cut_two_changes another host was frozen, so that a second deviation had to bring the next takeover about.

--- a/tests/dispatch/orders/order_scenarios.cpp
+++ b/tests/dispatch/orders/order_scenarios.cpp
@@ -67,8 +67,8 @@
              false,
              {{50ms, cut, 0},
               {100ms, stop, 1},
-              {350ms, freeze, 2},
-              {1100ms, thaw, 2},
+              {350ms, freeze, 3},
+              {1100ms, thaw, 3},
               {1300ms, heal},
               {1350ms, submit, 0}},
              3500ms});
