--- a/tests/dispatch/orders/order_model.cpp
+++ b/tests/dispatch/orders/order_model.cpp
@@ -1199,10 +1199,10 @@
 void order_model::block(std::size_t index) {
     auto other = job_;
     other.work.id = "other";
-    other.work.payload = "ms=700 cpu=13000";
+    other.work.payload = absl::StrCat("ms=", plan_.block_ms, " cpu=13000");
     other.work.steps[0].count = 2;
     other.work.steps[0].need.room.cpu_millis = 13'000;
-    other.work.steps[0].need.estimate_ms = 700;
+    other.work.steps[0].need.estimate_ms = plan_.block_ms;
     deliver(index, hosts_[index]->process,
             [this, other, token = next_token_++](dispatcher& core) {
                 core.submit(now_, token, other);
--- a/tests/dispatch/orders/order_model.hpp
+++ b/tests/dispatch/orders/order_model.hpp
@@ -69,7 +69,8 @@
     bool remote_coordinator = false; // host 0 is in a failure domain of its own
     std::vector<scenario_step> steps;
     duration length{3'000'000}; // or up to the end of the job
-    bool keep_rows = false;     // hosts that stop stay in the table of hosts
+    std::uint32_t block_ms = 700;
+    bool keep_rows = false; // hosts that stop stay in the table of hosts
 };
 
 const std::vector<scenario>& all_scenarios();
