The bound for a lost holder's tasks counts from its last loss

What callers could see: a task running twice at the same time. A holder is lost, heard again before contact is back, and lost once more. It may have heard this host in between and keeps the tasks for 700 ms from then; the bound still counted from the first loss, up to 250 ms too early.

Cause: handle_holder_lost skipped tasks whose holder counted as lost already.

Evidence: bound_counts_from_the_last_loss_of_a_holder fails on the code before (placed again at 1.0 s instead of 1.5 s). By reading, a second run also needs the holder to end, or a stop to get no answer, right before it gives this host up.

Change: a further loss moves the bound out; contact that is back, a claim and a placement clear it. A disowned run, or one whose report was lost, keeps its bound: the holder has dropped it already.

--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -190,6 +190,7 @@
             task.token = 0;
             task.holder_lost = false;
             task.report_lost = false;
+            task.runs_end_by = timestamp{0};
             task.own_run_open = false;
             task.found.reset();
             assignments[*holder].items.push_back(
--- a/src/core/dispatch/job_coordinator_holders.cpp
+++ b/src/core/dispatch/job_coordinator_holders.cpp
@@ -29,14 +29,17 @@
     for (auto& [id, state] : jobs_) {
         for (auto& step : state.steps) {
             for (auto& task : step.tasks) {
+                // A holder that was heard since an earlier loss keeps the tasks
+                // longer. A disowned run is no longer with it.
                 if (task.phase == task_phase::placed && task.holder == holder &&
-                    !task.holder_lost) {
+                    !task.report_lost) {
                     task.holder_lost = true;
-                    task.runs_end_by = runs_end_by;
+                    task.runs_end_by = std::max(task.runs_end_by, runs_end_by);
                 }
                 if (task.found && task.found->holder == holder &&
-                    !task.found->ends_by) {
-                    task.found->ends_by = runs_end_by;
+                    !task.found->report_lost) {
+                    task.found->ends_by = std::max(
+                        task.found->ends_by.value_or(runs_end_by), runs_end_by);
                 }
             }
         }
@@ -49,6 +52,7 @@
             for (auto& task : step.tasks) {
                 if (task.holder == holder && !task.report_lost) {
                     task.holder_lost = false;
+                    task.runs_end_by = timestamp{0};
                 }
                 if (task.found && task.found->holder == holder &&
                     !task.found->report_lost) {
@@ -173,6 +177,7 @@
             task.token = adoption.token;
             task.holder_lost = false;
             task.report_lost = false;
+            task.runs_end_by = timestamp{0};
         } else {
             task.found = found_run{holder, adoption.endpoint, adoption.token,
                                    std::nullopt, false};
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -202,6 +202,20 @@
     BOOST_TEST(placements() == 1U);
 }
 
+// Guards against duplicate runs: a holder that is lost, heard for a moment and
+// lost again may have heard this host then, and keeps its tasks longer.
+BOOST_AUTO_TEST_CASE(bound_counts_from_the_last_loss_of_a_holder) {
+    submit(1, 3, 5s);
+    add_holder_b();
+    coordinator.handle_holder_lost(holder_a, now + 1s);
+    advance(500ms);
+    coordinator.handle_holder_lost(holder_a, now + 1s);
+    advance(1000ms);
+    BOOST_TEST(placements() == 1U);
+    advance(50ms);
+    BOOST_TEST(placements() == 2U);
+}
+
 // The dropped reports may have included the end of the run.
 BOOST_AUTO_TEST_CASE(task_whose_report_was_lost_is_placed_again_at_the_bound) {
     submit(1);
