The end of a found run at the task's own holder is not the task's own

What callers could see: a task running twice at the same time, or executed again after it was done.

Cause: handle_update compared the holder of the task's own run first. If that holder takes over the endpoint of a run found elsewhere, its reports about the found run counted for the own one, which is still in its queue: a lost one was replaced by the found run and later placed again, a done one left the own run queued without a withdrawal.

Failed before: end_of_a_found_run_at_the_tasks_own_holder_is_not_ours (2 placements instead of 1) and own_run_is_withdrawn_if_its_holder_has_done_a_found_run (no withdrawal). Now the holder and endpoint of the found run are compared first. Unit tests pass.

--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -241,11 +241,12 @@
     if (of_earlier_tenure && !ends_run) {
         return;
     }
-    if (task->holder == holder) {
-        apply_update(now, *state, *task, update);
-    } else if (task->found && task->found->holder == holder &&
-               task->found->endpoint == update.endpoint) {
+    // The holder of the task's own run may have taken over the found run too.
+    if (task->found && task->found->holder == holder &&
+        task->found->endpoint == update.endpoint) {
         apply_found_update(now, *state, *task, update);
+    } else if (task->holder == holder) {
+        apply_update(now, *state, *task, update);
     }
 }
 
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 
 #include "core/dispatch/job_coordinator.hpp"
@@ -430,6 +432,36 @@
     BOOST_TEST((answers[0].outcome == job_outcome::completed));
 }
 
+// Guards against duplicate runs: the holder of the task's own run has also
+// taken over the endpoint of the found run and reports the end of that one.
+BOOST_AUTO_TEST_CASE(end_of_a_found_run_at_the_tasks_own_holder_is_not_ours) {
+    submit(1);
+    add_holder_b();
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {run_of(0)}, {}});
+    coordinator.handle_adoption(now, holder_a,
+                                {"endpoint-1", holder_b, 9, {run_of(0)}, {}});
+    update(holder_a, 0, update_kind::lost);
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 10, {}, {}});
+    BOOST_TEST(placements() == 1U);
+}
+
+// Guards against a task that is executed again: the found run that has done it
+// was at the holder that has the task's own run queued.
+BOOST_AUTO_TEST_CASE(own_run_is_withdrawn_if_its_holder_has_done_a_found_run) {
+    submit(1);
+    add_holder_b();
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {run_of(0)}, {}});
+    coordinator.handle_adoption(now, holder_a,
+                                {"endpoint-1", holder_b, 9, {run_of(0)}, {}});
+    update(holder_a, 0, update_kind::done);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST(std::count(withdrawals.begin(), withdrawals.end(), holder_a) ==
+               1);
+}
+
 // Guards against duplicate runs: the task's own run has not started, but one of
 // another coordinator with its number goes on.
 BOOST_AUTO_TEST_CASE(returned_task_is_not_placed_beside_a_found_run) {
