A peer gets tasks only once it has heard the present stream

What callers could see: a task running twice at the same time.

Cause: a peer that was removed and is heard again was offered tasks from its first envelope on. That one still speaks of the former stream, so the gap in the peer's payloads was noticed only with the next one; the mark "its reports may be lost" then hit a task placed in between, which the peer keeps and runs, and the task was placed again after the bound.

Failed before: task_placed_before_a_gap_is_noticed_is_not_given_up (run 2 was assigned while run 1 ran). Now a peer's load is taken into account only once an envelope of it names the present stream.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -215,7 +215,10 @@
 void dispatcher::on_advert(const process_id& from,
                            const std::string& failure_domain,
                            const advert& about) {
-    if (is_in_contact(from)) {
+    const auto peer = sessions_.peers().find(from.address);
+    const bool hears_stream =
+        peer != sessions_.peers().end() && peer->second.hears_stream;
+    if (is_in_contact(from) && hears_stream) {
         views_.update(now_, from, failure_domain, about);
     }
     if (about.catalogue_version > catalogue_version_) {
--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -145,6 +145,7 @@
         handle_echo(now, from, message);
     }
     if (counts) {
+        from.hears_stream = true;
         handle_ack(now, from, message);
         detect_dropped_payloads(from, message);
     }
@@ -192,6 +193,7 @@
     from.id = id;
     from.first_heard_at = now;
     from.received = 0;
+    from.hears_stream = false;
     from.peer_stream = 0;
     from.unacknowledged.clear();
     from.pending = {};
--- a/src/core/dispatch/peer_sessions.hpp
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -89,6 +89,9 @@
         std::optional<timestamp> active_since;
         bool lost = true;
         bool out_of_contact = true;
+        // The peer has heard the present stream. Before that, payloads may have
+        // been dropped unnoticed.
+        bool hears_stream = false;
         std::uint64_t received = 0;    // of the peer's stream
         std::uint64_t peer_stream = 0; // 0: unknown, or an older version
         std::uint64_t stream = 0;      // of the payloads sent to the peer
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -650,6 +650,11 @@
     void deliver(quiet_dispatcher& from, quiet_dispatcher& to, bool cut) {
         for (const auto& [address, message] :
              std::exchange(from.peers.sent, {})) {
+            for (const auto& assignment : message.content.assignments) {
+                for (const auto& item : assignment.items) {
+                    highest_run = std::max(highest_run, item.run.run);
+                }
+            }
             if (!cut) {
                 to.core.handle_envelope(now, message);
             }
@@ -705,6 +710,7 @@
     timestamp now{100s};
     std::vector<task_run> started;
     std::vector<running_entry> running;
+    std::uint32_t highest_run = 0; // of the assignments sent
 };
 
 // Guards against jobs that are accepted and never start: after a partition in
@@ -745,6 +751,35 @@
     BOOST_TEST(running.empty());
 }
 
+// Guards against two runs of a task at the same time: a peer that was removed
+// is heard again, and gets a task before this host notices the gap in its
+// payloads.
+BOOST_FIXTURE_TEST_CASE(task_placed_before_a_gap_is_noticed_is_not_given_up,
+                        two_hosts_fixture) {
+    coordinator.core.submit(now, 1,
+                            quiet_dispatcher::make_job("0123456789abcde0"));
+    run_for(100ms);
+    for (int i = 0; i < 20; ++i) {
+        now += 25ms;
+        coordinator.core.tick(now);
+        holder.core.tick(now);
+        answer_holder();
+        deliver(coordinator, holder, false);
+        deliver(holder, coordinator, true);
+    }
+    coordinator.core.remove_member("10.1.0.2:1");
+    coordinator.peers.sent.clear();
+    now += 150ms;
+    holder.core.tick(now);
+    deliver(holder, coordinator, false);
+    auto job = quiet_dispatcher::make_job("0123456789abcdef");
+    job.caller_timeout = 20s;
+    coordinator.core.submit(now, 2, job);
+    run_for(3s);
+    BOOST_TEST(starts_of("0123456789abcdef") == 1U);
+    BOOST_TEST(highest_run == 1U);
+}
+
 // Guards against a job that waits until its caller gives up: the assignment was
 // lost together with the state of its holder, which was then heard again.
 BOOST_FIXTURE_TEST_CASE(task_assigned_to_a_host_removed_since_is_placed_again,
