A list with an unreadable running row is no list

A row of `running` that could not be read was left out, and a run that is not on the list counts as over, so that its task was placed again. No endpoint is known to send such a row.

--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -135,6 +135,14 @@
     BOOST_TEST(to_string(parse_call_reply(503, "").status) == "unavailable");
 }
 
+// Guards against a task that runs twice: a run whose row can't be read, taken
+// for one that is not there, lets its task be placed again.
+BOOST_AUTO_TEST_CASE(list_with_an_unreadable_running_row_is_no_list) {
+    const auto reply = parse_hold_reply(
+        200, R"({"clock-ms":1,"running":[["id.0.0.0",1.5]],"ended":[]})");
+    BOOST_TEST(to_string(reply.call.status) == "rejected");
+}
+
 BOOST_AUTO_TEST_CASE(damaged_jobs_are_parsed_or_rejected) {
     std::mt19937_64 random(11);
     int refused = 0;
