Idle endpoints are not polled without a pause; a stopped run frees the lease

A reading of an idle endpoint's clock that arrives late is ignored, and the next one was requested at once: a call a round trip for as long as readings are ignored. Failed before: ignored_clock_reading_is_not_requested_again_at_once (52 calls instead of 3).

A run whose stop is confirmed still limited the lease of the others on its endpoint by the last contact with its coordinator, until its end was listed. Failed before: confirmed_stop_of_a_silent_coordinators_run_frees_the_lease (no renewal). Unit tests pass.

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -140,7 +140,8 @@
     }
     auto deadline = clock_.lower_bound(now) + to_ms(settings_.lease_limit);
     for (const auto& [run, entry] : ledger_.entries()) {
-        if (entry.state != run_state::unclaimed) {
+        if (entry.state != run_state::unclaimed &&
+            !entry.stop_answered_at_call) {
             deadline = std::min(deadline, latest_lease(now, entry.coordinator));
         }
     }
@@ -189,6 +190,10 @@
                 next_poll_ = now + retry_delay;
             }
         }
+        if (reading_due) {
+            // The reading may be ignored, and the next one is then due at once.
+            next_poll_ = now + retry_delay;
+        }
     }
     acknowledged_sent_ = acknowledged_;
     call.number = ++calls_sent_;
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -459,6 +459,22 @@
     BOOST_TEST(port.holds.size() < 10U);
 }
 
+// Guards against an endpoint that is called once a round trip: a reading that
+// arrives late, or none at all, leaves the clock as old as before.
+BOOST_AUTO_TEST_CASE(ignored_clock_reading_is_not_requested_again_at_once) {
+    answer_hold({});
+    const auto first_reading = clock_ms();
+    pass(21s);
+    for (int round = 0; round < 50; ++round) {
+        hold_reply reply;
+        reply.number = port.holds.back().number;
+        reply.call = {call_status::ok, first_reading};
+        reply.instance_started_ms = 1000;
+        session->handle_hold(now, reply);
+    }
+    BOOST_TEST(port.holds.size() <= 3U);
+}
+
 // Guards against endpoints that stay unused: the restart of an idle endpoint
 // was learned from the platform's list, and nothing read the new clock.
 BOOST_AUTO_TEST_CASE(idle_endpoint_that_restarted_is_used_again) {
@@ -575,6 +591,23 @@
     BOOST_TEST(!port.holds.back().lease_deadline_ms);
 }
 
+// Guards against runs that end early: the lease of the other runs is renewed
+// although the coordinator of a stopped run is not in contact.
+BOOST_AUTO_TEST_CASE(
+    confirmed_stop_of_a_silent_coordinators_run_frees_the_lease) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    answer_hold({run_of(0)});
+    events.contact = now - 5s;
+    session->revoke(now, run_of(0));
+    session->handle_stop(now, run_of(0), {call_status::ok, clock_ms()});
+    pass(200ms);
+    answer_hold({run_of(0)});
+    pass(200ms);
+    BOOST_TEST(port.holds.back().lease_deadline_ms.has_value());
+}
+
 // A coordinator in contact costs no lease time.
 BOOST_AUTO_TEST_CASE(lease_is_renewed_in_full_between_two_heartbeats) {
     answer_hold({});
