--- a/src/adapters/http_client.hpp
+++ b/src/adapters/http_client.hpp
@@ -1,7 +1,8 @@
 // An HTTP client on the event loop, built on libcurl's multi interface.
 //
-// A request that may have reached the server is never sent again, not even by
-// libcurl when a reused connection breaks.
+// A request with a body that may have reached the server is never sent again.
+// One without a body may be: libcurl repeats it when a reused connection
+// breaks.
 #ifndef FIGRIDGE_ADAPTERS_HTTP_CLIENT_HPP
 #define FIGRIDGE_ADAPTERS_HTTP_CLIENT_HPP
 
