--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -246,11 +246,28 @@
     }
 }
 
+void endpoint_holder::log_not_confirmed(std::string_view event,
+                                        const endpoint_session& session,
+                                        const task_run& run,
+                                        const call_reply& reply) {
+    observer_.log(log_level::info, event,
+                  {{"job", run.task.job},
+                   {"task", std::to_string(run.task.step) + "." +
+                                std::to_string(run.task.index)},
+                   {"run", std::to_string(run.run)},
+                   {"endpoint", session.endpoint().id},
+                   {"token", std::to_string(session.token())},
+                   {"outcome", std::string(to_string(reply.status))}});
+}
+
 void endpoint_holder::handle_start(timestamp now, const std::string& endpoint,
                                    std::uint64_t token, const task_run& run,
                                    const call_reply& reply) {
     now_ = now;
     if (auto* session = find(endpoint, token)) {
+        if (reply.status != call_status::ok) {
+            log_not_confirmed("start_not_confirmed", *session, run, reply);
+        }
         session->handle_start(now, run, reply);
     }
 }
@@ -261,14 +278,7 @@
     now_ = now;
     if (auto* session = find(endpoint, token)) {
         if (reply.status != call_status::ok) {
-            observer_.log(log_level::info, "stop_not_confirmed",
-                          {{"job", run.task.job},
-                           {"task", std::to_string(run.task.step) + "." +
-                                        std::to_string(run.task.index)},
-                           {"run", std::to_string(run.run)},
-                           {"endpoint", endpoint},
-                           {"token", std::to_string(token)},
-                           {"outcome", std::string(to_string(reply.status))}});
+            log_not_confirmed("stop_not_confirmed", *session, run, reply);
         }
         session->handle_stop(now, run, reply);
     }
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -131,6 +131,10 @@
     void report(const endpoint_session& session, const run_entry& entry,
                 update_kind kind);
     void return_task(const queued_task& task);
+    // Logs the status of a start or stop that was not answered with success.
+    void log_not_confirmed(std::string_view event,
+                           const endpoint_session& session, const task_run& run,
+                           const call_reply& reply);
     // Logs the start of a run above 1: its coordinator gave an earlier one up.
     void log_repeated_run(const endpoint_session& session,
                           const queued_task& task);
