--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -2,7 +2,7 @@
 # Mutation test, which shows that the fault matrices can fail: applies each
 # mutation of tests/mutants.txt to a copy of its source file, links it into the
 # matrix that covers the file and runs that; fleet_matrix runs the recorded runs
-# first.
+# first. What the fleet doesn't catch, order_search may.
 # Arguments: names of the mutants to run, default all. Last line: mutants=N
 # caught=N.
 set -u
@@ -14,6 +14,12 @@
 libraries="$(pkg-config --libs absl_strings absl_status absl_statusor \
     absl_str_format) -lxxhash -lgflags -lpthread"
 
+link_mutant() { # folder, output, library, sources
+    g++ -std=c++20 -O1 -DMSGPACK_USE_BOOST=1 -Iinclude -Isrc -Isrc/core \
+        -Itests -Itests/dispatch/fleet -o "$1/$2" "${@:4}" \
+        "$build/lib$3.a" "$build/libfigridge_core.a" $libraries 2>"$1/error"
+}
+
 run_mutant() { # line
     local name file old new
     IFS='|' read -r name file old new < <(sed 's/\\|/\x01/g' <<<"$1")
@@ -36,10 +42,7 @@
         die "the text stands there $n times\n" if $n != 1;
         s/\Q$ENV{OLD}\E/$ENV{NEW}/' "src/core/$file" >"$folder/$file" \
         2>"$folder/error" || { echo "mutant $name: $(cat "$folder/error")"; return; }
-    if ! g++ -std=c++20 -O1 -DMSGPACK_USE_BOOST=1 -Iinclude -Isrc -Isrc/core \
-        -Itests -Itests/dispatch/fleet -o "$folder/matrix" "$main" \
-        "$folder/$file" "$build/lib$cluster.a" \
-        "$build/libfigridge_core.a" $libraries 2>"$folder/error"; then
+    if ! link_mutant "$folder" matrix "$cluster" "$main" "$folder/$file"; then
         echo "mutant $name: does not build: $(head -3 "$folder/error")"
         return
     fi
@@ -60,6 +63,14 @@
             return
         fi
     done
+    if [[ $file == dispatch/* ]] &&
+        link_mutant "$folder" orders "$cluster" tests/dispatch/orders/*.cpp \
+            "$folder/$file" &&
+        ! timeout 300 "$folder/orders" --stop_at_first >"$folder/out" 2>&1 &&
+        grep -q '^BROKEN' "$folder/out"; then
+        echo "mutant $name: caught by $(sed -n 's/^BROKEN //p' "$folder/out" | head -1)"
+        return
+    fi
     echo "mutant $name: NOT caught"
 }
 
