--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -40,7 +40,8 @@
                             const run_entry& entry) = 0;
     virtual void on_fenced(endpoint_session& session) = 0;
     // The latest time at which the coordinator is known to have heard this
-    // process; the largest value for this process itself.
+    // process; the largest value for this process itself, zero for a process
+    // that is not known.
     [[nodiscard]] virtual timestamp
     last_contact(const process_id& coordinator) const = 0;
 };
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -845,7 +845,8 @@
     row.version = 9;
     core.set_holder(now, row);
     core.handle_write_result(now, store.writes.back().first, store_status::ok);
-    advance(100ms);
+    advance(700ms); // the holder is lost, so its endpoint is probed
+    BOOST_REQUIRE(!endpoints.holds.empty());
     for (const auto& call : endpoints.holds) {
         BOOST_TEST(call.target.token == row.token); // probes only
         BOOST_TEST(!call.lease_deadline_ms.has_value());
