A draining host ends only once its grants are delivered

Cause: a host counted as drained in the tick that queues the grants; its process ended before they were delivered, and nobody else could assign the tokens.

The test draining_holder_grants_endpoints_nobody_takes_over now acknowledges the grant before it expects the host to be drained: without that it asserted the fault.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -470,7 +470,13 @@
 }
 
 bool dispatcher::is_drained() const {
-    const bool handed_over = holder_.sessions().empty() ||
+    const bool grants_delivered =
+        std::none_of(grant_receivers_.begin(), grant_receivers_.end(),
+                     [this](const process_id& receiver) {
+                         return is_in_contact(receiver) &&
+                                sessions_.has_undelivered(receiver);
+                     });
+    const bool handed_over = (holder_.sessions().empty() && grants_delivered) ||
                              possible_successors().empty() ||
                              now_ - draining_since_ >= handover_limit;
     return draining_ && coordinator_.job_count() == 0 &&
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -215,6 +215,8 @@
     // Endpoints granted to this host whose rows are not written yet, and when
     // to write them.
     std::map<std::string, timestamp> unstored_grants_;
+    // The hosts to which this host has granted endpoints.
+    std::set<process_id> grant_receivers_;
     bool has_endpoints_ = false;
     bool takeover_wanted_ = false; // there are endpoints to take over
     timestamp holder_lost_at_{0};
--- a/src/core/dispatch/dispatcher_holding.cpp
+++ b/src/core/dispatch/dispatcher_holding.cpp
@@ -291,6 +291,7 @@
             auto granted_row = *row;
             granted_row.holder = *receiver;
             granted_row.token = token;
+            grant_receivers_.insert(*receiver);
             granted.push_back(std::move(granted_row));
         }
     }
--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -359,6 +359,13 @@
            !found->second.lost;
 }
 
+bool peer_sessions::has_undelivered(const process_id& peer) const {
+    const auto found = peers_.find(peer.address);
+    return found != peers_.end() && found->second.id == peer &&
+           !(found->second.unacknowledged.empty() &&
+             found->second.pending.empty());
+}
+
 std::size_t peer_sessions::live_count() const {
     return static_cast<std::size_t>(
         std::count_if(peers_.begin(), peers_.end(),
--- a/src/core/dispatch/peer_sessions.hpp
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -128,6 +128,9 @@
     void announce() { announce_ = true; }
 
     [[nodiscard]] bool is_live(const process_id& peer) const;
+    // Whether payloads for this incarnation of the peer are not acknowledged;
+    // false if it is not known.
+    [[nodiscard]] bool has_undelivered(const process_id& peer) const;
     [[nodiscard]] const std::map<std::string, peer>& peers() const {
         return peers_;
     }
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -58,6 +58,27 @@
         core.handle_envelope(now, message);
     }
 
+    // The peer acknowledges the payloads sent to it up to `sequence`.
+    void receive_acknowledgement(std::uint64_t sequence) {
+        envelope message;
+        message.from = {"10.1.0.2:1", 12};
+        message.failure_domain = "domain-1";
+        message.to_incarnation = 99;
+        message.stamp_us = now.count();
+        message.echo_us = now.count();
+        message.ack = sequence;
+        core.handle_envelope(now, message);
+    }
+
+    // The highest sequence of a payload sent to any peer.
+    [[nodiscard]] std::uint64_t last_sequence() const {
+        std::uint64_t last = 0;
+        for (const auto& [address, message] : peers.sent) {
+            last = std::max(last, message.sequence);
+        }
+        return last;
+    }
+
     // The grants sent so far, without resent ones.
     [[nodiscard]] std::vector<endpoint_grant> grants() const {
         std::map<std::uint64_t, std::vector<endpoint_grant>> sent;
@@ -477,6 +498,7 @@
     BOOST_REQUIRE_EQUAL(grants().size(), 1U);
     BOOST_TEST(grants()[0].endpoint == "endpoint-1");
     BOOST_TEST(grants()[0].token == stored_token_stride + 1);
+    receive_acknowledgement(last_sequence());
     BOOST_TEST(core.is_drained());
     const auto calls = endpoints.holds.size() + endpoints.starts.size();
     core.submit(now, 1, make_job("0123456789abcdef"));
@@ -484,6 +506,21 @@
     BOOST_TEST(endpoints.holds.size() + endpoints.starts.size() == calls);
 }
 
+// Guards against an endpoint without a holder: the process that granted it
+// ended before the grant was delivered.
+BOOST_AUTO_TEST_CASE(draining_holder_waits_until_its_grants_are_delivered) {
+    complete_takeover();
+    receive_from_peer();
+    core.drain(now);
+    advance(400ms);
+    receive_from_peer();
+    advance(200ms);
+    BOOST_REQUIRE_EQUAL(grants().size(), 1U);
+    BOOST_TEST(!core.is_drained());
+    receive_acknowledgement(last_sequence());
+    BOOST_TEST(core.is_drained());
+}
+
 BOOST_AUTO_TEST_CASE(draining_holder_without_a_successor_finishes) {
     complete_takeover();
     core.drain(now);
