Endpoints are granted only to hosts that know endpoints

Cause: the receiver of a grant had started while the store was away and had no list of endpoints, so it did not know the endpoint's address and ignored the grant; the giver had released the endpoint.

Fix: adverts say whether the sender has a list of endpoints, and a draining host grants to such hosts only. Adverts of hosts of the version before lack the field and count as having one, as before.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -253,6 +253,7 @@
     about.catalogue_version = catalogue_version_;
     about.draining = draining_;
     about.cpu_share = settings_.cpu_share;
+    about.knows_endpoints = has_endpoints_;
     holder_.fill(about);
     return about;
 }
--- a/src/core/dispatch/dispatcher_holding.cpp
+++ b/src/core/dispatch/dispatcher_holding.cpp
@@ -264,7 +264,10 @@
 std::vector<candidate> dispatcher::possible_successors() const {
     std::vector<candidate> hosts;
     for (const auto& host : live_hosts()) {
-        if (!host.draining && is_in_contact(host.id)) {
+        const auto peer = sessions_.peers().find(host.id.address);
+        const bool can_hold = peer != sessions_.peers().end() &&
+                              peer->second.about.knows_endpoints;
+        if (!host.draining && can_hold && is_in_contact(host.id)) {
             hosts.push_back(host);
         }
     }
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -27,10 +27,13 @@
     std::uint32_t largest_cpu = 0; // of one endpoint
     std::uint32_t largest_memory_mb = 0;
     std::vector<std::uint32_t> free_cpu;
+    // Whether the process has a list of endpoints, without which it can hold
+    // none. Last, so that older peers can read the fields before it.
+    bool knows_endpoints = true;
 
     MSGPACK_DEFINE(catalogue_version, draining, cpu_share, endpoints_held,
                    capacity_cpu, queued_cpu_ms, queued_tasks, largest_cpu,
-                   largest_memory_mb, free_cpu);
+                   largest_memory_mb, free_cpu, knows_endpoints);
 };
 
 // Assigns tasks of one job to a holder. Times are relative to the sending.
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -521,6 +521,27 @@
     BOOST_TEST(core.is_drained());
 }
 
+// A receiver without a list of endpoints does not know the endpoint's address.
+BOOST_AUTO_TEST_CASE(host_that_knows_no_endpoints_is_granted_none) {
+    complete_takeover();
+    const auto receive = [this] {
+        envelope message;
+        message.from = {"10.1.0.2:1", 12};
+        message.failure_domain = "domain-1";
+        message.to_incarnation = 99;
+        message.stamp_us = now.count();
+        message.echo_us = now.count();
+        message.about.knows_endpoints = false;
+        core.handle_envelope(now, message);
+    };
+    receive();
+    core.drain(now);
+    advance(400ms);
+    receive();
+    advance(200ms);
+    BOOST_TEST(grants().empty());
+}
+
 BOOST_AUTO_TEST_CASE(draining_holder_without_a_successor_finishes) {
     complete_takeover();
     core.drain(now);
