Order search: answers read late, reset and refused connections, timers first

A call now has one result: what the process handles first of an answer, a broken connection and the time limit. Before, an answer counted when it reached a frozen process. The options of before keep their numbers, so that recorded schedules play as before.

--- a/tests/dispatch/orders/order_model.cpp
+++ b/tests/dispatch/orders/order_model.cpp
@@ -41,6 +41,32 @@
 constexpr duration freezes[] = {300ms, 600ms, 1000ms, 1500ms};
 constexpr duration cuts[] = {500ms, 1200ms, 2500ms};
 
+// What an input of a process comes from.
+enum class input_source { timer, link, endpoint, store, caller };
+
+struct waiting_input {
+    input_source source;
+    std::function<void(dispatcher&)> handle;
+};
+
+// In what order a process that was frozen handles what waits for it. By
+// default all in the order of arrival, then its timers.
+constexpr const char* resume_orders[] = {
+    "handles its tick first",
+    "handles its tick and the time limits of its calls first",
+    "handles its timers first, messages of hosts last",
+    "handles its timers first, rows of the store last"};
+
+int rank_of(input_source source, std::size_t order) {
+    if (order < 2) {
+        return 0;
+    }
+    const auto last = order == 3   ? input_source::link
+                      : order == 4 ? input_source::store
+                                   : input_source::timer;
+    return source == input_source::timer ? 0 : source == last ? 2 : 1;
+}
+
 class order_model;
 
 // One host: its process and ports.
@@ -77,7 +103,7 @@
     bool draining = false;
     std::uint64_t process = 0;
     std::unique_ptr<dispatcher> core;
-    std::deque<std::function<void(dispatcher&)>> backlog;
+    std::deque<waiting_input> backlog; // inputs of a frozen process
 
 private:
     order_model& model_;
@@ -110,6 +136,7 @@
         std::string text;
         std::function<input(virtual_endpoint&)> execute;
         input unanswered;
+        input not_sent;
     };
     struct waiting_hold {
         std::function<void()> answer;
@@ -166,9 +193,12 @@
     void begin_process(std::size_t index);
     void end_process(std::size_t index);
     void tick(std::size_t index, std::uint64_t process);
-    void deliver(std::size_t index, std::uint64_t process, input what);
+    void deliver(std::size_t index, std::uint64_t process, input_source source,
+                 input what);
     void freeze(std::size_t index);
     void thaw(std::size_t index);
+    // Ends a freeze. `order`: see `resume_orders`.
+    void resume(std::size_t index, std::size_t order);
     void begin_stop(std::size_t index);
     void check_stop(std::size_t index, std::uint64_t process);
     void begin_step(const scenario_step& step);
@@ -443,13 +473,13 @@
 }
 
 void order_model::deliver(std::size_t index, std::uint64_t process,
-                          input what) {
+                          input_source source, input what) {
     auto& host = *hosts_[index];
     if (host.process != process || !host.up) {
         return;
     }
     if (host.frozen) {
-        host.backlog.push_back(std::move(what));
+        host.backlog.push_back({source, std::move(what)});
         return;
     }
     what(*host.core);
@@ -461,21 +491,28 @@
 }
 
 void order_model::thaw(std::size_t index) {
-    auto& host = *hosts_[index];
+    const auto& host = *hosts_[index];
     if (!host.frozen || !host.up) {
         return;
     }
+    resume(index, choose(std::size(resume_orders), [&](std::size_t i) {
+               return absl::StrCat("host ", index, " ", resume_orders[i - 1]);
+           }));
+}
+
+void order_model::resume(std::size_t index, std::size_t order) {
+    auto& host = *hosts_[index];
     host.frozen = false;
-    const auto order = choose(1, [&](std::size_t) {
-        return absl::StrCat("host ", index, " handles timers first");
-    });
-    if (order == 1) {
+    if (order > 0) {
         host.core->tick(now_);
     }
-    while (!host.backlog.empty()) {
-        const auto next = std::move(host.backlog.front());
-        host.backlog.pop_front();
-        next(*host.core);
+    auto waiting = std::exchange(host.backlog, {});
+    std::stable_sort(
+        waiting.begin(), waiting.end(), [order](const auto& a, const auto& b) {
+            return rank_of(a.source, order) < rank_of(b.source, order);
+        });
+    for (const auto& item : waiting) {
+        item.handle(*host.core);
     }
     host.core->tick(now_);
 }
@@ -489,7 +526,7 @@
     if (!plan_.keep_rows) {
         publish_row_of(index, false);
     }
-    deliver(index, host.process,
+    deliver(index, host.process, input_source::timer,
             [this](dispatcher& core) { core.drain(now_); });
     check_stop(index, host.process);
 }
@@ -697,7 +734,7 @@
     note(absl::StrCat("the row of host ", index, " is removed for 300 ms"));
     for (const auto& other : hosts_) {
         if (other->index != index && other->up) {
-            deliver(other->index, other->process,
+            deliver(other->index, other->process, input_source::store,
                     [address = hosts_[index]->address](dispatcher& core) {
                         core.remove_member(address);
                     });
@@ -707,7 +744,7 @@
         for (const auto& other : hosts_) {
             if (other->index != index && other->up) {
                 deliver(
-                    other->index, other->process,
+                    other->index, other->process, input_source::store,
                     [this, address = hosts_[index]->address](dispatcher& core) {
                         core.add_member(now_, address);
                     });
@@ -751,7 +788,7 @@
     }
     if (!hosts_[to]->up) {
         const auto address = hosts_[to]->address;
-        deliver(from, process,
+        deliver(from, process, input_source::link,
                 [this, address, begun = now_ - hop_time](dispatcher& core) {
                     core.handle_link_refused(now_, address, begun);
                 });
@@ -759,7 +796,7 @@
     }
     link.connected = true;
     link.to_process = hosts_[to]->process;
-    deliver(from, process,
+    deliver(from, process, input_source::link,
             [this, address = hosts_[to]->address](dispatcher& core) {
                 core.handle_link_restored(now_, address);
             });
@@ -811,9 +848,10 @@
             note(absl::StrCat("  ", from, " -> ", to, " ", describe(message)));
         }
     }
-    deliver(to, link.to_process, [this, message](dispatcher& core) {
-        core.handle_envelope(now_, message);
-    });
+    deliver(to, link.to_process, input_source::link,
+            [this, message](dispatcher& core) {
+                core.handle_envelope(now_, message);
+            });
 }
 
 void order_model::plan_release(std::size_t from, std::size_t to) {
@@ -895,76 +933,111 @@
 
 // --- endpoints --------------------------------------------------------------
 
-// Options of a call: lost; carried out, the answer lost; carried out 120 ms
-// later, and answered; carried out 250 ms or 2 s later, without an answer.
+// Options of a call. Those of a long poll are fewer, and its answer waits for
+// an end.
+constexpr const char* call_outcomes[] = {
+    "is lost",
+    "is carried out, the answer lost",
+    "is carried out and answered 120 ms later",
+    "is carried out 250 ms later, unanswered",
+    "is carried out 2 s later, unanswered",
+    "is carried out, the answer arrives 130 ms later",
+    "is carried out, the connection reset",
+    "is refused a connection"};
+constexpr const char* hold_outcomes[] = {
+    "is lost", "is carried out, the answer lost",
+    "is carried out, the answer arrives 130 ms later",
+    "is carried out, the connection reset"};
+constexpr duration answer_delay = 130ms;
+
+// A call has one result: what the process handles first of an answer, a broken
+// connection and the time limit.
 void order_model::call(std::size_t index, const std::string& id,
                        const endpoint_call& what) {
     const auto process = hosts_[index]->process;
     const auto number = endpoint_index(id);
-    const auto answered = std::make_shared<bool>(false);
-    at(now_ + call_timeout + what.wait,
-       [this, index, process, answered, unanswered = what.unanswered] {
-           if (!std::exchange(*answered, true)) {
-               deliver(index, process, unanswered);
-           }
-       });
-    const auto reply = [this, index, process, answered, number](input in) {
+    const auto settled = std::make_shared<bool>(false);
+    const auto end = [this, index, process, settled](input_source source,
+                                                     const input& in) {
+        deliver(index, process, source, [settled, in](dispatcher& core) {
+            if (!std::exchange(*settled, true)) {
+                in(core);
+            }
+        });
+    };
+    at(now_ + call_timeout + what.wait, [end, unanswered = what.unanswered] {
+        end(input_source::timer, unanswered);
+    });
+    const auto reply = [this, index, end, number](const input& in,
+                                                  duration delay) {
         if (now_ < endpoints_[number].mute_until) {
             return;
         }
-        at(now_ + hop_time,
-           [this, index, process, answered, number, in = std::move(in)] {
-               if (now_ >= calls_cut_until_[index][number] &&
-                   !std::exchange(*answered, true)) {
-                   deliver(index, process, in);
-               }
-           });
+        at(now_ + hop_time + delay, [this, index, end, number, in] {
+            if (now_ >= calls_cut_until_[index][number]) {
+                end(input_source::endpoint, in);
+            }
+        });
     };
-    const auto execute = [this, index, number, what, reply](bool heard) {
+    // Without a delay of the answer the process gets none.
+    const auto execute = [this, index, number, what,
+                          reply](std::optional<duration> answer_after) {
         auto& endpoint = endpoints_[number];
         endpoint.model->calling_host = index;
-        auto in = what.execute(*endpoint.model);
-        if (heard && what.wait > duration{0} &&
+        const auto in = what.execute(*endpoint.model);
+        if (answer_after && what.wait > duration{0} &&
             !endpoint.model->has_ended_runs()) {
             endpoint.holds.push_back(
-                {[this, number, what, reply] {
-                     reply(what.execute(*endpoints_[number].model));
+                {[this, number, what, reply, delay = *answer_after] {
+                     reply(what.execute(*endpoints_[number].model), delay);
                  },
                  now_ + what.wait});
-        } else if (heard) {
-            reply(std::move(in));
+        } else if (answer_after) {
+            reply(in, *answer_after);
         }
         advance(number);
     };
-    at(now_ + hop_time, [this, index, number, what, execute] {
+    at(now_ + hop_time, [this, index, number, what, execute, end] {
         const bool is_stop = what.text.compare(0, 4, "stop") == 0;
         if (now_ < calls_cut_until_[index][number] ||
             (is_stop && now_ < endpoints_[number].stops_lost_until)) {
             return;
         }
-        static const char* const outcomes[] = {
-            "is lost", "is carried out, the answer lost",
-            "is carried out and answered 120 ms later",
-            "is carried out 250 ms later, unanswered",
-            "is carried out 2 s later, unanswered"};
-        const auto option =
-            choose(what.is_hold ? 2 : std::size(outcomes), [&](std::size_t i) {
+        const auto* const* outcomes =
+            what.is_hold ? hold_outcomes : call_outcomes;
+        auto option = choose(
+            what.is_hold ? std::size(hold_outcomes) : std::size(call_outcomes),
+            [&](std::size_t i) {
                 return absl::StrCat("host ", index, " calls endpoint-", number,
                                     ": ", what.text, " ", outcomes[i - 1]);
             });
+        if (what.is_hold && option > 2) {
+            option += 3; // the same outcomes of other calls
+        }
         switch (option) {
         case 1:
             return;
         case 2:
-            return execute(false);
+            return execute(std::nullopt);
         case 3:
-            return at(now_ + 120ms, [execute] { execute(true); });
+            return at(now_ + 120ms, [execute] { execute(duration{0}); });
         case 4:
-            return at(now_ + 250ms, [execute] { execute(false); });
+            return at(now_ + 250ms, [execute] { execute(std::nullopt); });
         case 5:
-            return at(now_ + 2s, [execute] { execute(false); });
+            return at(now_ + 2s, [execute] { execute(std::nullopt); });
+        case 6:
+            return execute(answer_delay);
+        case 7:
+            execute(std::nullopt);
+            return at(now_ + hop_time, [end, what] {
+                end(input_source::endpoint, what.unanswered);
+            });
+        case 8:
+            return at(now_ + hop_time, [end, what] {
+                end(input_source::endpoint, what.not_sent);
+            });
         default:
-            return execute(true);
+            return execute(duration{0});
         }
     });
 }
@@ -1009,6 +1082,10 @@
                  },
                  [this, call](dispatcher& core) {
                      core.handle_start(model_.now_, call.target, call.run, {});
+                 },
+                 [this, call](dispatcher& core) {
+                     core.handle_start(model_.now_, call.target, call.run,
+                                       {call_status::not_sent});
                  }});
 }
 
@@ -1024,13 +1101,18 @@
                  },
                  [this, call](dispatcher& core) {
                      core.handle_stop(model_.now_, call.target, call.run, {});
+                 },
+                 [this, call](dispatcher& core) {
+                     core.handle_stop(model_.now_, call.target, call.run,
+                                      {call_status::not_sent});
                  }});
 }
 
 void order_host::hold(const hold_call& call) {
     const auto wait = std::chrono::milliseconds(call.wait_ms);
     model_.call(index, call.target.endpoint,
-                {wait, true,
+                {wait,
+                 true,
                  model_.keep_log_
                      ? absl::StrCat("hold, token ", call.target.token)
                      : std::string{},
@@ -1050,7 +1132,8 @@
                      hold_reply none;
                      none.number = call.number;
                      core.handle_hold(model_.now_, call.target, none);
-                 }});
+                 },
+                 {}});
 }
 
 // --- store ------------------------------------------------------------------
@@ -1071,9 +1154,10 @@
     const auto tell = [this, index, process, request](store_status status,
                                                       duration after) {
         at(now_ + after, [this, index, process, request, status] {
-            deliver(index, process, [this, request, status](dispatcher& core) {
-                core.handle_write_result(now_, request, status);
-            });
+            deliver(index, process, input_source::store,
+                    [this, request, status](dispatcher& core) {
+                        core.handle_write_result(now_, request, status);
+                    });
         });
     };
     at(now_ + (option == 1 ? 300ms : store_time),
@@ -1091,11 +1175,12 @@
                        current.push_back(rows_.at(row.endpoint));
                    }
                }
-               deliver(index, process, [this, current](dispatcher& core) {
-                   for (const auto& row : current) {
-                       core.set_holder(now_, row);
-                   }
-               });
+               deliver(index, process, input_source::store,
+                       [this, current](dispatcher& core) {
+                           for (const auto& row : current) {
+                               core.set_holder(now_, row);
+                           }
+                       });
                return tell(store_status::conflict, hop_time);
            }
            ++store_version_;
@@ -1123,9 +1208,10 @@
                                          : 900ms;
         at(now_ + after,
            [this, row, index = host->index, process = host->process] {
-               deliver(index, process, [this, row](dispatcher& core) {
-                   core.set_holder(now_, row);
-               });
+               deliver(index, process, input_source::store,
+                       [this, row](dispatcher& core) {
+                           core.set_holder(now_, row);
+                       });
            });
     }
 }
@@ -1147,13 +1233,14 @@
                                          : 900ms;
         at(now_ + after, [this, present, address = hosts_[index]->address,
                           reader = host->index, process = host->process] {
-            deliver(reader, process, [this, present, address](auto& core) {
-                if (present) {
-                    core.add_member(now_, address);
-                } else {
-                    core.remove_member(address);
-                }
-            });
+            deliver(reader, process, input_source::store,
+                    [this, present, address](auto& core) {
+                        if (present) {
+                            core.add_member(now_, address);
+                        } else {
+                            core.remove_member(address);
+                        }
+                    });
         });
     }
 }
@@ -1164,12 +1251,13 @@
         for (const auto& endpoint : endpoints_) {
             listed.push_back(endpoint.model->record());
         }
-        deliver(index, process, [this, listed](dispatcher& core) {
-            for (const auto& [id, row] : rows_) {
-                core.set_holder(now_, row);
-            }
-            core.set_endpoints(now_, listed);
-        });
+        deliver(index, process, input_source::store,
+                [this, listed](dispatcher& core) {
+                    for (const auto& [id, row] : rows_) {
+                        core.set_holder(now_, row);
+                    }
+                    core.set_endpoints(now_, listed);
+                });
     });
 }
 
@@ -1190,9 +1278,10 @@
     caller_host_ = index;
     caller_process_ = hosts_[index]->process;
     note(absl::StrCat("caller sends the job to host ", index));
-    deliver(index, caller_process_, [this, token = token_](dispatcher& core) {
-        core.submit(now_, token, job_);
-    });
+    deliver(index, caller_process_, input_source::caller,
+            [this, token = token_](dispatcher& core) {
+                core.submit(now_, token, job_);
+            });
 }
 
 // Tasks of a job that leave no room for others until they end.
@@ -1203,7 +1292,7 @@
     other.work.steps[0].count = 2;
     other.work.steps[0].need.room.cpu_millis = 13'000;
     other.work.steps[0].need.estimate_ms = plan_.block_ms;
-    deliver(index, hosts_[index]->process,
+    deliver(index, hosts_[index]->process, input_source::caller,
             [this, other, token = next_token_++](dispatcher& core) {
                 core.submit(now_, token, other);
             });
@@ -1214,7 +1303,7 @@
     if (token_ == 0) {
         return;
     }
-    deliver(caller_host_, caller_process_,
+    deliver(caller_host_, caller_process_, input_source::caller,
             [this, token = token_](dispatcher& core) {
                 core.drop_caller(now_, token);
             });
--- a/tests/dispatch/orders/order_model.hpp
+++ b/tests/dispatch/orders/order_model.hpp
@@ -5,8 +5,10 @@
 // message arrives at once and each call is answered. At every decision point,
 // in the order in which a run meets them, a schedule can choose another option:
 // hold a message and all behind it on its link, break the connection, lose or
-// delay a call or its answer, delay a write of the store or the row that others
-// read, or disturb a host. Equal schedules give equal runs.
+// delay a call or its answer, reset or refuse its connection, let a host that
+// resumes handle its timers before what waits in its sockets, delay a write of
+// the store or the row that others read, or disturb a host. Equal schedules
+// give equal runs.
 #ifndef FIGRIDGE_TESTS_DISPATCH_ORDERS_ORDER_MODEL_HPP
 #define FIGRIDGE_TESTS_DISPATCH_ORDERS_ORDER_MODEL_HPP
 
