--- a/tests/dispatch/orders/order_model.cpp
+++ b/tests/dispatch/orders/order_model.cpp
@@ -19,7 +19,6 @@
 
 constexpr duration hop_time = 1ms;
 constexpr duration store_time = 4ms;
-constexpr duration store_timeout = 3s;
 constexpr duration tick_interval = 25ms;
 constexpr duration slot_interval = 200ms;
 constexpr duration call_timeout = 150ms;
@@ -40,6 +39,12 @@
 constexpr duration step_delays[] = {50ms, 150ms, 400ms};
 constexpr duration freezes[] = {300ms, 600ms, 1000ms, 1500ms};
 constexpr duration cuts[] = {500ms, 1200ms, 2500ms};
+// An endpoint is down this long after a crash.
+constexpr duration crashes[] = {5ms, 300ms};
+constexpr duration listed_after[] = {200ms, 900ms};
+// A slow host handles what waits for it this often, its timers first.
+constexpr duration slow_cycles[] = {120ms, 250ms};
+constexpr duration slow_for = 1500ms;
 
 // What an input of a process comes from.
 enum class input_source { timer, link, endpoint, store, caller };
@@ -57,6 +62,8 @@
     "handles its timers first, messages of hosts last",
     "handles its timers first, rows of the store last"};
 
+constexpr std::size_t timers_first = 2;
+
 int rank_of(input_source source, std::size_t order) {
     if (order < 2) {
         return 0;
@@ -101,9 +108,11 @@
     bool up = false;
     bool frozen = false;
     bool draining = false;
+    bool store_cut = false;
     std::uint64_t process = 0;
     std::unique_ptr<dispatcher> core;
-    std::deque<waiting_input> backlog; // inputs of a frozen process
+    std::deque<waiting_input> backlog;        // inputs of a frozen process
+    std::deque<std::function<void()>> unread; // of the store, while cut off
 
 private:
     order_model& model_;
@@ -140,10 +149,16 @@
     };
     struct waiting_hold {
         std::function<void()> answer;
+        std::function<void()> break_connection;
         timestamp until{0};
     };
     struct order_endpoint {
         std::unique_ptr<virtual_endpoint> model;
+        endpoint_record listed; // as the platform shows it
+        bool down = false;      // refuses connections
+        // Counts instances. A call goes to the one it was sent to, since its
+        // connection ends with that.
+        std::uint64_t instance = 1;
         std::vector<waiting_hold> holds;
         std::optional<timestamp> next_advance_at;
         timestamp mute_until{0};
@@ -158,7 +173,7 @@
     // called for the log only.
     template <typename Text>
     std::size_t choose(std::size_t options, const Text& text) {
-        return choose(decision_point{{}, options, 0, 0, false}, text);
+        return choose(decision_point{.options = options}, text);
     }
     template <typename Text>
     std::size_t choose(decision_point offered, const Text& text) {
@@ -199,11 +214,14 @@
     void thaw(std::size_t index);
     // Ends a freeze. `order`: see `resume_orders`.
     void resume(std::size_t index, std::size_t order);
+    void slow_down(std::size_t index, std::uint64_t process, duration cycle,
+                   timestamp until);
     void begin_stop(std::size_t index);
     void check_stop(std::size_t index, std::uint64_t process);
     void begin_step(const scenario_step& step);
     void slot();
     void disturb_host(std::size_t index, std::size_t option);
+    void disturb_host_otherwise(std::size_t index, std::size_t option);
     void remove_row(std::size_t index);
     void publish_row_of(std::size_t index, bool present);
 
@@ -221,6 +239,9 @@
     void call(std::size_t index, const std::string& endpoint,
               const endpoint_call& what);
     void advance(std::size_t endpoint);
+    // The endpoint crashes and starts again under its id.
+    void crash_endpoint(std::size_t number, duration down_for);
+    void start_endpoint(std::size_t number);
     std::size_t endpoint_index(const std::string& id) const {
         return id == "endpoint-0" ? 0 : 1;
     }
@@ -230,6 +251,11 @@
                       const std::vector<holder_record>& rows);
     void publish(const holder_record& row);
     void read_store(std::size_t index);
+    // Does this once the host reaches the store again, in order; at once if it
+    // does.
+    void when_store_reached(std::size_t index, std::function<void()> action);
+    void cut_store(std::size_t index);
+    void heal_store(std::size_t index);
 
     void submit(std::size_t index);
     void lose_caller();
@@ -332,10 +358,11 @@
         record.failure_domain = "domain-1";
         record.rack = "rack";
         record.capacity = {16'000, 32'768, 0};
-        endpoints_[i].model =
-            std::make_unique<virtual_endpoint>(record, 1.0, observed_);
+        endpoints_[i].model = std::make_unique<virtual_endpoint>(
+            record, plan.clock_rate, observed_);
         endpoints_[i].model->stop_takes = 49ms;
         endpoints_[i].model->start_instance(now_ - 100s);
+        endpoints_[i].listed = endpoints_[i].model->record();
     }
     links_.assign(plan.hosts, std::vector<order_link>(plan.hosts));
     calls_cut_until_.assign(plan.hosts,
@@ -517,6 +544,21 @@
     host.core->tick(now_);
 }
 
+void order_model::slow_down(std::size_t index, std::uint64_t process,
+                            duration cycle, timestamp until) {
+    auto& host = *hosts_[index];
+    if (host.process != process || !host.up || host.frozen || now_ >= until) {
+        return;
+    }
+    freeze(index);
+    at(now_ + cycle, [this, index, process, cycle, until] {
+        if (hosts_[index]->process == process && hosts_[index]->frozen) {
+            resume(index, timers_first);
+            slow_down(index, process, cycle, until);
+        }
+    });
+}
+
 void order_model::begin_stop(std::size_t index) {
     auto& host = *hosts_[index];
     if (!host.up || host.draining) {
@@ -552,8 +594,8 @@
 
 void order_model::begin_step(const scenario_step& step) {
     static const char* const names[] = {
-        "submit", "block", "leave", "cut",    "cut endpoint", "heal",
-        "stop",   "kill",  "start", "freeze", "thaw"};
+        "submit", "block", "leave",  "cut",  "cut endpoint", "heal", "stop",
+        "kill",   "start", "freeze", "thaw", "cut store",    "slow", "crash"};
     const auto name =
         absl::StrCat(names[static_cast<int>(step.kind)], " ", step.target);
     const auto option = choose(std::size(step_delays), [&](std::size_t i) {
@@ -590,6 +632,7 @@
                 for (auto& until : calls_cut_until_[from]) {
                     until = std::min(until, now_);
                 }
+                heal_store(from);
             }
             return;
         case action_kind::stop:
@@ -605,6 +648,13 @@
             return freeze(target);
         case action_kind::thaw:
             return thaw(target);
+        case action_kind::cut_store:
+            return cut_store(target);
+        case action_kind::slow:
+            return slow_down(target, hosts_[target]->process, slow_cycles[1],
+                             now_ + slow_for);
+        case action_kind::crash:
+            return crash_endpoint(target, crashes[0]);
         }
     };
     if (option == 0) {
@@ -614,18 +664,26 @@
 }
 
 // Options of a slot for each host: see `disturb_host`. After those of the hosts
-// come those of the endpoints.
+// come those of the endpoints, of lost stops, of removed rows and the others.
 constexpr std::size_t host_options =
     3 + std::size(freezes) + 1 + 2 * std::size(cuts);
+constexpr std::size_t other_host_options =
+    std::size(cuts) + std::size(slow_cycles);
 
 void order_model::slot() {
     at(now_ + slot_interval, [this] { slot(); });
     const auto hosts = hosts_.size();
     const auto pairs = hosts * endpoints_.size();
+    const auto others =
+        hosts * other_host_options + endpoints_.size() * std::size(crashes);
     const auto options = hosts * host_options + pairs * std::size(cuts) +
-                         2 * endpoints_.size() + hosts;
+                         2 * endpoints_.size() + hosts + others;
     const auto option =
-        choose(decision_point{{}, options, endpoints_.size(), hosts, true},
+        choose(decision_point{.options = options,
+                              .lost_stops = endpoints_.size(),
+                              .removals = hosts,
+                              .others = others,
+                              .disturbance = true},
                [&](std::size_t i) { return absl::StrCat("disturbance ", i); });
     if (option == 0) {
         return;
@@ -646,19 +704,44 @@
         return;
     }
     rest -= pairs * std::size(cuts);
-    if (rest >= 2 * endpoints_.size()) {
-        return remove_row(rest - 2 * endpoints_.size());
+    if (rest < 2 * endpoints_.size()) {
+        const auto number = rest % endpoints_.size();
+        auto& endpoint = endpoints_[number];
+        if (rest < endpoints_.size()) {
+            note(absl::StrCat("endpoint-", number,
+                              " answers nothing for 500 ms"));
+            endpoint.mute_until = now_ + 500ms;
+        } else {
+            note(absl::StrCat("endpoint-", number,
+                              " carries out no stop for 2500 ms"));
+            endpoint.stops_lost_until = now_ + 2500ms;
+        }
+        return;
     }
-    const auto number = rest % endpoints_.size();
-    auto& endpoint = endpoints_[number];
-    if (rest < endpoints_.size()) {
-        note(absl::StrCat("endpoint-", number, " answers nothing for 500 ms"));
-        endpoint.mute_until = now_ + 500ms;
-    } else {
-        note(absl::StrCat("endpoint-", number,
-                          " carries out no stop for 2500 ms"));
-        endpoint.stops_lost_until = now_ + 2500ms;
+    rest -= 2 * endpoints_.size();
+    if (rest < hosts) {
+        return remove_row(rest);
+    }
+    rest -= hosts;
+    if (rest < hosts * other_host_options) {
+        return disturb_host_otherwise(rest / other_host_options,
+                                      rest % other_host_options);
+    }
+    rest -= hosts * other_host_options;
+    crash_endpoint(rest / std::size(crashes),
+                   crashes[rest % std::size(crashes)]);
+}
+
+void order_model::disturb_host_otherwise(std::size_t index,
+                                         std::size_t option) {
+    if (option < std::size(cuts)) {
+        cut_store(index);
+        return at(now_ + cuts[option], [this, index] { heal_store(index); });
     }
+    const auto cycle = slow_cycles[option - std::size(cuts)];
+    note(absl::StrCat("host ", index, " handles its inputs every ",
+                      to_ms(cycle), " ms for ", to_ms(slow_for), " ms"));
+    slow_down(index, hosts_[index]->process, cycle, now_ + slow_for);
 }
 
 void order_model::disturb_host(std::size_t index, std::size_t option) {
@@ -980,9 +1063,15 @@
         });
     };
     // Without a delay of the answer the process gets none.
-    const auto execute = [this, index, number, what,
-                          reply](std::optional<duration> answer_after) {
+    const auto execute = [this, index, number, what, reply, end,
+                          instance = endpoints_[number].instance](
+                             std::optional<duration> answer_after) {
         auto& endpoint = endpoints_[number];
+        if (endpoint.instance != instance) {
+            return at(now_ + hop_time, [end, what] {
+                end(input_source::endpoint, what.unanswered);
+            });
+        }
         endpoint.model->calling_host = index;
         const auto in = what.execute(*endpoint.model);
         if (answer_after && what.wait > duration{0} &&
@@ -991,18 +1080,25 @@
                 {[this, number, what, reply, delay = *answer_after] {
                      reply(what.execute(*endpoints_[number].model), delay);
                  },
+                 [end, what] { end(input_source::endpoint, what.unanswered); },
                  now_ + what.wait});
         } else if (answer_after) {
             reply(in, *answer_after);
         }
         advance(number);
     };
-    at(now_ + hop_time, [this, index, number, what, execute, end] {
+    at(now_ + hop_time, [this, index, number, what, execute, end,
+                         down = endpoints_[number].down] {
         const bool is_stop = what.text.compare(0, 4, "stop") == 0;
         if (now_ < calls_cut_until_[index][number] ||
             (is_stop && now_ < endpoints_[number].stops_lost_until)) {
             return;
         }
+        if (down) {
+            return at(now_ + hop_time, [end, what] {
+                end(input_source::endpoint, what.not_sent);
+            });
+        }
         const auto* const* outcomes =
             what.is_hold ? hold_outcomes : call_outcomes;
         auto option = choose(
@@ -1068,6 +1164,43 @@
     });
 }
 
+void order_model::crash_endpoint(std::size_t number, duration down_for) {
+    auto& endpoint = endpoints_[number];
+    note(absl::StrCat("endpoint-", number, " crashes"));
+    for (const auto& held : std::exchange(endpoint.holds, {})) {
+        at(now_ + hop_time, held.break_connection);
+    }
+    endpoint.model->start_instance(now_);
+    endpoint.down = true;
+    ++endpoint.instance;
+    at(now_ + down_for, [this, number] { start_endpoint(number); });
+}
+
+void order_model::start_endpoint(std::size_t number) {
+    auto& endpoint = endpoints_[number];
+    note(absl::StrCat("endpoint-", number, " is up"));
+    endpoint.down = false;
+    endpoint.model->start_instance(now_);
+    const auto option = choose(std::size(listed_after), [&](std::size_t i) {
+        return absl::StrCat("the platform lists the instance ",
+                            to_ms(listed_after[i - 1]), " ms later");
+    });
+    at(now_ + (option == 0 ? store_time : listed_after[option - 1]),
+       [this, number, record = endpoint.model->record()] {
+           endpoints_[number].listed = record;
+           for (const auto& host : hosts_) {
+               when_store_reached(host->index, [this, record,
+                                                index = host->index,
+                                                process = host->process] {
+                   deliver(index, process, input_source::store,
+                           [this, record](dispatcher& core) {
+                               core.set_endpoint(now_, record);
+                           });
+               });
+           }
+       });
+}
+
 void order_host::start(const start_call& call) {
     model_.call(index, call.target.endpoint,
                 {duration{0}, false,
@@ -1111,8 +1244,7 @@
 void order_host::hold(const hold_call& call) {
     const auto wait = std::chrono::milliseconds(call.wait_ms);
     model_.call(index, call.target.endpoint,
-                {wait,
-                 true,
+                {wait, true,
                  model_.keep_log_
                      ? absl::StrCat("hold, token ", call.target.token)
                      : std::string{},
@@ -1133,7 +1265,12 @@
                      none.number = call.number;
                      core.handle_hold(model_.now_, call.target, none);
                  },
-                 {}});
+                 [this, call](dispatcher& core) {
+                     hold_reply none;
+                     none.call.status = call_status::not_sent;
+                     none.number = call.number;
+                     core.handle_hold(model_.now_, call.target, none);
+                 }});
 }
 
 // --- store ------------------------------------------------------------------
@@ -1143,57 +1280,102 @@
     model_.replace_rows(index, request, rows);
 }
 
-// Options of a write: 300 ms later; answer lost.
+// Options of a write.
+constexpr const char* write_outcomes[] = {
+    "is applied 300 ms later", "gets no answer", "is lost",
+    "gets no answer and is applied after its time limit"};
+
 void order_model::replace_rows(std::size_t index, std::uint64_t request,
                                const std::vector<holder_record>& rows) {
     const auto process = hosts_[index]->process;
-    const auto option = choose(2, [&](std::size_t i) {
-        return absl::StrCat("write of host ", index,
-                            i == 1 ? " 300 ms later" : " gets no answer");
+    const auto option = choose(std::size(write_outcomes), [&](std::size_t i) {
+        return absl::StrCat("write of host ", index, " ",
+                            write_outcomes[i - 1]);
     });
-    const auto tell = [this, index, process, request](store_status status,
-                                                      duration after) {
-        at(now_ + after, [this, index, process, request, status] {
-            deliver(index, process, input_source::store,
-                    [this, request, status](dispatcher& core) {
+    const auto settled = std::make_shared<bool>(false);
+    const auto tell = [this, index, process, request,
+                       settled](store_status status) {
+        deliver(index, process, input_source::store,
+                [this, request, status, settled](dispatcher& core) {
+                    if (!std::exchange(*settled, true)) {
                         core.handle_write_result(now_, request, status);
-                    });
-        });
+                    }
+                });
     };
-    at(now_ + (option == 1 ? 300ms : store_time),
-       [this, index, process, rows, tell, option] {
-           const bool holds =
-               std::all_of(rows.begin(), rows.end(), [this](const auto& row) {
-                   const auto found = rows_.find(row.endpoint);
-                   return row.version ==
-                          (found == rows_.end() ? 0 : found->second.version);
-               });
-           if (!holds) {
-               std::vector<holder_record> current;
-               for (const auto& row : rows) {
-                   if (rows_.contains(row.endpoint)) {
-                       current.push_back(rows_.at(row.endpoint));
-                   }
-               }
-               deliver(index, process, input_source::store,
-                       [this, current](dispatcher& core) {
-                           for (const auto& row : current) {
-                               core.set_holder(now_, row);
-                           }
-                       });
-               return tell(store_status::conflict, hop_time);
-           }
-           ++store_version_;
-           for (auto row : rows) {
-               row.version = store_version_;
-               rows_[row.endpoint] = row;
-               note(absl::StrCat("row of ", row.endpoint, ": ",
-                                 row.holder.address, " token ", row.token));
-               publish(row);
-           }
-           tell(option == 2 ? store_status::unknown : store_status::ok,
-                option == 2 ? store_timeout : hop_time);
-       });
+    at(now_ + plan_.store_timeout, [tell] { tell(store_status::unknown); });
+    if (option == 3 || hosts_[index]->store_cut) {
+        return;
+    }
+    const auto applied_after = option == 1   ? 300ms
+                               : option == 4 ? plan_.store_timeout + 50ms
+                                             : store_time;
+    at(now_ + applied_after, [this, index, process, rows, tell, option] {
+        const bool holds =
+            std::all_of(rows.begin(), rows.end(), [this](const auto& row) {
+                const auto found = rows_.find(row.endpoint);
+                return row.version ==
+                       (found == rows_.end() ? 0 : found->second.version);
+            });
+        const bool answered =
+            option != 2 && option != 4 && !hosts_[index]->store_cut;
+        if (!holds) {
+            note(absl::StrCat("write of host ", index, " conflicts"));
+            if (!answered) {
+                return;
+            }
+            std::vector<holder_record> current;
+            for (const auto& row : rows) {
+                if (rows_.contains(row.endpoint)) {
+                    current.push_back(rows_.at(row.endpoint));
+                }
+            }
+            deliver(index, process, input_source::store,
+                    [this, current](dispatcher& core) {
+                        for (const auto& row : current) {
+                            core.set_holder(now_, row);
+                        }
+                    });
+            return at(now_ + hop_time,
+                      [tell] { tell(store_status::conflict); });
+        }
+        ++store_version_;
+        for (auto row : rows) {
+            row.version = store_version_;
+            rows_[row.endpoint] = row;
+            note(absl::StrCat("row of ", row.endpoint, ": ", row.holder.address,
+                              " token ", row.token));
+            publish(row);
+        }
+        if (answered) {
+            at(now_ + hop_time, [tell] { tell(store_status::ok); });
+        }
+    });
+}
+
+void order_model::when_store_reached(std::size_t index,
+                                     std::function<void()> action) {
+    auto& host = *hosts_[index];
+    if (host.store_cut) {
+        host.unread.push_back(std::move(action));
+    } else {
+        action();
+    }
+}
+
+void order_model::cut_store(std::size_t index) {
+    note(absl::StrCat("host ", index, " is cut off from the store"));
+    hosts_[index]->store_cut = true;
+}
+
+void order_model::heal_store(std::size_t index) {
+    auto& host = *hosts_[index];
+    if (!std::exchange(host.store_cut, false)) {
+        return;
+    }
+    note(absl::StrCat("host ", index, " reaches the store again"));
+    for (const auto& action : std::exchange(host.unread, {})) {
+        action();
+    }
 }
 
 void order_model::publish(const holder_record& row) {
@@ -1208,10 +1390,12 @@
                                          : 900ms;
         at(now_ + after,
            [this, row, index = host->index, process = host->process] {
-               deliver(index, process, input_source::store,
-                       [this, row](dispatcher& core) {
-                           core.set_holder(now_, row);
-                       });
+               when_store_reached(index, [this, row, index, process] {
+                   deliver(index, process, input_source::store,
+                           [this, row](dispatcher& core) {
+                               core.set_holder(now_, row);
+                           });
+               });
            });
     }
 }
@@ -1233,31 +1417,36 @@
                                          : 900ms;
         at(now_ + after, [this, present, address = hosts_[index]->address,
                           reader = host->index, process = host->process] {
-            deliver(reader, process, input_source::store,
-                    [this, present, address](auto& core) {
-                        if (present) {
-                            core.add_member(now_, address);
-                        } else {
-                            core.remove_member(address);
-                        }
-                    });
+            when_store_reached(
+                reader, [this, present, address, reader, process] {
+                    deliver(reader, process, input_source::store,
+                            [this, present, address](auto& core) {
+                                if (present) {
+                                    core.add_member(now_, address);
+                                } else {
+                                    core.remove_member(address);
+                                }
+                            });
+                });
         });
     }
 }
 
 void order_model::read_store(std::size_t index) {
     at(now_ + store_time, [this, index, process = hosts_[index]->process] {
-        std::vector<endpoint_record> listed;
-        for (const auto& endpoint : endpoints_) {
-            listed.push_back(endpoint.model->record());
-        }
-        deliver(index, process, input_source::store,
-                [this, listed](dispatcher& core) {
-                    for (const auto& [id, row] : rows_) {
-                        core.set_holder(now_, row);
-                    }
-                    core.set_endpoints(now_, listed);
-                });
+        when_store_reached(index, [this, index, process] {
+            std::vector<endpoint_record> listed;
+            for (const auto& endpoint : endpoints_) {
+                listed.push_back(endpoint.listed);
+            }
+            deliver(index, process, input_source::store,
+                    [this, listed](dispatcher& core) {
+                        for (const auto& [id, row] : rows_) {
+                            core.set_holder(now_, row);
+                        }
+                        core.set_endpoints(now_, listed);
+                    });
+        });
     });
 }
 
--- a/tests/dispatch/orders/order_model.hpp
+++ b/tests/dispatch/orders/order_model.hpp
@@ -5,10 +5,10 @@
 // message arrives at once and each call is answered. At every decision point,
 // in the order in which a run meets them, a schedule can choose another option:
 // hold a message and all behind it on its link, break the connection, lose or
-// delay a call or its answer, reset or refuse its connection, let a host that
-// resumes handle its timers before what waits in its sockets, delay a write of
-// the store or the row that others read, or disturb a host. Equal schedules
-// give equal runs.
+// delay a call or its answer, reset or refuse its connection, delay or lose a
+// write of the store or the row that others read, let a host that resumes
+// handle its timers before what waits in its sockets, or disturb a host or an
+// endpoint. Equal schedules give equal runs.
 #ifndef FIGRIDGE_TESTS_DISPATCH_ORDERS_ORDER_MODEL_HPP
 #define FIGRIDGE_TESTS_DISPATCH_ORDERS_ORDER_MODEL_HPP
 
@@ -32,12 +32,13 @@
 
 struct decision_point {
     timestamp at{0};
-    // Options without the default. The last `removals` of them remove the row
-    // of a live host; before them, `lost_stops` let an endpoint carry out no
-    // stops.
+    // Options without the default. The last `others` of them need no flag;
+    // before them, `removals` remove the row of a live host, and before those,
+    // `lost_stops` let an endpoint carry out no stops.
     std::size_t options = 0;
     std::size_t lost_stops = 0;
     std::size_t removals = 0;
+    std::size_t others = 0;
     bool disturbance = false; // of hosts, endpoints or all links of a host
 };
 
@@ -47,12 +48,15 @@
     leave,        // the caller disconnects, and sends the job again elsewhere
     cut,          // the host from all other hosts
     cut_endpoint, // the host `target` from the endpoint `other`
-    heal,         // ends all cuts, link by link
+    heal,         // ends all cuts, link by link, and those from the store
     stop,         // planned: drains the host, ends its process, starts it again
     kill,
     start,
     freeze,
     thaw,
+    cut_store, // the host from the store
+    slow,      // the host handles its inputs every 250 ms, its timers first
+    crash,     // the endpoint `target` starts again under its id
 };
 
 struct scenario_step {
@@ -73,6 +77,9 @@
     duration length{3'000'000}; // or up to the end of the job
     std::uint32_t block_ms = 700;
     bool keep_rows = false; // hosts that stop stay in the table of hosts
+    // A write that is not answered ends as unknown after this.
+    duration store_timeout{3'000'000};
+    double clock_rate = 1.0; // of the endpoints' clocks
 };
 
 const std::vector<scenario>& all_scenarios();
--- a/tests/dispatch/orders/order_search.cpp
+++ b/tests/dispatch/orders/order_search.cpp
@@ -41,6 +41,7 @@
 DEFINE_bool(lose_stops, false, "Endpoints may answer but carry out no stops.");
 DEFINE_bool(remove_rows, false, "Rows of live hosts may be removed.");
 DEFINE_bool(keep_rows, false, "Hosts that stop stay in the table of hosts.");
+DEFINE_bool(slow_clocks, false, "The endpoints' clocks are 2% slow.");
 DEFINE_uint64(random, 0, "Random schedules of each scenario after that.");
 DEFINE_uint64(random_depth, 3, "Deviations of a random schedule.");
 DEFINE_uint64(seed, 1, "Seed of the random schedules.");
@@ -111,9 +112,10 @@
 
 // Whether the flags allow an option of a point.
 bool is_allowed(const decision_point& point, std::size_t option) {
-    const auto first_removal = point.options - point.removals + 1;
+    const auto first_other = point.options - point.others + 1;
+    const auto first_removal = first_other - point.removals;
     const auto first_lost_stop = first_removal - point.lost_stops;
-    return option < first_lost_stop ||
+    return option < first_lost_stop || option >= first_other ||
            (option < first_removal ? FLAGS_lose_stops : FLAGS_remove_rows);
 }
 
@@ -260,6 +262,7 @@
     search_counts total;
     for (auto plan : all_scenarios()) {
         plan.keep_rows = FLAGS_keep_rows;
+        plan.clock_rate = FLAGS_slow_clocks ? 0.98 : plan.clock_rate;
         const bool wanted =
             FLAGS_only.empty() || is_listed(FLAGS_only, plan.name);
         if (!wanted || is_listed(FLAGS_leave_out, plan.name)) {
