A late list of a former instance of an endpoint says nothing

What callers could see: a task running twice, or a run given up that goes on, after an endpoint started again under its id.

Cause: handle_hold takes each list with another `born` for one of a later instance. The answer to a poll that the former instance sent right before it ended, and which arrives after the platform's list has shown the next one, was taken so too: the clock of the former instance counted for the next one, its numbers of ends were acknowledged to the next one, and tasks were started there with deadlines on that clock, so that a delayed start stayed valid for as long as the former instance had lived. The next list reset all that.

Fix: a list with another `born` is of a later instance only if its call was sent after the present instance was noticed; the order of calls decides, not the order of `born`, since a machine's time of day may step. Otherwise it is ignored and the poll repeated.

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -263,9 +263,18 @@
         next_poll_ = now + std::min(retry_delay * delays, max_retry_delay);
         return;
     }
-    const bool later_instance =
+    const bool other_instance =
         reply.instance_started_ms != 0 &&
         reply.instance_started_ms != endpoint_.instance_started_ms;
+    const bool later_instance =
+        other_instance && (!last_call_before_instance_ ||
+                           reply.number > *last_call_before_instance_);
+    if (other_instance && !later_instance) {
+        // The former instance answered before it ended. Its lists and its clock
+        // say nothing of the present one.
+        next_poll_ = now;
+        return poll(now);
+    }
     if (later_instance && (suspended_at_call_ || isolated_at_call_)) {
         return fence();
     }
@@ -453,6 +462,7 @@
     latest_deadline_ms_ = 0;
     clock_.reset();
     instance_began_at_ = now;
+    last_call_before_instance_ = calls_sent_;
     next_poll_ = now;
     for (auto& [run, entry] : ledger_.entries()) {
         // Clock readings and stops of the former instance do not apply.
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -165,6 +165,8 @@
     bool gone_ = false;
     // When a new instance of the endpoint was noticed, if any was.
     std::optional<timestamp> instance_began_at_;
+    // The last call sent before that; the former instance may have answered it.
+    std::optional<std::uint64_t> last_call_before_instance_;
 };
 
 std::string_view to_string(session_phase phase);
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -206,6 +206,28 @@
     BOOST_TEST(!session->accepts_tasks());
 }
 
+// The answer to a poll of the former instance may arrive after the platform's
+// list has shown the next one. Taken for a list of an even later instance, it
+// let tasks start with deadlines on the former clock, far in the future.
+BOOST_AUTO_TEST_CASE(late_list_of_a_former_instance_is_ignored) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    const auto poll = port.holds.back();
+    auto restarted = endpoint;
+    restarted.instance_started_ms = 3000;
+    session->update(now, restarted);
+    answer_call(poll, {run_of(0)}, {}, 1000);
+    BOOST_TEST(!session->accepts_tasks());
+    BOOST_TEST(events.ends.empty());
+    pass(25ms);
+    BOOST_REQUIRE_GT(port.holds.back().number, poll.number);
+    BOOST_TEST(port.holds.back().acknowledged == 0U);
+    answer_hold({}, {}, 3000);
+    BOOST_TEST(events.ends.size() == 1U);
+    BOOST_TEST(session->accepts_tasks());
+}
+
 // A stop answered by the former instance does not apply to the next one.
 BOOST_AUTO_TEST_CASE(uncertain_start_is_stopped_again_on_the_next_instance) {
     answer_hold({});
