Answers of a former instance don't set the clock of an endpoint

What callers could see: a task running twice, after an endpoint started again under its id: all runs on it counted as lost while they went on.

Cause: every answer to a start or stop sets the endpoint's clock, if the clock is known. A former instance's answer that is handled after the first list of the next instance (answers on different connections may overtake each other) has the clock of an endpoint that ran for longer, so that every lease of the next instance seemed to have expired on it: check_lease_expiry ends all runs as lost without a stop or a list, and their tasks are placed again at once.

Fix: an answer to a start or stop sets the clock only if the call was sent after the present instance was noticed.

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -218,8 +218,13 @@
     }
 }
 
+bool endpoint_session::is_of_instance(timestamp sent_at) const {
+    return !instance_began_at_ || sent_at > *instance_began_at_;
+}
+
 bool endpoint_session::process_call_reply(timestamp now,
-                                          const call_reply& reply) {
+                                          const call_reply& reply,
+                                          bool of_present_instance) {
     switch (reply.status) {
     case call_status::stale_token:
         fence();
@@ -234,9 +239,9 @@
         return false;
     default:
         failed_calls_ = 0;
-        // The answer to a start or stop may be from a former instance, so it
+        // The answer to a start or stop may be from a later instance, so it
         // does not set a clock that is not known.
-        if (reply.clock_ms >= 0 && clock_.is_known()) {
+        if (reply.clock_ms >= 0 && clock_.is_known() && of_present_instance) {
             clock_.read(now, reply.clock_ms);
         }
         return true;
@@ -253,7 +258,7 @@
         return;
     }
     if (reply.call.status != call_status::ok) {
-        process_call_reply(now, reply.call);
+        process_call_reply(now, reply.call, false);
         if (is_list_call) {
             return;
         }
@@ -291,7 +296,7 @@
         endpoint_.instance_started_ms = reply.instance_started_ms;
     }
     const bool first_of_instance = !clock_.is_known();
-    process_call_reply(now, reply.call);
+    process_call_reply(now, reply.call, true);
     if (first_of_instance) {
         clock_.read(now, reply.call.clock_ms);
         // The lease of a run that was started before this reply ends at most
@@ -497,8 +502,10 @@
 
 void endpoint_session::handle_start(timestamp now, const task_run& run,
                                     const call_reply& reply) {
-    const bool answered = process_call_reply(now, reply);
     auto* entry = ledger_.find(run);
+    const bool answered = process_call_reply(
+        now, reply, entry != nullptr && is_of_instance(entry->entered_at));
+    entry = ledger_.find(run);
     if (entry == nullptr) {
         return;
     }
@@ -556,6 +563,7 @@
                          entry.state != run_state::starting;
         if (due) {
             entry.stop_in_flight = true;
+            entry.stop_sent_at = now;
             port_.stop({target(), run});
         }
     }
@@ -563,8 +571,10 @@
 
 void endpoint_session::handle_stop(timestamp now, const task_run& run,
                                    const call_reply& reply) {
-    process_call_reply(now, reply);
     auto* entry = ledger_.find(run);
+    process_call_reply(now, reply,
+                       entry != nullptr && is_of_instance(entry->stop_sent_at));
+    entry = ledger_.find(run);
     if (entry == nullptr) {
         return;
     }
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -133,7 +133,12 @@
     void fence();
     // Removes a run from the ledger and reports its end.
     void over(const run_entry& entry, update_kind kind);
-    bool process_call_reply(timestamp now, const call_reply& reply);
+    // Whether a call sent then can't have been answered by a former instance.
+    [[nodiscard]] bool is_of_instance(timestamp sent_at) const;
+    // `of_present_instance`: the reply's clock is not a former instance's.
+    // Returns whether the endpoint answered and is still held.
+    bool process_call_reply(timestamp now, const call_reply& reply,
+                            bool of_present_instance);
 
     const dispatch_settings& settings_;
     endpoint_port& port_;
--- a/src/core/dispatch/run_ledger.hpp
+++ b/src/core/dispatch/run_ledger.hpp
@@ -35,6 +35,7 @@
     // The task may be placed again once the lease must have ended.
     bool revoked = false;
     bool stop_in_flight = false;
+    timestamp stop_sent_at{0};
     // Last call sent when the stop was answered.
     std::optional<std::uint64_t> stop_answered_at_call;
     timestamp next_stop{0};
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -228,6 +228,32 @@
     BOOST_TEST(session->accepts_tasks());
 }
 
+// Answers on different connections may overtake each other. The clock of a
+// former instance, read for that of the present one, let all leases count as
+// expired while their runs went on.
+BOOST_AUTO_TEST_CASE(clock_of_a_former_instance_is_not_read_from_late_answers) {
+    answer_hold({});
+    start(0);
+    auto restarted = endpoint;
+    restarted.instance_started_ms = 3000;
+    now += 25ms;
+    session->update(now, restarted);
+    session->tick(now);
+    hold_reply list;
+    list.number = port.holds.back().number;
+    list.call = {call_status::ok, 50};
+    list.instance_started_ms = 3000;
+    session->handle_hold(now, list);
+    start(1);
+    session->handle_start(now, run_of(1), {call_status::ok, 50});
+    answer_start(0);
+    session->tick(now);
+    const auto lost =
+        std::count_if(events.ends.begin(), events.ends.end(),
+                      [](const auto& end) { return end.first == run_of(1); });
+    BOOST_TEST(lost == 0);
+}
+
 // A stop answered by the former instance does not apply to the next one.
 BOOST_AUTO_TEST_CASE(uncertain_start_is_stopped_again_on_the_next_instance) {
     answer_hold({});
