A row of the table of hosts without a usable address names no peer

What callers saw: nobody served. Every host that read one row of the table `hosts` whose key was `127.0.0.1:70000` or `odd` ended by an abort, and again after each restart.

Cause: the key of each row was taken for the address of a peer, and the connection to a peer took the parsed address without asking whether parsing had worked (peer_transport, connect).

The transport refuses a peer whose address it can't parse, whoever asks for it. An address now consists of digits, points and one colon: a port with a line break or a sign, and an address with a null byte, were accepted.

--- a/src/adapters/peer_transport.cpp
+++ b/src/adapters/peer_transport.cpp
@@ -52,8 +52,9 @@
 // The outgoing connection to one peer. Owned by `peer_transport`.
 class peer_link {
 public:
-    peer_link(peer_transport& transport, std::string host)
-        : transport_(transport), host_(std::move(host)),
+    peer_link(peer_transport& transport, std::string host,
+              const sockaddr_in& address)
+        : transport_(transport), host_(std::move(host)), address_(address),
           timer_(transport.loop_, [this] { on_timer(); }) {
         connect();
     }
@@ -88,14 +89,13 @@
     enum class state { waiting, connecting, connected };
 
     void connect() {
-        const auto address = parse_socket_address(host_);
         socket_ =
             socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
         set_socket_options(socket_);
         connect_started_ = event_loop::now();
         state_ = state::connecting;
-        const auto* raw = reinterpret_cast<const sockaddr*>(&*address);
-        if (::connect(socket_, raw, sizeof(*address)) != 0 &&
+        const auto* raw = reinterpret_cast<const sockaddr*>(&address_);
+        if (::connect(socket_, raw, sizeof(address_)) != 0 &&
             errno != EINPROGRESS) {
             connect_failed(errno);
             return;
@@ -214,6 +214,7 @@
 
     peer_transport& transport_;
     std::string host_;
+    sockaddr_in address_;
     timer_watcher timer_;
     state state_ = state::waiting;
     int socket_ = -1;
@@ -301,10 +302,16 @@
     return absl::OkStatus();
 }
 
-void peer_transport::add_peer(const std::string& host) {
-    if (host != self_ && !links_.contains(host)) {
-        links_[host] = std::make_unique<peer_link>(*this, host);
+absl::Status peer_transport::add_peer(const std::string& host) {
+    if (host == self_ || links_.contains(host)) {
+        return absl::OkStatus();
     }
+    const auto address = parse_socket_address(host);
+    if (!address.ok()) {
+        return address.status();
+    }
+    links_[host] = std::make_unique<peer_link>(*this, host, *address);
+    return absl::OkStatus();
 }
 
 void peer_transport::remove_peer(const std::string& host) {
@@ -318,11 +325,12 @@
 
 void peer_transport::send(const std::string& host,
                           const msgpack::sbuffer& message) {
-    if (cut_.contains(host)) {
+    if (cut_.contains(host) || !add_peer(host).ok()) {
         return;
     }
-    add_peer(host);
-    links_.at(host)->send(message);
+    if (const auto found = links_.find(host); found != links_.end()) {
+        found->second->send(message);
+    }
 }
 
 void peer_transport::set_cut(std::set<std::string> hosts) {
--- a/src/adapters/peer_transport.hpp
+++ b/src/adapters/peer_transport.hpp
@@ -49,12 +49,15 @@
     absl::Status listen(const std::string& address);
 
     // Connects to a peer, and reconnects whenever the connection breaks.
-    void add_peer(const std::string& host);
+    // Returns an error if `host` is not an IPv4 address with a port; such a
+    // peer is not added.
+    absl::Status add_peer(const std::string& host);
 
     // Closes the connection to a peer and stops reconnecting.
     void remove_peer(const std::string& host);
 
-    // Sends one packed message, or drops it if there is no connection.
+    // Sends one packed message. Drops it if there is no connection, or none
+    // can be made because `host` is not an IPv4 address with a port.
     void send(const std::string& host, const msgpack::sbuffer& message);
     [[nodiscard]] bool is_connected(const std::string& host) const;
 
--- a/src/adapters/socket_address.cpp
+++ b/src/adapters/socket_address.cpp
@@ -25,6 +25,10 @@
     }
     sockaddr_in address{};
     address.sin_family = AF_INET;
+    // inet_pton() stops at a null byte, and SimpleAtoi() skips white space.
+    if (text.find_first_not_of("0123456789.:") != std::string_view::npos) {
+        return absl::InvalidArgumentError("expected ip:port");
+    }
     const std::string ip(text.substr(0, colon));
     if (inet_pton(AF_INET, ip.c_str(), &address.sin_addr) != 1) {
         return absl::InvalidArgumentError(
--- a/src/figridged/daemon.cpp
+++ b/src/figridged/daemon.cpp
@@ -95,7 +95,12 @@
             }
         }
         for (const auto& host : core_settings_.hosts) {
-            peers_.transport().add_peer(host.address);
+            if (const auto status = peers_.transport().add_peer(host.address);
+                !status.ok()) {
+                log_event(log_level::error, "peer_address_unusable",
+                          {{"peer", host.address},
+                           {"error", std::string(status.message())}});
+            }
         }
         log_event(
             log_level::info, "started",
--- /dev/null
+++ b/tests/platform/row_handler_test.cpp
@@ -0,0 +1,100 @@
+// row_handler: rows of the store that another writer left, beside good ones.
+#include <boost/test/unit_test.hpp>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include "adapters/log_observer.hpp"
+#include "row_handler.hpp"
+#include "rows.hpp"
+
+namespace figridge::platform {
+namespace {
+
+using string_list = std::vector<std::string>;
+
+class recording_events final : public row_events {
+public:
+    void on_catalogue_row(const std::string& text) override {
+        catalogues.push_back(text);
+    }
+    void on_endpoints(
+        const std::vector<dispatch::endpoint_record>& listed) override {
+        for (const auto& endpoint : listed) {
+            endpoints.push_back(endpoint.id);
+        }
+    }
+    void on_endpoint_gone(const std::string& id) override {
+        gone.push_back(id);
+    }
+    void on_holder(const dispatch::holder_record& record) override {
+        holders.push_back(record);
+    }
+    void on_holder_removed(const std::string& /*endpoint*/) override {}
+    void on_host(const std::string& address) override {
+        hosts.push_back(address);
+    }
+    void on_host_removed(const std::string& /*address*/) override {}
+    void on_own_row_missing() override { ++own_row_missing; }
+
+    string_list catalogues;
+    string_list endpoints;
+    string_list gone;
+    std::vector<dispatch::holder_record> holders;
+    string_list hosts;
+    int own_row_missing = 0;
+};
+
+// Number of log lines of an event so far, written or left out.
+std::uint64_t logged(const std::string& event) {
+    const auto text = log_observer().metrics_text(nlohmann::json::object(),
+                                                  nlohmann::json::object());
+    const auto name =
+        absl::StrCat("figridge_events_total{event=\"", event, "\"} ");
+    const auto found = text.find(name);
+    std::uint64_t count = 0;
+    if (found != std::string::npos) {
+        const auto begin = found + name.size();
+        BOOST_REQUIRE(absl::SimpleAtoi(
+            text.substr(begin, text.find('\n', begin) - begin), &count));
+    }
+    return count;
+}
+
+stored_row make_row(const std::string& key, const std::string& value = {}) {
+    stored_row row;
+    row.key = key;
+    row.value = value;
+    row.version = 1;
+    return row;
+}
+
+struct row_handler_fixture {
+    recording_events events;
+    row_handler rows{"10.1.0.9:1", events};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(row_handler_test, row_handler_fixture)
+
+// Guards against hosts that end again and again: each row of the table of hosts
+// was taken for the address of a peer to connect to.
+BOOST_AUTO_TEST_CASE(host_row_without_a_usable_address_names_no_peer) {
+    const auto before = logged("host_row_unreadable");
+    const std::vector<stored_row> read{make_row("10.1.0.9:1"),
+                                       make_row("127.0.0.1:70000"),
+                                       make_row("odd"), make_row("10.1.0.2:1")};
+    rows.apply_host_snapshot(read);
+    rows.apply_host_changes({make_row("127.0.0.1:70000"), make_row("")});
+    rows.apply_host_snapshot(read);
+    const string_list usable{"10.1.0.9:1", "10.1.0.2:1", "10.1.0.9:1",
+                             "10.1.0.2:1"};
+    BOOST_TEST(events.hosts == usable);
+    BOOST_TEST(events.own_row_missing == 0);
+    BOOST_TEST(logged("host_row_unreadable") - before == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace figridge::platform
--- a/tests/platform_test.sh
+++ b/tests/platform_test.sh
@@ -25,6 +25,10 @@
         failures=$((failures + 1))
     fi
 }
+put_row() { # table, key, value: as written by another program
+    status -X POST -d "{\"set-keys\":[{\"table\":\"$1\",\"key\":\"$2\",
+        \"value\":\"$(base64 -w 0 <<<"$3")\"}]}" "http://$(store)/rows-tx"
+}
 wait_for_line() { # text, file; gives up after ten seconds
     local tries=200
     while ! grep -qF -- "$1" "$2" && [ $tries -gt 0 ]; do
@@ -71,6 +75,19 @@
 expect "calm load completed" 60 "$(report_field completed)"
 check_invariants "calm load"
 
+# Rows of another writer name no host, now and after a restart. Hosts that took
+# them for addresses of peers ended whenever they read them.
+for key in 127.0.0.1:70000 odd; do
+    expect "row $key is stored" 200 "$(put_row hosts "$key" '{}')"
+done
+for ((i = 0; i < hosts; i++)); do
+    wait_for_line "event=host_row_unreadable row=odd" "$cluster_dir/host$i.log"
+    expect "odd rows logged by host $i" 2 \
+        "$(grep -c event=host_row_unreadable "$cluster_dir/host$i.log")"
+    expect "host $i goes on" 200 \
+        "$(status "${as[@]}" "http://$(host_callers "$i")/jobs/")"
+done
+
 # A new catalogue comes into force on every host, with the store reachable from
 # all of them.
 order /catalogue '{"version":7}'
