A connection whose messages can't be read is closed at once

What callers saw: nothing yet; found while testing senders without a usable address. Two hosts would not hear each other, although both run, after one message that the receiver could not decode.

Cause: the receiver stopped reading, and kept the socket open until it accepted the next connection. The sender saw a connection that works and did not connect again.

Fix: a closed http2_connection shuts its socket down, so that the other side notices and reconnects.

Failed before: connection_with_an_unreadable_message_is_closed (0 messages received within 500 rounds instead of 7, the message after the first).

--- a/src/adapters/http2_connection.cpp
+++ b/src/adapters/http2_connection.cpp
@@ -118,6 +118,9 @@
     }
     is_closed_ = true;
     watcher_->set_events(0);
+    // The owner may keep this object for some time. Without the shutdown the
+    // peer would go on sending on a connection that nobody reads.
+    ::shutdown(socket_, SHUT_RDWR);
     on_close_();
 }
 
--- a/tests/peer_transport_test.cpp
+++ b/tests/peer_transport_test.cpp
@@ -1,11 +1,34 @@
 // peer_transport: addresses of peers.
 #include <boost/test/unit_test.hpp>
 
+#include <stdexcept>
+#include <utility>
+
 #include "adapters/peer_transport.hpp"
 
 namespace figridge {
 namespace {
 
+// Refuses the first message that it receives.
+class refusing_events final : public peer_events {
+public:
+    void on_message(const msgpack::object& message) override {
+        if (std::exchange(refused_, true)) {
+            received = message.as<int>();
+            return;
+        }
+        throw std::invalid_argument("refused");
+    }
+    void on_link_refused(const std::string& /*host*/,
+                         timestamp /*begun*/) override {}
+    void on_link_restored(const std::string& /*host*/) override {}
+
+    int received = 0;
+
+private:
+    bool refused_ = false;
+};
+
 class ignoring_events final : public peer_events {
 public:
     void on_message(const msgpack::object& /*message*/) override {}
@@ -39,6 +62,30 @@
     BOOST_TEST(transport.add_peer("127.0.0.1:2").ok());
 }
 
+// Guards against peers that are not heard any more: the receiver of a message
+// that it could not read stopped reading, but left the connection open, so that
+// the sender did not connect again.
+BOOST_AUTO_TEST_CASE(connection_with_an_unreadable_message_is_closed) {
+    constexpr auto address = "127.0.0.1:24907";
+    constexpr int max_rounds = 500;
+    event_loop loop;
+    refusing_events receiver_events;
+    ignoring_events sender_events;
+    peer_transport receiver(loop, address, 1, receiver_events);
+    peer_transport sender(loop, "127.0.0.1:1", 2, sender_events);
+    BOOST_REQUIRE(receiver.listen(address).ok());
+    BOOST_REQUIRE(sender.add_peer(address).ok());
+    msgpack::sbuffer message;
+    msgpack::pack(message, 7);
+    for (int i = 0; i < max_rounds && receiver_events.received == 0; ++i) {
+        if (sender.is_connected(address)) {
+            sender.send(address, message);
+        }
+        loop.run_for(10ms);
+    }
+    BOOST_TEST(receiver_events.received == 7);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge
