A sender without a usable address is no peer

What callers saw: a host that read one envelope from `127.0.0.1:70000` or `odd` ended by an abort; since the transport refuses such peers, it would count the sender as a live host that may take over endpoints.

--- a/src/adapters/peer_transport.cpp
+++ b/src/adapters/peer_transport.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <stdexcept>
 #include <utility>
 
 #include <netinet/tcp.h>
@@ -49,6 +50,13 @@
 
 } // namespace
 
+void require_sender_address(const std::string& address) {
+    if (const auto parsed = parse_socket_address(address); !parsed.ok()) {
+        throw std::invalid_argument(absl::StrCat(
+            "from.address: ", std::string(parsed.status().message())));
+    }
+}
+
 // The outgoing connection to one peer. Owned by `peer_transport`.
 class peer_link {
 public:
--- a/src/adapters/peer_transport.hpp
+++ b/src/adapters/peer_transport.hpp
@@ -34,6 +34,10 @@
     virtual void on_link_restored(const std::string& host) = 0;
 };
 
+// Throws std::invalid_argument if `address`, by which the sender of a message
+// wants to be reached, is not an IPv4 address with a port. Thread-safe.
+void require_sender_address(const std::string& address);
+
 class peer_link;
 class peer_reader;
 
--- a/src/figridged/envelope_link.hpp
+++ b/src/figridged/envelope_link.hpp
@@ -35,6 +35,7 @@
 private:
     void on_message(const msgpack::object& message) override {
         const auto received = message.as<envelope>();
+        require_sender_address(received.from);
         if (!transport_.is_cut(received.from)) {
             events_.on_envelope(received);
         }
