A list of runs with a row that can't be read counts as no answer

What callers could see: a task that runs again after it was done. Seen by reading only; no endpoint is known to send such rows.

Cause: a row of `ended` that could not be read was left out. Its run was on neither list, so that it counted as lost and its task was placed again; and the number of a later end acknowledged it unseen. Run numbers above 2^32 were cut to 32 bits, so that run counted as run 1. A clock that is no exact whole number was used, or left the endpoint polled without a pause.

Fix: such lists count as no answer. The endpoint gets no further tasks and no renewal until it answers with a list that can be read, or until the leases of its runs have ended. Before, a list with an unreadable running row was `rejected`, which says that the endpoint works: it got further tasks and renewals, though none of its ends was ever read. The test of that row expects `unanswered` and no rows for this reason.

--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 
 #include "codec/envelope_codec.hpp"
 #include "damage.hpp"
@@ -136,11 +137,65 @@
 }
 
 // Guards against a task that runs twice: a run whose row can't be read, taken
-// for one that is not there, lets its task be placed again.
+// for one that is not there, lets its task be placed again. An answer that
+// can't be read counts as none, so that the endpoint gets no further tasks, and
+// the leases of its runs end.
 BOOST_AUTO_TEST_CASE(list_with_an_unreadable_running_row_is_no_list) {
     const auto reply = parse_hold_reply(
         200, R"({"clock-ms":1,"running":[["id.0.0.0",1.5]],"ended":[]})");
-    BOOST_TEST(to_string(reply.call.status) == "rejected");
+    BOOST_TEST(to_string(reply.call.status) == "unanswered");
+    BOOST_TEST(reply.running.empty());
+}
+
+// Guards against leases on a clock that is not the endpoint's, and against
+// calls without a pause to an endpoint whose clock stays unknown.
+BOOST_AUTO_TEST_CASE(list_without_a_usable_clock_is_no_list) {
+    for (const char* clock : {"-1", "1.5", "\"7\"", "9007199254740993",
+                              "18446744073709551615", "null"}) {
+        BOOST_TEST_CONTEXT("clock " << clock) {
+            const auto reply = parse_hold_reply(
+                200, absl::StrCat("{\"clock-ms\":", clock,
+                                  ",\"running\":[],\"ended\":[]}"));
+            BOOST_TEST(to_string(reply.call.status) == "unanswered");
+            BOOST_TEST(reply.call.clock_ms == -1);
+        }
+    }
+    BOOST_TEST(parse_hold_reply(200,
+                                R"({"clock-ms":1,"born":18446744073709551615,)"
+                                R"("running":[],"ended":[]})")
+                   .instance_started_ms == 0);
+}
+
+// Guards against a run that is taken for another one: numbers above 32 bits
+// were cut, so that run 4294967297 counted as run 1.
+BOOST_AUTO_TEST_CASE(list_with_a_run_number_above_32_bits_is_no_list) {
+    for (const char* body :
+         {R"({"clock-ms":1,"running":[["id.0.0.0",4294967297]],"ended":[]})",
+          R"({"clock-ms":1,"running":[],"ended":[[1,"id.0.0.0",4294967297,)"
+          R"("done",""]]})"}) {
+        const auto reply = parse_hold_reply(200, body);
+        BOOST_TEST(to_string(reply.call.status) == "unanswered");
+        BOOST_TEST(reply.running.empty());
+        BOOST_TEST(reply.ended.empty());
+    }
+}
+
+// Guards against a task that runs again after it was done: an end that could
+// not be read was left out, so that its run counted as lost, and the next end
+// was acknowledged together with it.
+BOOST_AUTO_TEST_CASE(list_with_an_unreadable_ended_row_is_no_list) {
+    for (const char* row :
+         {R"([1,"id.0.0.0",1])", R"([1,"id.0.0",1,"done",""])",
+          R"([-1,"id.0.0.0",1,"done",""])", R"([1,"id.0.0.0",1.5,"done",""])",
+          R"([1,7,1,"done",""])", R"([1,"id.0.0.0",1,7,""])", "7", "null"}) {
+        BOOST_TEST_CONTEXT("row " << row) {
+            const auto reply = parse_hold_reply(
+                200, absl::StrCat(R"({"clock-ms":1,"running":[],"ended":[)",
+                                  row, R"(,[2,"id.0.0.1",1,"done",""]]})"));
+            BOOST_TEST(to_string(reply.call.status) == "unanswered");
+            BOOST_TEST(reply.ended.empty());
+        }
+    }
 }
 
 BOOST_AUTO_TEST_CASE(damaged_jobs_are_parsed_or_rejected) {
