--- a/src/adapters/log_observer.cpp
+++ b/src/adapters/log_observer.cpp
@@ -1,10 +1,12 @@
 #include "log_observer.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <optional>
 #include <utility>
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -71,7 +73,10 @@
 // Quotes a value that contains separators, so that log lines can be parsed.
 std::string quote(const std::string& value) {
     const bool plain =
-        !value.empty() && value.find_first_of(" \t\n\"=") == std::string::npos;
+        !value.empty() && std::none_of(value.begin(), value.end(), [](char c) {
+            return absl::ascii_iscntrl(static_cast<unsigned char>(c)) ||
+                   c == ' ' || c == '"' || c == '=';
+        });
     return plain
                ? value
                : nlohmann::json(value).dump(
--- a/tests/platform/row_handler_test.cpp
+++ b/tests/platform/row_handler_test.cpp
@@ -69,6 +69,20 @@
     return row;
 }
 
+std::string make_endpoint_text(const std::string& address = "10.0.0.1:80",
+                               const std::string& failure_domain = "domain-1") {
+    return nlohmann::json{{"service", "pool"},
+                          {"address", address},
+                          {"zone", failure_domain},
+                          {"state", "ready"},
+                          {"capacity", {{"cpu", 16000}, {"mem-mb", 32768}}}}
+        .dump();
+}
+
+std::string nest(std::size_t depth) {
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
 struct row_handler_fixture {
     recording_events events;
     row_handler rows{"10.1.0.9:1", events};
@@ -95,6 +109,36 @@
     BOOST_TEST(logged("host_row_unreadable") - before == 3U);
 }
 
+// Guards against calls and store writes that another writer's row shapes: a
+// line break in the id of an endpoint ends a request header, and the store
+// refuses the rows of all endpoints in one write if one failure domain is too
+// long.
+BOOST_AUTO_TEST_CASE(endpoint_row_that_can_not_be_used_names_no_endpoint) {
+    const auto before = logged("endpoint_row_unreadable");
+    std::vector<stored_row> read{make_row("good", make_endpoint_text())};
+    int number = 0;
+    for (const char* address :
+         {"10.0.0.1:70000", "10.0.0.1:-1", "10.0.0.1", "odd", "",
+          "10.0.0.1:80/x?", "10.0.0.1:80\r\nX-Odd: 1", "user@10.0.0.1:80"}) {
+        read.push_back(make_row(absl::StrCat("address-", ++number),
+                                make_endpoint_text(address)));
+    }
+    for (const auto& failure_domain :
+         {std::string(10'000, 'z'), std::string("z\nz")}) {
+        read.push_back(
+            make_row(absl::StrCat("zone-", ++number),
+                     make_endpoint_text("10.0.0.1:80", failure_domain)));
+    }
+    for (const auto& key : {std::string("i\r\nX-Odd: 1"), std::string(201, 'i'),
+                            std::string("i\0", 2)}) {
+        read.push_back(make_row(key, make_endpoint_text()));
+    }
+    rows.apply_endpoint_snapshot(1s, read);
+    rows.apply_endpoint_changes(2s, read);
+    BOOST_TEST(events.endpoints == (string_list{"good", "good"}));
+    BOOST_TEST(logged("endpoint_row_unreadable") - before == read.size() - 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::platform
