An endpoint whose entry becomes unreadable counts as missing

What callers could see: tasks on a worker that its entry does not name any more.

Cause: a full read of the list took an endpoint whose entry could not be read for missing, and removed it 2.2 s later; a change of the same entry was passed over, and the endpoint stayed in use for as long as the entry stood, on hosts that read the change but not on those that read the list.

That agrees with the platform: an unreadable entry names no worker to use. What runs there is not cut, and a live worker writes its entry again well within 2.2 s.

--- a/tests/platform/row_handler_test.cpp
+++ b/tests/platform/row_handler_test.cpp
@@ -139,6 +139,37 @@
     BOOST_TEST(logged("endpoint_row_unreadable") - before == read.size() - 1);
 }
 
+// Guards against tasks on a worker that its entry does not name any more. A
+// full read and a change take an unreadable entry alike.
+BOOST_AUTO_TEST_CASE(endpoint_whose_row_becomes_unreadable_counts_as_missing) {
+    const auto good = make_row("a", make_endpoint_text());
+    const auto odd = make_row("a", "{\"service\":7");
+    const auto other = make_row("b", make_endpoint_text());
+    for (const bool full_read : {true, false}) {
+        BOOST_TEST_CONTEXT("full read: " << full_read) {
+            const auto read = [&](timestamp now, const stored_row& row) {
+                if (full_read) {
+                    rows.apply_endpoint_snapshot(now, {row, other});
+                } else {
+                    rows.apply_endpoint_changes(now, {row});
+                }
+            };
+            events.gone.clear();
+            rows.apply_endpoint_snapshot(10s, {good, other});
+            read(11s, odd);
+            read(12s, good); // the worker has written its entry again
+            rows.remove_missing_endpoints(14s);
+            BOOST_TEST(events.gone.empty());
+            read(14s, odd);
+            read(15s, odd);
+            rows.remove_missing_endpoints(16s);
+            BOOST_TEST(events.gone.empty());
+            rows.remove_missing_endpoints(16s + 500ms);
+            BOOST_TEST(events.gone == string_list{"a"});
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::platform
