Warnings about unreadable rows are bounded

What operators could see: a process whose memory grows by each odd row that was ever read, and a warning for each read of an unreadable row of `holders`.

Cause: the keys of all rows that were logged once were kept for good.

--- a/tests/platform/row_handler_test.cpp
+++ b/tests/platform/row_handler_test.cpp
@@ -242,6 +242,26 @@
     BOOST_TEST(one.gauge("endpoints_held") == 0.0);
 }
 
+// Guards against a log and a memory that grow with each odd row.
+BOOST_AUTO_TEST_CASE(warnings_about_unreadable_rows_are_bounded) {
+    const auto before = logged("endpoint_row_unreadable");
+    std::vector<stored_row> read;
+    for (int i = 0; i < 5000; ++i) {
+        read.push_back(make_row(absl::StrCat("odd-", i), "odd"));
+    }
+    read.push_back(make_row("good", make_endpoint_text()));
+    for (int round = 0; round < 3; ++round) {
+        rows.apply_endpoint_snapshot(1s, read);
+    }
+    const auto warnings = logged("endpoint_row_unreadable") - before;
+    BOOST_TEST(warnings <= max_logged_rows);
+    BOOST_TEST(logged("unreadable_rows_not_logged") == 1U);
+    BOOST_TEST(events.endpoints == string_list(3, "good"));
+    // Rows that are gone make room for warnings about others.
+    rows.apply_endpoint_snapshot(2s, {make_row("new", "odd")});
+    BOOST_TEST(logged("endpoint_row_unreadable") - before == warnings + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::platform
