A simulated endpoint forgets its lease when it restarts

After a simulated crash the endpoint's clock begins anew, but the end of the lease stayed on the former clock. Runs of the next instance then lasted up to the former instance's age longer than their lease, so the soak could report two runs where a real endpoint has one.

The endpoint takes its clock as a parameter, so that leases can be tested in virtual time.

--- a/testing/platform/leased_endpoint.cpp
+++ b/testing/platform/leased_endpoint.cpp
@@ -40,8 +40,9 @@
 
 leased_endpoint::leased_endpoint(event_loop& loop, std::string id,
                                  std::string address,
-                                 std::string failure_domain, run_judge& judge)
-    : loop_(loop), id_(std::move(id)), address_(std::move(address)),
+                                 std::string failure_domain, run_judge& judge,
+                                 std::function<timestamp()> clock)
+    : now_(std::move(clock)), id_(std::move(id)), address_(std::move(address)),
       failure_domain_(std::move(failure_domain)), judge_(judge),
       server_(
           loop, max_body_bytes,
@@ -71,8 +72,9 @@
     highest_run_.clear();
     ends_.clear();
     token_ = 0;
+    lease_until_ms_ = 0;
     next_end_ = 1;
-    born_ = event_loop::now();
+    born_ = now_();
     born_ms_ = std::chrono::duration_cast<std::chrono::milliseconds>(
                    std::chrono::system_clock::now().time_since_epoch())
                    .count();
@@ -82,7 +84,7 @@
     if (!draining) {
         draining_since_.reset();
     } else if (!draining_since_) {
-        draining_since_ = event_loop::now();
+        draining_since_ = now_();
     }
 }
 
@@ -103,7 +105,7 @@
 }
 
 std::int64_t leased_endpoint::clock_ms() const {
-    const auto age = static_cast<double>((event_loop::now() - born_).count());
+    const auto age = static_cast<double>((now_() - born_).count());
     return to_ms(duration(static_cast<std::int64_t>(age * clock_rate_))) + 1;
 }
 
@@ -179,7 +181,7 @@
     run new_run;
     new_run.number = number;
     new_run.cpu_millis = field_of(payload, "cpu");
-    new_run.started = event_loop::now();
+    new_run.started = now_();
     new_run.length = std::chrono::milliseconds(field_of(payload, "ms"));
     new_run.fails =
         mode_ == "fail_all" || payload.find(" fail") != std::string::npos;
@@ -187,7 +189,7 @@
     for (const auto& [name, other] : runs_) {
         used += other.cpu_millis;
     }
-    if (draining_since_ && event_loop::now() - *draining_since_ > drain_limit) {
+    if (draining_since_ && now_() - *draining_since_ > drain_limit) {
         judge_.record_violation("run started on " + id_ +
                                 ", which is past its drain limit: " + task);
     }
@@ -232,16 +234,16 @@
     if (!ends_.empty() || wait == duration{0}) {
         return respond(token, http_ok, runs_to_json());
     }
-    holds_.push_back({token, event_loop::now() + wait});
+    holds_.push_back({token, now_() + wait});
 }
 
 json leased_endpoint::runs_to_json() const {
     json running = json::array();
     for (const auto& [task, run] : runs_) {
-        const auto share = run.length == duration{0}
-                               ? 0.0
-                               : to_seconds(event_loop::now() - run.started) /
-                                     to_seconds(run.length);
+        const auto share =
+            run.length == duration{0}
+                ? 0.0
+                : to_seconds(now_() - run.started) / to_seconds(run.length);
         running.push_back({task, run.number, "",
                            static_cast<int>(100 * std::min(1.0, share))});
     }
@@ -269,7 +271,7 @@
 }
 
 void leased_endpoint::answer_holds(bool all) {
-    const auto now = event_loop::now();
+    const auto now = now_();
     auto waiting = std::exchange(holds_, {});
     for (const auto& held : waiting) {
         if (all || !ends_.empty() || now >= held.until) {
@@ -286,7 +288,7 @@
 }
 
 void leased_endpoint::end_due_runs() {
-    const auto now = event_loop::now();
+    const auto now = now_();
     std::vector<std::pair<std::string, std::string>> finished;
     for (const auto& [task, run] : runs_) {
         if (clock_ms() > lease_until_ms_) {
--- a/testing/platform/leased_endpoint.hpp
+++ b/testing/platform/leased_endpoint.hpp
@@ -5,6 +5,7 @@
 #ifndef FIGRIDGE_TESTING_PLATFORM_LEASED_ENDPOINT_HPP
 #define FIGRIDGE_TESTING_PLATFORM_LEASED_ENDPOINT_HPP
 
+#include <functional>
 #include <list>
 #include <optional>
 
@@ -17,8 +18,10 @@
 // Owned by the program's main object. Not thread-safe.
 class leased_endpoint {
 public:
+    // `clock` is the time that runs and leases are measured by.
     leased_endpoint(event_loop& loop, std::string id, std::string address,
-                    std::string failure_domain, run_judge& judge);
+                    std::string failure_domain, run_judge& judge,
+                    std::function<timestamp()> clock = &event_loop::now);
 
     absl::Status start();
     // Content of its row in the store.
@@ -35,7 +38,8 @@
     void set_shown_address(std::string address) {
         shown_address_ = std::move(address);
     }
-    // Simulates a crash and restart: all runs and the token are lost.
+    // Simulates a crash and restart: all runs, the lease and the token are
+    // lost.
     void crash();
     // Ends the runs that are done or whose lease has expired.
     void end_due_runs();
@@ -74,7 +78,7 @@
     void renew(const json& body);
     void respond(http_token token, int status, json body);
 
-    event_loop& loop_;
+    std::function<timestamp()> now_;
     std::string id_;
     std::string address_;
     std::string failure_domain_;
