A call read late renews no expired lease at a simulated endpoint

When the process was delayed, a renewal that waited in the socket was read first and kept runs whose lease had expired; and a run that was done before its lease expired ended as lapsed, since the lease was compared first.

Due runs are ended before each call, and what is due first decides how a run ends. Tests renewal_read_after_the_lease_does_not_keep_a_run and run_done_within_its_lease_is_not_reported_as_lapsed failed before.

--- a/testing/platform/leased_endpoint.cpp
+++ b/testing/platform/leased_endpoint.cpp
@@ -118,6 +118,8 @@
 }
 
 void leased_endpoint::handle(const http_request& request) {
+    // A call that is read late must not renew a lease that has expired.
+    end_due_runs();
     const auto named = request.headers.find("X-Target-Instance");
     if (named != request.headers.end() && named->second != id_) {
         return respond(request.token, http_other_instance, json::object());
@@ -289,12 +291,18 @@
 
 void leased_endpoint::end_due_runs() {
     const auto now = now_();
+    constexpr double us_per_ms = 1000.0;
+    const auto lease_end =
+        born_ +
+        duration(static_cast<std::int64_t>(
+            static_cast<double>(lease_until_ms_) * us_per_ms / clock_rate_));
     std::vector<std::pair<std::string, std::string>> finished;
     for (const auto& [task, run] : runs_) {
-        if (clock_ms() > lease_until_ms_) {
-            finished.emplace_back(task, "lapsed");
-        } else if (now - run.started >= run.length) {
+        const auto done_at = run.started + run.length;
+        if (done_at <= std::min(now, lease_end)) {
             finished.emplace_back(task, run.fails ? "failed" : "done");
+        } else if (lease_end <= now) {
+            finished.emplace_back(task, "lapsed");
         }
     }
     for (const auto& [task, how] : finished) {
--- a/testing/platform/leased_endpoint.hpp
+++ b/testing/platform/leased_endpoint.hpp
@@ -41,7 +41,8 @@
     // Simulates a crash and restart: all runs, the lease and the token are
     // lost.
     void crash();
-    // Ends the runs that are done or whose lease has expired.
+    // Ends the runs that are done or whose lease has expired, each as of the
+    // time when it was due.
     void end_due_runs();
 
 private:
--- a/tests/platform/leased_endpoint_test.cpp
+++ b/tests/platform/leased_endpoint_test.cpp
@@ -42,7 +42,6 @@
         BOOST_REQUIRE(!reply.contains("reason"));
     }
     std::size_t running() {
-        endpoint.end_due_runs();
         return call("/hold", {{"wait-ms", 0}})["running"].size();
     }
     std::string last_end() {
@@ -77,6 +76,25 @@
     BOOST_TEST(last_end() == "lapsed");
 }
 
+// Guards against a false "two runs at the same time" of the soak: a delayed
+// stand-in reads a renewal after the lease has expired, and the run goes on.
+BOOST_AUTO_TEST_CASE(renewal_read_after_the_lease_does_not_keep_a_run) {
+    start_run("a.0.0.0", 10'000, 500);
+    time += 600ms;
+    const auto reply = call("/hold", {{"wait-ms", 0}, {"deadline-ms", 1'500}});
+    BOOST_TEST(reply["running"].empty());
+    BOOST_TEST(judge.running() == 0U);
+}
+
+// A run that was done before its lease expired ends as done, however late the
+// stand-in notices.
+BOOST_AUTO_TEST_CASE(run_done_within_its_lease_is_not_reported_as_lapsed) {
+    start_run("a.0.0.0", 400, 500);
+    time += 600ms;
+    BOOST_TEST(running() == 0U);
+    BOOST_TEST(last_end() == "done");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::testing
