A run stopped at a simulated endpoint goes on for 40 ms

The platform allows an endpoint 50 ms to stop a run, and frees its room when the end is listed. The simulated endpoint ended it before it answered, so the soak could not show a task that is placed again between the answer and the end. Test stopped_run_goes_on_until_its_end_is_listed failed before.

--- a/testing/platform/leased_endpoint.cpp
+++ b/testing/platform/leased_endpoint.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint32_t capacity_memory_mb = 32'768;
 constexpr std::int64_t lease_limit_ms = 1000;
 constexpr duration tick_interval = 5ms;
+// The platform's limit is 50 ms.
+constexpr duration stop_duration = 40ms;
 // The platform's limit for starts on a draining endpoint.
 constexpr duration drain_limit = 4s;
 constexpr int http_ok = 200;
@@ -218,10 +220,10 @@
     highest_run_[task] = std::max(highest_run_[task], number);
     const auto found = runs_.find(task);
     if (found != runs_.end() && found->second.number == number) {
-        end_run(task, "stopped");
+        found->second.stopped_at =
+            std::min(found->second.stopped_at, now_() + stop_duration);
     }
     respond(token, http_ok, json::object());
-    answer_holds(false);
 }
 
 void leased_endpoint::hold(http_token token, const json& body) {
@@ -299,11 +301,15 @@
     std::vector<std::pair<std::string, std::string>> finished;
     for (const auto& [task, run] : runs_) {
         const auto done_at = run.started + run.length;
-        if (done_at <= std::min(now, lease_end)) {
-            finished.emplace_back(task, run.fails ? "failed" : "done");
-        } else if (lease_end <= now) {
-            finished.emplace_back(task, "lapsed");
+        const auto end_at = std::min({done_at, lease_end, run.stopped_at});
+        if (end_at > now) {
+            continue;
+        }
+        const char* how = end_at == lease_end ? "lapsed" : "stopped";
+        if (end_at == done_at) {
+            how = run.fails ? "failed" : "done";
         }
+        finished.emplace_back(task, how);
     }
     for (const auto& [task, how] : finished) {
         end_run(task, how);
--- a/testing/platform/leased_endpoint.hpp
+++ b/testing/platform/leased_endpoint.hpp
@@ -51,6 +51,7 @@
         std::uint32_t cpu_millis = 0;
         timestamp started{0};
         duration length{0};
+        timestamp stopped_at = timestamp::max();
         bool fails = false;
     };
     struct end {
--- a/tests/platform/leased_endpoint_test.cpp
+++ b/tests/platform/leased_endpoint_test.cpp
@@ -95,6 +95,17 @@
     BOOST_TEST(last_end() == "done");
 }
 
+// Guards against a second run that the soak misses: the answer to a stop comes
+// before the run has ended.
+BOOST_AUTO_TEST_CASE(stopped_run_goes_on_until_its_end_is_listed) {
+    start_run("a.0.0.0", 10'000, 900);
+    call("/run-stop", {{"task", "a.0.0.0"}, {"run", 1}});
+    BOOST_TEST(running() == 1U);
+    time += 50ms;
+    BOOST_TEST(running() == 0U);
+    BOOST_TEST(last_end() == "stopped");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::testing
