Fault proxy: drop the answer to a chosen request, reset, then refuse

New fault lose_answer: the target carries the next request out that begins with a given text; its answer is dropped, the connections of the link are reset and new ones refused. The listener is now closed before the connections are reset: a client may connect again at once, and was accepted then. A fault may name several links.

--- a/testing/fault_proxy.cpp
+++ b/testing/fault_proxy.cpp
@@ -16,7 +16,8 @@
 constexpr std::size_t read_size = 65'536;
 // Interval for sending data that was delayed or filled the socket buffer.
 constexpr duration forward_interval = 2ms;
-constexpr std::size_t to_target = 0;
+// Index of the client, and of the direction from it to the target.
+constexpr std::size_t from_client = 0;
 
 // Closes with a TCP reset.
 void abort_socket(int socket) {
@@ -43,6 +44,9 @@
           for (auto& open : connections_) {
               forward_pending(*open);
           }
+          if (settings_.fault == link_fault::refuse && listener_ >= 0) {
+              refuse_connections();
+          }
           drop_broken();
       }) {}
 
@@ -70,18 +74,25 @@
     return absl::OkStatus();
 }
 
-absl::Status fault_link::set_fault(link_fault fault, duration delay) {
-    fault_ = fault;
-    delay_ = fault == link_fault::delay ? delay : duration{0};
-    if (fault == link_fault::refuse) {
-        // Only a closed listener makes the kernel refuse connections.
-        connections_.clear();
-        stop_listening();
+absl::Status fault_link::set_fault(link_fault_settings settings) {
+    settings_ = std::move(settings);
+    if (settings_.fault != link_fault::delay) {
+        settings_.delay = duration{0};
+    }
+    if (settings_.fault == link_fault::refuse) {
+        refuse_connections();
         return absl::OkStatus();
     }
     return listener_ < 0 ? start() : absl::OkStatus();
 }
 
+void fault_link::refuse_connections() {
+    // Only a closed listener makes the kernel refuse connections. It is closed
+    // first: a client may connect again as soon as its connection is reset.
+    stop_listening();
+    connections_.clear();
+}
+
 void fault_link::accept_one() {
     const int client =
         accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -132,13 +143,25 @@
         return;
     }
     bytes.resize(static_cast<std::size_t>(size));
-    way.chunks.push_back({event_loop::now() + delay_, std::move(bytes)});
+    if (side == from_client) {
+        open.chosen = settings_.fault == link_fault::lose_answer &&
+                      (bytes.starts_with(settings_.request) ||
+                       (open.chosen && !bytes.starts_with("POST ")));
+    } else if (open.chosen && settings_.fault == link_fault::lose_answer) {
+        // The timer resets the connections, as a watcher of this one is being
+        // called.
+        settings_.fault = link_fault::refuse;
+        open.watchers[side]->set_events(0);
+        return;
+    }
+    way.chunks.push_back(
+        {event_loop::now() + settings_.delay, std::move(bytes)});
 }
 
 bool fault_link::is_cut(std::size_t way) const {
-    return fault_ == link_fault::silent ||
-           fault_ == (way == to_target ? link_fault::cut_to_target
-                                       : link_fault::cut_to_client);
+    return settings_.fault == link_fault::silent ||
+           settings_.fault == (way == from_client ? link_fault::cut_to_target
+                                                  : link_fault::cut_to_client);
 }
 
 void fault_link::write_to(connection& open, std::size_t way) {
--- a/testing/fault_proxy.hpp
+++ b/testing/fault_proxy.hpp
@@ -1,8 +1,9 @@
 // TCP proxy on loopback that injects network faults.
 //
 // Each link listens at one address and forwards to another. A link can delay
-// the data, stall it in one or both directions without closing connections, or
-// reset its connections and refuse new ones.
+// the data, stall it in one or both directions without closing connections,
+// reset its connections and refuse new ones, or do so once the target has
+// carried out a request.
 #ifndef FIGRIDGE_TESTING_FAULT_PROXY_HPP
 #define FIGRIDGE_TESTING_FAULT_PROXY_HPP
 
@@ -25,6 +26,14 @@
     cut_to_client,
     silent, // stalled in both directions
     refuse, // open connections are reset, new ones are refused
+    // The answer to the next chosen request is dropped; then as `refuse`.
+    lose_answer,
+};
+
+struct link_fault_settings {
+    link_fault fault = link_fault::none;
+    duration delay{0};   // used with `link_fault::delay`
+    std::string request; // start of the requests of `link_fault::lose_answer`
 };
 
 // One proxied address with its connections. Owned by the program's main object.
@@ -38,10 +47,9 @@
 
     // Fails if the proxy can't listen at the address.
     absl::Status start();
-    // Applies to open and new connections. `delay` is only used with
-    // `link_fault::delay`. Fails if the proxy can't listen again after
-    // `link_fault::refuse`.
-    absl::Status set_fault(link_fault fault, duration delay);
+    // Applies to open and new connections. Fails if the proxy can't listen
+    // again after connections were refused.
+    absl::Status set_fault(link_fault_settings settings);
     // Resets the open connections; new ones are accepted unless refused.
     void reset_connections() { connections_.clear(); }
     [[nodiscard]] const std::string& listen() const { return listen_; }
@@ -62,9 +70,11 @@
         std::array<int, 2> sockets{-1, -1}; // client, target
         std::array<std::unique_ptr<io_watcher>, 2> watchers;
         std::array<direction, 2> directions; // to the target, to the client
+        bool chosen = false; // the latest request is one of `lose_answer`
         bool broken = false;
     };
 
+    void refuse_connections();
     void stop_listening();
     void accept_one();
     void read_from(connection& open, std::size_t side);
@@ -80,8 +90,7 @@
     std::unique_ptr<io_watcher> accept_watcher_;
     timer_watcher forward_timer_;
     std::list<std::unique_ptr<connection>> connections_;
-    link_fault fault_ = link_fault::none;
-    duration delay_{0};
+    link_fault_settings settings_;
 };
 
 } // namespace figridge::testing
--- a/testing/fault_proxy_main.cpp
+++ b/testing/fault_proxy_main.cpp
@@ -1,10 +1,13 @@
 // Fault-injecting loopback proxy. Usage: fault_proxy --control ADDRESS
 // --links LISTEN=TARGET,LISTEN=TARGET...
 //
-// PUT /fault {"link": LISTEN or "all", "fault": "none" | "delay" |
-// "cut_to_target" | "cut_to_client" | "silent" | "refuse" | "reset",
-// "delay_ms": N} sets the fault of a link; "reset" resets its connections once.
+// PUT /fault {"link": LISTEN,LISTEN... or "all", "fault": "none" | "delay" |
+// "cut_to_target" | "cut_to_client" | "silent" | "refuse" | "lose_answer" |
+// "reset", "delay_ms": N, "request": TEXT} sets the fault of links. "reset"
+// resets their connections once. "lose_answer" drops the answer to the next
+// request that begins with TEXT, and then acts as "refuse".
 #include <map>
+#include <set>
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
@@ -21,7 +24,7 @@
 namespace figridge::testing {
 namespace {
 
-constexpr std::size_t max_body_bytes = 4096;
+constexpr std::size_t max_body_bytes = 65'536;
 constexpr int http_ok = 200;
 constexpr int http_bad_request = 400;
 constexpr int http_unavailable = 503;
@@ -32,7 +35,8 @@
     {"cut_to_target", link_fault::cut_to_target},
     {"cut_to_client", link_fault::cut_to_client},
     {"silent", link_fault::silent},
-    {"refuse", link_fault::refuse}};
+    {"refuse", link_fault::refuse},
+    {"lose_answer", link_fault::lose_answer}};
 
 class fault_proxy {
 public:
@@ -68,18 +72,21 @@
             return control_.respond(request.token,
                                     {http_bad_request, "fault: unknown\n"});
         }
-        const auto wanted = body->value("link", "all");
-        const auto delay =
-            std::chrono::milliseconds(body->value("delay_ms", 0));
+        const auto list = body->value("link", "all");
+        const std::set<std::string> wanted = absl::StrSplit(list, ',');
+        link_fault_settings settings;
+        settings.delay = std::chrono::milliseconds(body->value("delay_ms", 0));
+        settings.request = body->value("request", "POST ");
         absl::Status status;
         for (const auto& link : links_) {
-            if (wanted != "all" && wanted != link->listen()) {
+            if (list != "all" && !wanted.contains(link->listen())) {
                 continue;
             }
             if (name == "reset") {
                 link->reset_connections();
             } else {
-                status.Update(link->set_fault(fault->second, delay));
+                settings.fault = fault->second;
+                status.Update(link->set_fault(settings));
             }
         }
         if (!status.ok()) {
