Soak: writes applied late, jobs of mixed sizes, jobs sent again elsewhere

The simulated store may apply a write without an answer later, if its condition still holds. A load may have jobs of 2 to 8 tasks of 60, 200 or 900 ms, and callers that go on after a time limit has passed, each time at another host; until now a job was sent again at most 200 ms before its caller gave up. Without the new settings all loads are as before.

--- a/testing/platform/job_callers.cpp
+++ b/testing/platform/job_callers.cpp
@@ -1,5 +1,7 @@
 #include "platform/job_callers.hpp"
 
+#include <array>
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
@@ -41,12 +43,20 @@
     ++result_.sent;
     auto open = std::make_shared<call>();
     open->id = absl::StrFormat("%016x", random_());
-    const json step{{"count", plan_.tasks},
+    open->tasks = plan_.tasks;
+    auto task_ms = plan_.task_ms;
+    if (plan_.mixed) {
+        constexpr std::array<std::uint32_t, 3> lengths_ms{60, 200, 900};
+        open->tasks =
+            std::uniform_int_distribution<std::uint32_t>(2, 8)(random_);
+        task_ms = lengths_ms[random_() % lengths_ms.size()];
+    }
+    const json step{{"count", open->tasks},
                     {"cpu", plan_.task_cpu},
                     {"mem-mb", 64},
-                    {"estimate-ms", plan_.task_ms}};
+                    {"estimate-ms", task_ms}};
     open->body = dump_json(
-        {{"spec", absl::StrCat("ms=", plan_.task_ms, " cpu=", plan_.task_cpu)},
+        {{"spec", absl::StrCat("ms=", task_ms, " cpu=", plan_.task_cpu)},
          {"steps", json::array({step})},
          {"best-effort", true}});
     open->deadline = event_loop::now() + plan_.answer_timeout;
@@ -54,14 +64,26 @@
     send(open);
 }
 
+std::string job_callers::pick_host(const std::string& last) {
+    std::uniform_int_distribution<std::size_t> pick(0, plan_.hosts.size() - 1);
+    auto host = plan_.hosts[pick(random_)];
+    while (plan_.timeouts > 1 && plan_.hosts.size() > 1 && host == last) {
+        host = plan_.hosts[pick(random_)];
+    }
+    return host;
+}
+
 void job_callers::send(const std::shared_ptr<call>& open) {
-    const auto remaining = open->deadline - event_loop::now();
+    auto remaining = open->deadline - event_loop::now();
     if (remaining <= 50ms) {
-        ++result_.unanswered;
-        return finish(open, "unanswered");
+        if (++open->timeouts >= plan_.timeouts) {
+            ++result_.unanswered;
+            return finish(open, "unanswered");
+        }
+        remaining = plan_.answer_timeout;
+        open->deadline = event_loop::now() + remaining;
     }
-    std::uniform_int_distribution<std::size_t> pick(0, plan_.hosts.size() - 1);
-    open->host = plan_.hosts[pick(random_)];
+    open->host = pick_host(open->host);
     http_call request;
     request.method = "POST";
     request.url = absl::StrCat("http://", open->host, "/jobs/", open->id);
@@ -81,7 +103,7 @@
         const auto body = parse_json(result.body);
         const bool completed =
             body.ok() && body->value("state", "") == "completed";
-        if (completed && judge_.done_tasks(open->id) < plan_.tasks) {
+        if (completed && judge_.done_tasks(open->id) < open->tasks) {
             judge_.record_violation(
                 "answered completed before all tasks were done: " + open->id);
         }
--- a/testing/platform/job_callers.hpp
+++ b/testing/platform/job_callers.hpp
@@ -18,7 +18,11 @@
     std::uint32_t tasks = 4;
     std::uint32_t task_ms = 60;
     std::uint32_t task_cpu = 6000;
+    bool mixed = false; // 2 to 8 tasks of 60, 200 or 900 ms, by seed
     duration answer_timeout{1500ms};
+    // A job without an answer is sent again, at another host, until this many
+    // time limits have passed.
+    std::uint32_t timeouts = 1;
 };
 
 struct load_result {
@@ -49,13 +53,16 @@
     struct call {
         std::string id;
         std::string body;
+        std::uint32_t tasks = 0;
         timestamp deadline{0};
+        std::uint32_t timeouts = 0;  // time limits that have passed
         std::string host;            // of the last attempt
         bool not_sent_before = true; // no earlier attempt reached a host
         std::unique_ptr<timer_watcher> resend_timer;
     };
 
     void send_next();
+    [[nodiscard]] std::string pick_host(const std::string& last);
     void send(const std::shared_ptr<call>& open);
     void handle(const std::shared_ptr<call>& open, const http_result& result);
     void finish(const std::shared_ptr<call>& open, const char* how);
--- a/testing/platform/system_main.cpp
+++ b/testing/platform/system_main.cpp
@@ -153,6 +153,8 @@
         plan.tasks = body.value("tasks", 4U);
         plan.task_ms = body.value("task_ms", 60U);
         plan.task_cpu = body.value("task_cpu", 6000U);
+        plan.mixed = body.value("mixed", false);
+        plan.timeouts = body.value("timeouts", 1U);
         plan.answer_timeout =
             std::chrono::milliseconds(body.value("patience_ms", 1500));
         callers_.begin(std::move(plan));
--- a/testing/platform/table_stand_in.cpp
+++ b/testing/platform/table_stand_in.cpp
@@ -137,9 +137,14 @@
     if (mode_ == "down") {
         return respond(request.token, http_unavailable, json::object());
     }
-    delayed_.push_back(std::make_unique<timer_watcher>(
-        loop_, [this, request] { serve(request); }));
-    delayed_.back()->start_once(delay_);
+    call_later(delay_, [this, request] { serve(request); });
+}
+
+void table_stand_in::call_later(duration delay,
+                                std::function<void()> callback) {
+    delayed_.push_back(
+        std::make_unique<timer_watcher>(loop_, std::move(callback)));
+    delayed_.back()->start_once(delay);
     constexpr std::size_t max_delay_timers = 4096;
     if (delayed_.size() > max_delay_timers) {
         delayed_.pop_front();
@@ -153,6 +158,8 @@
     }
     mode_ = body->value("mode", mode_);
     reply_loss_share_ = body->value("lose", reply_loss_share_);
+    lost_delay_ = std::chrono::milliseconds(
+        body->value("late_ms", static_cast<int>(to_ms(lost_delay_))));
     delay_ = std::chrono::milliseconds(
         body->value("delay_ms", static_cast<int>(to_ms(delay_))));
     if (body->value("compact", false)) {
@@ -183,12 +190,30 @@
     if (!body.ok() || !body->is_object()) {
         return respond(request.token, http_bad_request, json::object());
     }
+    std::uniform_real_distribution<double> share(0, 1);
+    const bool reply_lost = share(random_) < reply_loss_share_;
+    if (reply_lost && lost_delay_ > duration{0}) {
+        call_later(lost_delay_, [this, body = *body] { apply(body); });
+        return server_.abort(request.token);
+    }
+    const auto current = apply(*body);
+    if (!current.empty()) {
+        return respond(request.token, http_conflict,
+                       {{"rows", current}, {"ver", version_}});
+    }
+    if (reply_lost) {
+        return server_.abort(request.token);
+    }
+    respond(request.token, http_ok, {{"ver", version_}, {"now-ms", 0}});
+}
+
+json table_stand_in::apply(const json& transaction) {
     const auto key_of = [](const json& entry) {
         return row_key{entry.value("table", ""), entry.value("part", ""),
                        entry.value("key", "")};
     };
     json current = json::array();
-    for (const auto& entry : body->value("expect", json::array())) {
+    for (const auto& entry : transaction.value("expect", json::array())) {
         const auto found = rows_.find(key_of(entry));
         const std::uint64_t current_version =
             found == rows_.end() ? 0 : found->second.version;
@@ -199,22 +224,17 @@
         }
     }
     if (!current.empty()) {
-        return respond(request.token, http_conflict,
-                       {{"rows", current}, {"ver", version_}});
+        return current;
     }
     ++version_;
-    for (const auto& entry : body->value("set-keys", json::array())) {
+    for (const auto& entry : transaction.value("set-keys", json::array())) {
         set(key_of(entry), entry.value("value", ""));
     }
-    for (const auto& entry : body->value("remove", json::array())) {
+    for (const auto& entry : transaction.value("remove", json::array())) {
         erase(key_of(entry));
     }
     notify_feeds();
-    std::uniform_real_distribution<double> share(0, 1);
-    if (share(random_) < reply_loss_share_) {
-        return server_.abort(request.token);
-    }
-    respond(request.token, http_ok, {{"ver", version_}, {"now-ms", 0}});
+    return current;
 }
 
 void table_stand_in::read(const http_request& request) {
--- a/testing/platform/table_stand_in.hpp
+++ b/testing/platform/table_stand_in.hpp
@@ -1,9 +1,9 @@
 // Simulated table store of the platform: rows, transactions and change feeds.
 //
 // PUT /control sets its behaviour: {"mode": "up" | "down" | "silent" |
-// "slow", "lose": SHARE, "delay_ms": N}; {"compact": true} drops the
-// change history. "lose" is the share of transactions that are applied
-// but get no reply.
+// "slow", "lose": SHARE, "late_ms": N, "delay_ms": N}; {"compact": true} drops
+// the change history. "lose" is the share of transactions that get no reply;
+// they are applied after "late_ms", if their condition holds then.
 #ifndef FIGRIDGE_TESTING_PLATFORM_TABLE_STAND_IN_HPP
 #define FIGRIDGE_TESTING_PLATFORM_TABLE_STAND_IN_HPP
 
@@ -56,6 +56,9 @@
     void control(const http_request& request);
     void serve(const http_request& request);
     void transact(const http_request& request);
+    // Empty if the transaction was applied, else the rows as they are.
+    json apply(const json& transaction);
+    void call_later(duration delay, std::function<void()> callback);
     void read(const http_request& request);
     void follow(const http_request& request);
     void answer_feed(http_token token, const std::string& table,
@@ -83,6 +86,7 @@
     std::list<std::unique_ptr<timer_watcher>> delayed_;
     std::string mode_ = "up";
     double reply_loss_share_ = 0;
+    duration lost_delay_{0}; // of transactions that get no reply
     duration delay_{2ms};
     std::uint64_t calls_ = 0;
 };
