SIGHUP is ignored from the first line of main

Main ignores the signal until the daemon of the users' platform sets its handler; the settings are read later, so no change is missed.

Test: platform_test.sh, "a starting process ends by SIGTERM only": settings in a pipe that nobody writes to keep the process in main; it failed before (ended with 129) and passes now (143).

--- a/src/figridged/main.cpp
+++ b/src/figridged/main.cpp
@@ -1,4 +1,5 @@
 // figridged: the daemon that runs on every host.
+#include <csignal>
 #include <iostream>
 
 #include <gflags/gflags.h>
@@ -38,6 +39,9 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    // Until there is a handler, SIGHUP would end the process. The settings are
+    // read after this line, so an ignored signal misses no change.
+    std::signal(SIGHUP, SIG_IGN);
     gflags::SetUsageMessage(
         "Dispatches the tasks of jobs to endpoints.\n"
         "Usage: figridged --config FILE [--check_config]\n"
--- a/tests/platform_test.sh
+++ b/tests/platform_test.sh
@@ -170,6 +170,21 @@
 expect "the host goes on" 200 "$(status "${as[@]}" \
     "http://$(host_callers 1)/jobs/")"
 
+# Guards against a process that SIGHUP ends while it starts: it has no handler
+# before it has read its settings, here from a pipe that nobody writes to.
+mkfifo "$cluster_dir/pipe.ini"
+"$build/figridged" --config "$cluster_dir/pipe.ini" &
+starting=$!
+tries=200 # the signal is bit 0 of the mask
+until grep -q '^SigIgn:.*[13579bdf]$' "/proc/$starting/status"; do
+    [ $((tries -= 1)) -gt 0 ] || break
+    sleep 0.05
+done
+kill -HUP $starting
+kill -TERM $starting
+wait $starting
+expect "a starting process ends by SIGTERM only" 143 $?
+
 # One host is killed under load, another stopped as planned; both restart.
 begin_load '"jobs":240,"jobs_per_s":60'
 sleep 0.5
