A returned task goes to another holder that has free room

What callers saw: a job whose task was lost, refused or failed on the only endpoint of a holder waits until the caller's deadline, though another host has room.

Cause: the task avoids the endpoint on which its run was lost. Its holder advertises free room there, can't use it, and returns the task after 50 ms, since another host has room. The coordinator places by free room alone, so it chooses the same holder again.

Fix: the holder that gave a task back is passed over while another one has free room for it now. Without such a holder the task goes where it went before.

--- a/src/core/dispatch/holder_views.cpp
+++ b/src/core/dispatch/holder_views.cpp
@@ -68,13 +68,23 @@
 }
 
 std::optional<process_id> holder_views::place(timestamp now,
-                                              const task_need& need) {
+                                              const task_need& need,
+                                              const process_id& returned_by) {
+    const bool room_elsewhere =
+        !returned_by.address.empty() &&
+        std::any_of(views_.begin(), views_.end(), [&](const auto& item) {
+            return item.first != returned_by &&
+                   item.second.advertised.largest_memory_mb >=
+                       need.room.memory_mb &&
+                   can_start_now(item.second.advertised, need);
+        });
     std::pair<const process_id, view>* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
     for (auto& item : views_) {
         const auto& advertised = item.second.advertised;
         if (advertised.largest_cpu < need.room.cpu_millis ||
-            advertised.largest_memory_mb < need.room.memory_mb) {
+            advertised.largest_memory_mb < need.room.memory_mb ||
+            (room_elsewhere && item.first == returned_by)) {
             continue;
         }
         const bool remote = item.second.failure_domain != failure_domain_;
--- a/src/core/dispatch/holder_views.hpp
+++ b/src/core/dispatch/holder_views.hpp
@@ -26,8 +26,10 @@
     void remove(const process_id& holder);
 
     // Chooses a holder and deducts the task's resources from its view. Empty if
-    // no holder has an endpoint that is large enough.
-    std::optional<process_id> place(timestamp now, const task_need& need);
+    // no holder has an endpoint that is large enough. `returned_by`, the holder
+    // that gave the task back, is not chosen while another one has free room.
+    std::optional<process_id> place(timestamp now, const task_need& need,
+                                    const process_id& returned_by = {});
 
     [[nodiscard]] bool empty() const { return views_.empty(); }
     // Whether any known endpoint is large enough for the task.
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -180,7 +180,7 @@
                 continue;
             }
             const auto& need = submission.work.steps[s].need;
-            const auto holder = views_.place(now, need);
+            const auto holder = views_.place(now, need, task.returned_by);
             if (!holder) {
                 continue;
             }
@@ -396,8 +396,11 @@
     task.phase = task_phase::unplaced;
     task.holder_lost = false;
     ++task.moves;
-    if (cause != update_kind::returned) {
+    if (cause == update_kind::returned) {
+        task.returned_by = task.holder;
+    } else {
         ++task.run;
+        task.returned_by = {};
     }
     const bool avoid_endpoint = cause == update_kind::failed ||
                                 cause == update_kind::refused ||
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -106,6 +106,7 @@
         std::uint32_t failures = 0;
         std::uint32_t moves = 0;
         std::vector<std::string> avoid;
+        process_id returned_by;   // the holder that gave it back last
         timestamp runs_end_by{0}; // set if `holder_lost`
         bool holder_lost = false;
         bool report_lost = false; // its end may never be reported
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -462,6 +462,26 @@
                1);
 }
 
+// A holder advertises free room on an endpoint that the task has to avoid, and
+// returns the task since another host has room too. Placed by free room alone,
+// the task went to and fro between the two until its caller's deadline.
+BOOST_AUTO_TEST_CASE(returned_task_goes_to_another_holder_with_free_room) {
+    add_holder_b();
+    submit(1);
+    BOOST_REQUIRE(assignments.back().first == holder_a);
+    update(holder_a, 0, update_kind::returned, 1, {});
+    BOOST_TEST((assignments.back().first == holder_b));
+    update(holder_b, 0, update_kind::lost);
+    BOOST_TEST((assignments.back().first == holder_a));
+}
+
+BOOST_AUTO_TEST_CASE(returned_task_goes_back_if_no_other_holder_has_room) {
+    submit(1);
+    update(holder_a, 0, update_kind::returned, 1, {});
+    BOOST_TEST(assignments.size() == 2U);
+    BOOST_TEST((assignments.back().first == holder_a));
+}
+
 // Guards against duplicate runs: the task's own run has not started, but one of
 // another coordinator with its number goes on.
 BOOST_AUTO_TEST_CASE(returned_task_is_not_placed_beside_a_found_run) {
