Order search: one endpoint kept of two, jobs sent again to a busy holder

On this code it waits for the bound: run 1 was stopped by the new holder at 682 ms (cut from 200 to 2,200 ms), run 2 starts at 2,001 ms. sent_again_at_once plays hypothesis 2: the job comes again through a second coordinator 100 ms after the first one has gone, sooner than callers may, and only the holder keeps the second run from starting. coordinator_gone: the same, 1,300 ms after, with a full endpoint. The time until a job is sent again is now of the scenario.

--- a/tests/dispatch/orders/order_model.cpp
+++ b/tests/dispatch/orders/order_model.cpp
@@ -28,8 +28,6 @@
 constexpr duration stop_check_interval = 25ms;
 // From the start of the processes to the start of the scenario.
 constexpr duration warm_up = 1200ms;
-// A caller whose connection broke sends its job again after this.
-constexpr duration resend_after = 1300ms;
 constexpr duration caller_timeout = 6s;
 constexpr std::uint64_t first_token = 1000;
 
@@ -1501,7 +1499,7 @@
 
 void order_model::lose_caller() {
     token_ = 0;
-    at(now_ + resend_after, [this, last = caller_host_] {
+    at(now_ + plan_.resend_after, [this, last = caller_host_] {
         const auto option = choose(hosts_.size() - 1, [&](std::size_t i) {
             return absl::StrCat("job sent again to ",
                                 i == hosts_.size() - 1
--- a/tests/dispatch/orders/order_model.hpp
+++ b/tests/dispatch/orders/order_model.hpp
@@ -80,6 +80,8 @@
     // A write that is not answered ends as unknown after this.
     duration store_timeout{3'000'000};
     double clock_rate = 1.0; // of the endpoints' clocks
+    // A caller whose connection broke sends its job again after this.
+    duration resend_after{1'300'000};
 };
 
 const std::vector<scenario>& all_scenarios();
--- a/tests/dispatch/orders/order_scenarios.cpp
+++ b/tests/dispatch/orders/order_scenarios.cpp
@@ -252,6 +252,34 @@
               {200ms, cut_endpoint, 0, 0},
               {1200ms, heal}},
              4s});
+        // The others can't reach endpoint 1, so that only endpoint 0, with the
+        // run, gets another holder.
+        add({"one_own_endpoint_kept_in_cut",
+             3,
+             {0, 0},
+             1500,
+             1,
+             false,
+             {{100ms, submit, 0},
+              {110ms, cut_endpoint, 1, 1},
+              {110ms, cut_endpoint, 2, 1},
+              {150ms, cut_store, 0},
+              {200ms, cut, 0},
+              {2200ms, heal}},
+             4s});
+        add({"one_own_endpoint_kept_in_freeze",
+             3,
+             {0, 0},
+             1500,
+             1,
+             false,
+             {{100ms, submit, 0},
+              {110ms, cut_endpoint, 1, 1},
+              {110ms, cut_endpoint, 2, 1},
+              {200ms, freeze, 0},
+              {1200ms, thaw, 0},
+              {2200ms, heal}},
+             4s});
         add({"taken_over_and_back",
              3,
              {1, 1},
@@ -353,6 +381,31 @@
              false,
              {{100ms, submit, 3}, {150ms, kill, 3}, {450ms, start, 3}},
              5s});
+        // The tasks fill one endpoint, so that those sent again go to the
+        // other one.
+        add({"coordinator_gone",
+             4,
+             {1, 3},
+             2500,
+             4,
+             false,
+             {{100ms, submit, 2}, {200ms, kill, 2}},
+             5s});
+        // Sooner than the protocol lets callers send again: only the holder
+        // keeps the second run from starting.
+        add({"sent_again_at_once",
+             4,
+             {1, 1},
+             1500,
+             1,
+             false,
+             {{100ms, submit, 3}, {200ms, kill, 3}},
+             4s,
+             700,
+             false,
+             3s,
+             1.0,
+             100ms});
         add({"endpoint_crashes",
              3,
              {1, 2},
