Text that is nested too deeply is rejected where it is read

What callers could see: nothing was seen. Rows and jobs nested 30,000 deep in a field that nobody reads were accepted; values are read without recursion, but copied and written with it, so that the first copy would have overflowed the stack. A catalogue is written for operators.

Failed before: deeply_nested_text_is_rejected (an endpoint and a catalogue with an odd field were accepted; the others were rejected before too).

--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -198,6 +198,34 @@
     }
 }
 
+// Guards against a process that ends: copying or writing a deeply nested value
+// overflows the stack.
+BOOST_AUTO_TEST_CASE(deeply_nested_text_is_rejected) {
+    const auto nested = [](std::size_t opened, std::size_t closed) {
+        return std::string(opened, '[') + std::string(closed, ']');
+    };
+    for (const auto& odd : {nested(32'000, 32'000), nested(65'000, 0)}) {
+        const auto in_object = "{\"odd\":" + odd + "}";
+        for (const auto& text : {odd, in_object}) {
+            BOOST_TEST(!parse_endpoint("i-1", text).ok());
+            BOOST_TEST(!parse_catalogue(text).ok());
+            BOOST_TEST(!parse_holder("a", "i-1", 1, text).ok());
+            BOOST_TEST(!parse_job(job_id, text).ok());
+            BOOST_TEST(to_string(parse_hold_reply(200, text).call.status) ==
+                       "unanswered");
+        }
+        // An unknown field is ignored, but not at any depth.
+        const auto with_odd_field = [&odd](const std::string& good) {
+            return "{\"odd\":" + odd + "," + good.substr(1);
+        };
+        BOOST_TEST(!parse_endpoint("i-1", with_odd_field(good_endpoint)).ok());
+        BOOST_TEST(!parse_catalogue(with_odd_field(good_catalogue)).ok());
+    }
+    BOOST_TEST(parse_endpoint("i-1", "{\"odd\":\"\\\"" + std::string(200, '[') +
+                                         "\"," + good_endpoint.substr(1))
+                   .ok());
+}
+
 BOOST_AUTO_TEST_CASE(damaged_jobs_are_parsed_or_rejected) {
     std::mt19937_64 random(11);
     int refused = 0;
