A page without a readable row doesn't end a full read

What callers could see: endpoints that are removed although they are listed. Found by reading; the store would have to serve a page of rows without readable keys.

Cause: a page that says that more follows, but of which no row could be read, counted as the last one; the rows after it counted as missing.

--- a/tests/platform/table_follower_test.cpp
+++ b/tests/platform/table_follower_test.cpp
@@ -174,6 +174,15 @@
                 calm_after));
 }
 
+// Guards against endpoints that are removed although they are listed: a page
+// whose rows can't be read ended the full read, and the rows after it counted
+// as missing.
+BOOST_AUTO_TEST_CASE(page_without_a_readable_row_is_read_again) {
+    run_script({ok(7, {"a"}, true), ok(7, {}, true), ok(8, {"b"})});
+    BOOST_TEST(full == string_list{"ab"});
+    BOOST_TEST(source.calls.at(1).from == source.calls.at(2).from);
+}
+
 BOOST_AUTO_TEST_CASE(lost_reply_during_full_read_delivers_no_partial_rows) {
     run_script({ok(7, {"a"}, true), rows_reply{}, ok(8, {"b"})});
     BOOST_TEST(full == string_list{"ab"});
