A row that is not UTF-8 leaves the other rows readable

What callers could see: hosts that stop following a table, and so use endpoints that have left. Found by reading; whether the store serves such text is not known.

Cause: a reply in which the key of one row is not UTF-8 could not be parsed as a whole, and the same reply came again for as long as the row stood.

--- a/tests/platform/table_follower_test.cpp
+++ b/tests/platform/table_follower_test.cpp
@@ -183,6 +183,28 @@
     BOOST_TEST(source.calls.at(1).from == source.calls.at(2).from);
 }
 
+// Guards against hosts that stop following a table: text that is not UTF-8 made
+// the whole reply unreadable, and the same reply came again for as long as the
+// row stood.
+BOOST_AUTO_TEST_CASE(row_that_is_not_utf8_leaves_the_others_readable) {
+    http_result result;
+    result.outcome = http_outcome::answered;
+    result.status = 200;
+    result.body = "{\"ver\":9,\"rows\":[{\"table\":\"t\",\"part\":\"\","
+                  "\"key\":\"odd\xff\",\"value\":\"\",\"ver\":8},"
+                  "{\"key\":7},{\"table\":\"t\",\"key\":\"good\","
+                  "\"value\":\"e30=\",\"ver\":9}]}";
+    const auto reply = parse_rows_reply(result);
+    BOOST_TEST((reply.status == dispatch::store_status::ok));
+    BOOST_TEST(reply.version == 9U);
+    BOOST_REQUIRE(reply.rows.size() == 2U);
+    BOOST_TEST(reply.rows[1].key == "good");
+    BOOST_TEST(reply.rows[1].value == "{}");
+    result.body.resize(40);
+    BOOST_TEST(
+        (parse_rows_reply(result).status == dispatch::store_status::unknown));
+}
+
 BOOST_AUTO_TEST_CASE(lost_reply_during_full_read_delivers_no_partial_rows) {
     run_script({ok(7, {"a"}, true), rows_reply{}, ok(8, {"b"})});
     BOOST_TEST(full == string_list{"ab"});
