--- a/tests/platform/row_host.hpp
+++ b/tests/platform/row_host.hpp
@@ -37,6 +37,7 @@
         return row;
     }
 
+    // All rows of a table, in the order of parts and keys.
     [[nodiscard]] std::vector<stored_row>
     rows_of(const std::string& table) const {
         std::vector<stored_row> found;
@@ -89,6 +90,7 @@
     row_handler rows{"10.1.0.9:1", *this};
     std::map<std::tuple<std::string, std::string, std::string>, stored_row>
         stored;
+    std::vector<dispatch::call_target> targets; // of all calls to endpoints
     // The highest token that each endpoint has seen.
     std::map<std::string, std::uint64_t> tokens_seen;
 
@@ -158,6 +160,7 @@
 
     void answer_calls() {
         for (const auto& call : std::exchange(host.endpoints.holds, {})) {
+            targets.push_back(call.target);
             auto& seen = tokens_seen[call.target.endpoint];
             dispatch::hold_reply reply;
             reply.number = call.number;
