Soak: series of faults on hosts that share failure domains

Seeds from 10000 on play series that overlap: pauses of one or three hosts of 0.2 to 4 s, starts that are carried out while their answer is lost, the connections are reset and the next ones refused, resets, refusals and cuts, lost and late writes, kills, planned stops, SIGHUP, new catalogues, restarts of endpoints; 6 to 12 hosts with small processor shares, so that several hold one failure domain; jobs of 2 to 8 tasks that are sent again at another host after 1,300 ms. All of a seed is drawn before anything runs (soak_plan_test).

A failed seed's line says how often the simulated platform or the proxy stood still.

--- a/scripts/platform_cluster.sh
+++ b/scripts/platform_cluster.sh
@@ -3,14 +3,16 @@
 #
 # Set before `cluster_start`: build (folder of the programs), hosts, endpoints,
 # domains, base_port. With `proxied=yes` the hosts reach each other, the store
-# and the endpoints through a fault_proxy; see `link_fault`. Ports: hosts from
-# base_port + 10, endpoints from + 100, proxied endpoints from + 200, hosts
-# behind the proxy from + 300.
+# and the endpoints through a fault_proxy; see `link_fault`. `cpu_shares` may
+# have the processor share of each host. Ports: hosts from base_port + 10,
+# endpoints from + 100, proxied endpoints from + 200, hosts behind the proxy from
+# + 300; for more hosts or endpoints, `ports_per_kind` replaces the 100.
 
 cluster_dir=""
 declare -A host_pid=()
 system_pid=""
 proxy_pid=""
+ports_per_kind=${ports_per_kind:-100}
 
 host_port() { echo $((base_port + 10 + 4 * $1)); }
 host_peers() { echo "127.0.0.1:$(host_port "$1")"; }
@@ -26,9 +28,9 @@
 proxied_store() { echo "127.0.0.1:$((base_port + 2))"; }
 proxy_control() { echo "127.0.0.1:$((base_port + 3))"; }
 host_listen() { # address behind the proxy
-    echo "127.0.0.1:$((base_port + 300 + $1))"
+    echo "127.0.0.1:$((base_port + 3 * ports_per_kind + $1))"
 }
-endpoint_link() { echo "127.0.0.1:$((base_port + 200 + $1))"; }
+endpoint_link() { echo "127.0.0.1:$((base_port + 2 * ports_per_kind + $1))"; }
 control() { echo "http://127.0.0.1:$((base_port + 1))"; }
 all_callers() { # as a JSON list
     local list="" i
@@ -44,7 +46,7 @@
         -e "s|{{listen.front}}|$(host_callers "$1")|" \
         -e "s|{{listen.ready}}|$(host_ready "$1")|" \
         -e "s|{{ip}}:9464|$(host_operators "$1")|" \
-        -e "s|{{limits.cpu-share}}|1|" \
+        -e "s|{{limits.cpu-share}}|${cpu_shares[$1]:-1}|" \
         -e "s|{{seeds}}|$(host_peers 0)|" \
         -e "s|{{#zones}}.*{{/zones}}|$domains|" \
         -e "s|{{platform.address}}|$(store)|" \
@@ -66,16 +68,18 @@
         links+=",$(host_peers "$i")=$(host_listen "$i")"
     done
     for ((i = 0; i < endpoints; i++)); do
-        links+=",$(endpoint_link "$i")=127.0.0.1:$((base_port + 100 + i))"
+        links+=",$(endpoint_link "$i")"
+        links+="=127.0.0.1:$((base_port + ports_per_kind + i))"
     done
     "$build/fault_proxy" --control "$(proxy_control)" --links "$links" \
         >"$cluster_dir/proxy.log" 2>&1 &
     proxy_pid=$!
 }
 
-link_fault() { # link or "all", fault, delay in ms
+link_fault() { # links or "all", fault, delay in ms, request to lose
     curl -s -o "$cluster_dir/order.out" -X PUT "http://$(proxy_control)/fault" \
-        -d "{\"link\":\"$1\",\"fault\":\"$2\",\"delay_ms\":${3:-0}}"
+        -d "{\"link\":\"$1\",\"fault\":\"$2\",\"delay_ms\":${3:-0},
+            \"request\":\"${4:-POST }\"}"
 }
 
 start_host() { # index
@@ -117,9 +121,10 @@
     [ "${proxied:-}" != yes ] || start_proxy
     "$build/system_stand_in" --store "$(store)" \
         --control "127.0.0.1:$((base_port + 1))" \
-        --first_endpoint_port $((base_port + 100)) \
+        --first_endpoint_port $((base_port + ports_per_kind)) \
         --endpoints "$endpoints" --domains "$domains" --seed "${seed:-7}" \
-        --shown_port_offset "$([ "${proxied:-}" = yes ] && echo 100 || echo 0)" \
+        --shown_port_offset \
+        "$([ "${proxied:-}" = yes ] && echo "$ports_per_kind" || echo 0)" \
         >"$cluster_dir/system.log" 2>&1 &
     system_pid=$!
     wait_for "$(control)/report" 10 || return 1
--- a/scripts/soak_seed.sh
+++ b/scripts/soak_seed.sh
@@ -2,25 +2,39 @@
 # One seed of the soak test: real hosts on the simulated platform, behind a
 # fault-injecting proxy, under overlapping signals and faults, with invariants
 # checked meanwhile. Usage: soak_seed.sh BUILD SEED BASE_PORT [HOSTS ENDPOINTS].
-# Prints "seed N ok" or "seed N FAILED ... logs=FOLDER" and exits with 1 on
-# failure. With show_plan=yes in the environment it only prints the random
-# numbers of the seed. Logs of the newest 20 runs that were kept are in
+# Prints "seed N ok" or "seed N FAILED ... stalls=M logs=FOLDER" and exits with 1
+# on failure; M: how often the simulated platform or the proxy stood still.
+# Seeds from 10000 on play series of faults (soak_series.sh) on more hosts. With
+# show_plan=yes in the environment it only prints the random numbers, or the
+# series, of the seed. Logs of the newest 20 runs that were kept are in
 # build/soak-logs: those of failed seeds, with keep_logs=yes in the environment
 # of all.
 set -u
 build=$1 seed=$2 base_port=$3
 cd "$(dirname "$0")/.."
+source scripts/soak_series.sh
 RANDOM=$seed
-hosts=${4:-$((3 + RANDOM % 4))} endpoints=${5:-$((6 + RANDOM % 10))}
-domains=d1,d2,d3 proxied=yes
+domains=d1,d2,d3 proxied=yes cpu_shares=()
+first_series_seed=10000
 # All random numbers are drawn here: bash reseeds RANDOM in a $(...), and the
 # numbers of a step must not depend on the outcome of earlier steps.
 steps=${steps:-14} draws_per_step=8
-jobs_per_s=$((40 + RANDOM % 40))
 plan=()
-for ((step = 0; step < steps * draws_per_step; step++)); do
-    plan+=("$RANDOM")
-done
+if [ "$seed" -ge $first_series_seed ]; then
+    hosts=${4:-$((6 + RANDOM % 7))} endpoints=${5:-$((12 + RANDOM % 13))}
+    plan_series
+    # About half of the endpoints' capacity.
+    jobs_per_s=${JOBS_PER_S:-$((endpoints * 2))}
+    load="\"jobs\":$((jobs_per_s * load_ms / 1000)),\"mixed\":true"
+    load+=",\"task_cpu\":2000,\"timeouts\":3"
+else
+    hosts=${4:-$((3 + RANDOM % 4))} endpoints=${5:-$((6 + RANDOM % 10))}
+    jobs_per_s=$((40 + RANDOM % 40))
+    for ((step = 0; step < steps * draws_per_step; step++)); do
+        plan+=("$RANDOM")
+    done
+    load="\"jobs\":${jobs:-400}"
+fi
 if [ "${show_plan:-}" = yes ]; then
     echo "hosts=$hosts endpoints=$endpoints jobs_per_s=$jobs_per_s ${plan[*]}"
     exit 0
@@ -119,7 +133,9 @@
     clear_planned_stop
     revive "$1"
 }
-heal_store() { control_store '{"mode":"up","lose":0,"delay_ms":2}'; }
+heal_store() {
+    control_store '{"mode":"up","lose":0,"late_ms":0,"delay_ms":2}'
+}
 heal_link() { link_fault "$1" none; }
 heal_endpoint() { order /endpoint "{\"index\":$1,\"mode\":\"ok\"}"; }
 
@@ -202,6 +218,16 @@
     done
 }
 
+run_steps() {
+    for ((step = 0; step < steps; step++)); do
+        inject_fault
+        sleep "0.$((1 + plan[step * draws_per_step + 7] % 9))"
+        watch_catalogue
+        run_endings due
+    done
+    run_endings all
+}
+
 calm_load() { # name, jobs that have to complete
     begin_load "\"jobs\":$2,\"jobs_per_s\":20"
     wait_for_load 60 || fail "$1: the load does not end"
@@ -212,14 +238,8 @@
 cluster_start || fail "the hosts do not start"
 for ((i = 0; i < hosts; i++)); do state[$i]=up; done
 if [ ${#failures[@]} -eq 0 ]; then
-    begin_load "\"jobs\":${jobs:-400},\"jobs_per_s\":$jobs_per_s"
-    for ((step = 0; step < steps; step++)); do
-        inject_fault
-        sleep "0.$((1 + plan[step * draws_per_step + 7] % 9))"
-        watch_catalogue
-        run_endings due
-    done
-    run_endings all
+    begin_load "$load,\"jobs_per_s\":$jobs_per_s"
+    if [ "$seed" -ge $first_series_seed ]; then run_series; else run_steps; fi
     heal_store
     link_fault all none
     wait_for_load 60 || fail "the load does not end"
@@ -254,6 +274,8 @@
     exit 0
 fi
 archive_logs
+# Of this test's own processes, for example on a busy machine.
+stalls=$(cat "$folder/proxy.log" "$folder/system.log" | grep -c "stood still")
 echo "seed $seed FAILED hosts=$hosts endpoints=$endpoints:$(printf ' %s;' \
-    "${failures[@]}") logs=$folder"
+    "${failures[@]}") stalls=$stalls logs=$folder"
 exit 1
--- a/tests/soak_plan_test.sh
+++ b/tests/soak_plan_test.sh
@@ -19,4 +19,10 @@
 expect "another seed draws something else" [ "$first" != "$(drawn_by 108)" ]
 later=$(sed '1,/show_plan:-/d' scripts/soak_seed.sh | grep -c RANDOM)
 expect "nothing is drawn later" [ "$later" -eq 0 ]
+series=$(drawn_by 10003)
+expect "a plan of series" grep -q pause_hosts <<<"$series"
+expect "the same series again" [ "$series" = "$(drawn_by 10003)" ]
+expect "another seed draws other series" [ "$series" != "$(drawn_by 10004)" ]
+later=$(sed '/^plan_series/,/^}/d' scripts/soak_series.sh | grep -c RANDOM)
+expect "series draw nothing later" [ "$later" -eq 0 ]
 [ $failures -eq 0 ] && echo "soak plan ok"
