Log why a start or stop call got no answer, and delays of a process

- start_call_failed, stop_call_failed: one line a call whose answer doesn't say whether it took effect, or that was not sent: libcurl's error, HTTP status, bytes sent and received, connections opened, time from the call to its handler.
The last one includes the delay of a process that reads an answer too late.
- process_delayed: a gap between two inputs of 100 to 400 ms.
- figridge_tick_interval_seconds: histogram of the time between two ticks.

Decisions don't change: the fields of the failure are read from libcurl only after a call has failed; an answered call costs one more reading of the clock. Lines are bounded by the log's rate limit as all are.

libcurl counts a refused connection as none opened: a start on a kept connection that is reset and then refused has sent_bytes above 0 and connects=0.

A handle that is kept for reuse is reset when its transfer ends, not when it is used again, since its options point into the transfer.

--- a/include/figridge/ports.hpp
+++ b/include/figridge/ports.hpp
@@ -137,7 +137,12 @@
 
 using log_fields = std::vector<std::pair<std::string_view, std::string>>;
 
-enum class latency_metric { response_time, queue_time, task_time };
+enum class latency_metric {
+    response_time,
+    queue_time,
+    task_time,
+    tick_interval, // between two ticks
+};
 
 // Receives log events, latencies and counter increments.
 class observer_port {
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -39,7 +39,6 @@
     }
     auto* easy = idle_.back();
     idle_.pop_back();
-    curl_easy_reset(easy);
     return easy;
 }
 
@@ -48,6 +47,7 @@
     auto open = std::make_unique<transfer>();
     open->call = std::move(call);
     open->done = std::move(done);
+    open->sent_at = event_loop::now();
     const auto& sent = open->call;
     curl_easy_setopt(easy, CURLOPT_URL, sent.url.c_str());
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -57,6 +57,7 @@
                      static_cast<long>(to_ms(sent.timeout)));
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_response_data);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, open.get());
+    curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, open->error.data());
     if (sent.method != "GET") {
         // libcurl cannot rewind a body that it reads through a callback
         // without seeking, so it does not repeat the request when a reused
@@ -146,8 +147,28 @@
     }
 }
 
+http_failure http_client::describe_failure(CURL* easy, CURLcode code,
+                                           const transfer& open) {
+    http_failure failure;
+    failure.error = open.error.front() != '\0' ? open.error.data()
+                                               : curl_easy_strerror(code);
+    long request_size = 0;
+    long header_size = 0;
+    long connections = 0;
+    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_size);
+    curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &header_size);
+    curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connections);
+    failure.bytes_sent = request_size;
+    failure.bytes_received =
+        header_size + static_cast<std::int64_t>(open.response_body.size());
+    failure.connections_opened = static_cast<int>(connections);
+    failure.elapsed = event_loop::now() - open.sent_at;
+    return failure;
+}
+
 void http_client::finish(CURL* easy, CURLcode code) {
     http_result result;
+    const auto ended = std::move(open_.extract(easy).mapped());
     if (code == CURLE_OK) {
         long status = 0;
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
@@ -156,18 +177,17 @@
     } else {
         // The attempt that could not connect may have followed one that sent
         // the request on a reused connection.
-        long bytes_sent = 0;
-        curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &bytes_sent);
-        result.outcome = code == CURLE_COULDNT_CONNECT && bytes_sent == 0
-                             ? http_outcome::not_sent
-                             : http_outcome::lost;
-        result.error = curl_easy_strerror(code);
+        result.failure = describe_failure(easy, code, *ended);
+        result.outcome =
+            code == CURLE_COULDNT_CONNECT && result.failure.bytes_sent == 0
+                ? http_outcome::not_sent
+                : http_outcome::lost;
     }
-    const auto ended = std::move(open_.extract(easy).mapped());
     result.body = std::move(ended->response_body);
     curl_multi_remove_handle(multi_, easy);
     curl_slist_free_all(ended->headers);
     if (idle_.size() < max_idle_handles) {
+        curl_easy_reset(easy); // its options refer to `ended`
         idle_.push_back(easy);
     } else {
         curl_easy_cleanup(easy);
--- a/src/adapters/http_client.hpp
+++ b/src/adapters/http_client.hpp
@@ -6,6 +6,8 @@
 #ifndef FIGRIDGE_ADAPTERS_HTTP_CLIENT_HPP
 #define FIGRIDGE_ADAPTERS_HTTP_CLIENT_HPP
 
+#include <array>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -32,11 +34,21 @@
     lost,     // no response, but the server may have received the request
 };
 
+// Why a call ended without an answer. The bytes sent are the sum over all
+// connections that libcurl used for the call.
+struct http_failure {
+    std::string error;
+    std::int64_t bytes_sent = 0;     // of the request, headers included
+    std::int64_t bytes_received = 0; // of the response, headers included
+    int connections_opened = 0;      // without those that were refused
+    duration elapsed{0};             // from `send()` to the handler
+};
+
 struct http_result {
     http_outcome outcome = http_outcome::lost;
     int status = 0;
     std::string body;
-    std::string error;
+    http_failure failure; // empty if the call was answered
 };
 
 // Not thread-safe. The handlers of calls that are open at destruction are not
@@ -61,6 +73,8 @@
         std::string response_body;
         std::size_t body_offset = 0;
         curl_slist* headers = nullptr;
+        timestamp sent_at{0};
+        std::array<char, CURL_ERROR_SIZE> error{};
     };
 
     static int on_socket(CURL* easy, curl_socket_t socket, int what, void* self,
@@ -73,6 +87,8 @@
     void run_socket_action(curl_socket_t socket, int events);
     void finish_transfers();
     void finish(CURL* easy, CURLcode code);
+    static http_failure describe_failure(CURL* easy, CURLcode code,
+                                         const transfer& open);
     CURL* acquire_handle();
 
     event_loop& loop_;
--- a/src/adapters/log_observer.cpp
+++ b/src/adapters/log_observer.cpp
@@ -18,9 +18,9 @@
 constexpr unsigned bucket_count = 24;
 constexpr double min_bucket_s = 0.0005;
 constexpr double max_bucket_s = 64.0;
-constexpr std::array<const char*, 3> series_names{"figridge_response_seconds",
-                                                  "figridge_queue_seconds",
-                                                  "figridge_task_seconds"};
+constexpr std::array<const char*, 4> series_names{
+    "figridge_response_seconds", "figridge_queue_seconds",
+    "figridge_task_seconds", "figridge_tick_interval_seconds"};
 
 spdlog::level::level_enum to_spdlog(log_level level) {
     switch (level) {
--- a/src/adapters/log_observer.hpp
+++ b/src/adapters/log_observer.hpp
@@ -56,7 +56,7 @@
         double sum_s = 0;
         std::uint64_t count = 0;
     };
-    std::array<series, 3> series_;
+    std::array<series, 4> series_;
     std::map<std::pair<std::string_view, std::string_view>, std::uint64_t>
         counts_;
 };
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -11,6 +11,9 @@
 constexpr duration shared_work_refresh_interval = 1s;
 // Only a suspended or starved process has longer gaps between inputs.
 constexpr duration suspension_gap = 400ms;
+// Shorter gaps are logged from here on: the answers to calls that were open
+// then may have been read after the calls' time limits (`call_timeout`).
+constexpr duration delay_gap = 100ms;
 // For this long after a holder is lost, any host may have to take over
 // endpoints.
 constexpr duration successor_window = 3s;
@@ -35,6 +38,7 @@
 void dispatcher::start(timestamp now) {
     now_ = now;
     started_at_ = now;
+    ticked_at_ = now;
     for (const auto& seed : settings_.seeds) {
         sessions_.add(now, seed);
     }
@@ -55,6 +59,10 @@
     const auto gap = now - now_;
     now_ = now;
     if (gap < suspension_gap) {
+        if (gap >= delay_gap) {
+            ports_.observer.log(log_level::info, "process_delayed",
+                                {{"gap_ms", ms_text(gap)}});
+        }
         return;
     }
     ports_.observer.log(log_level::warning, "process_stood_still",
@@ -77,6 +85,8 @@
 
 void dispatcher::tick(timestamp now) {
     begin_input(now);
+    ports_.observer.record(latency_metric::tick_interval, now - ticked_at_);
+    ticked_at_ = now;
     refresh_shared_work(now);
     sessions_.tick(now);
     holder_.tick(now);
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -183,6 +183,7 @@
     peer_sessions sessions_;
     timestamp now_{0};
     timestamp started_at_{0};
+    timestamp ticked_at_{0};
     timestamp next_check_{0};
     timestamp next_shared_work_refresh_{0};
     payload to_self_;
--- a/src/figridgectl/host_client.cpp
+++ b/src/figridgectl/host_client.cpp
@@ -15,7 +15,7 @@
     client_.send(std::move(call), [this, &reply](const http_result& result) {
         reply.reached = result.outcome == http_outcome::answered;
         reply.status = result.status;
-        reply.error = result.error;
+        reply.error = result.failure.error;
         if (auto parsed = parse_json(result.body); parsed.ok()) {
             reply.body = std::move(*parsed);
         }
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -211,6 +211,25 @@
     BOOST_TEST((callers.answers[0].second.outcome == job_outcome::completed));
 }
 
+// Guards against second runs whose record doesn't tell whether the process read
+// answers late: it was delayed for less than a suspension.
+BOOST_AUTO_TEST_CASE(delay_below_a_suspension_is_logged) {
+    complete_takeover();
+    advance(500ms);
+    BOOST_REQUIRE(observer.lines["process_delayed"].empty());
+    now += 250ms;
+    core.submit(now, 1, make_job("0123456789abcdef"));
+    core.tick(now);
+    const auto& delays = observer.lines["process_delayed"];
+    BOOST_REQUIRE_EQUAL(delays.size(), 1U);
+    BOOST_TEST(delays.front().at("gap_ms") == "250");
+    BOOST_TEST(observer.lines["process_stood_still"].empty());
+    const auto& intervals = observer.latencies[latency_metric::tick_interval];
+    BOOST_REQUIRE(intervals.size() > 2U);
+    BOOST_TEST(to_ms(intervals.back()) == 250);
+    BOOST_TEST(to_ms(intervals[intervals.size() - 2]) == 25);
+}
+
 BOOST_AUTO_TEST_CASE(long_suspension_abandons_jobs_and_starts_no_tasks) {
     complete_takeover();
     core.submit(now, 1, make_job("0123456789abcdef", 3));
--- a/tests/dispatch/quiet_dispatcher.hpp
+++ b/tests/dispatch/quiet_dispatcher.hpp
@@ -3,7 +3,7 @@
 #define FIGRIDGE_TESTS_DISPATCH_QUIET_DISPATCHER_HPP
 
 #include "core/dispatch/dispatcher.hpp"
-#include "quiet_observer.hpp"
+#include "recording_observer.hpp"
 #include "session_fixture.hpp"
 
 namespace figridge::dispatch {
@@ -102,7 +102,7 @@
     recording_endpoint_port endpoints;
     recording_store_port store;
     recording_caller_port callers;
-    quiet_observer observer;
+    recording_observer observer;
     dispatcher core;
 };
 
--- /dev/null
+++ b/tests/platform/endpoint_calls_test.cpp
@@ -0,0 +1,87 @@
+// endpoint_calls: the log lines of calls without an answer.
+#include <boost/test/unit_test.hpp>
+
+#include "dispatch/quiet_dispatcher.hpp"
+#include "endpoint_calls.hpp"
+#include "resetting_server.hpp"
+
+namespace figridge::platform {
+namespace {
+
+// Passes the replies to a dispatcher that holds no endpoint.
+struct calls_fixture {
+    calls_fixture() { calls.attach(host.core); }
+
+    dispatch::call_target target{"endpoint-1", "127.0.0.1:24910", 7};
+    dispatch::task_run run{{"0123456789abcdef", 2, 3}, 4};
+    event_loop loop;
+    http_client client{loop};
+    dispatch::recording_observer observer;
+    endpoint_calls calls{client, observer, 50ms};
+    dispatch::quiet_dispatcher host;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(endpoint_calls_test, calls_fixture)
+
+// Guards against a record of a second run that doesn't tell whether the
+// endpoint can have received the first start.
+BOOST_AUTO_TEST_CASE(start_call_without_an_answer_is_logged_with_its_cause) {
+    calls.start({target, run, "payload", 1000});
+    loop.run_for(100ms);
+    const auto& lines = observer.lines["start_call_failed"];
+    BOOST_REQUIRE_EQUAL(lines.size(), 1U);
+    auto line = lines.front();
+    BOOST_TEST(line["job"] == "0123456789abcdef");
+    BOOST_TEST(line["task"] == "2.3");
+    BOOST_TEST(line["run"] == "4");
+    BOOST_TEST(line["endpoint"] == "endpoint-1");
+    BOOST_TEST(line["token"] == "7");
+    BOOST_TEST(line["outcome"] == "not_sent");
+    BOOST_TEST(line["sent_bytes"] == "0");
+    BOOST_TEST(line["connects"] == "0");
+    BOOST_TEST(!line["error"].empty());
+    BOOST_TEST(!line["elapsed_ms"].empty());
+}
+
+// As above, for the stop of a run.
+BOOST_AUTO_TEST_CASE(stop_call_without_an_answer_is_logged_with_its_cause) {
+    resetting_server server(loop, target.address, after_reset::accept,
+                            "HTTP/1");
+    calls.stop({target, run});
+    loop.run_for(100ms);
+    const auto& lines = observer.lines["stop_call_failed"];
+    BOOST_REQUIRE_EQUAL(lines.size(), 1U);
+    auto line = lines.front();
+    BOOST_TEST(line["outcome"] == "unanswered");
+    BOOST_TEST(line["sent_bytes"] != "0");
+    BOOST_TEST(line["connects"] == "1");
+    BOOST_TEST(!line["error"].empty());
+}
+
+// An HTTP error doesn't say whether the call took effect either.
+BOOST_AUTO_TEST_CASE(start_call_answered_with_an_unknown_status_is_logged) {
+    resetting_server server(loop, target.address, after_reset::accept,
+                            "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\n{}");
+    calls.start({target, run, "payload", 1000});
+    loop.run_for(100ms);
+    const auto& lines = observer.lines["start_call_failed"];
+    BOOST_REQUIRE_EQUAL(lines.size(), 1U);
+    auto line = lines.front();
+    BOOST_TEST(line["outcome"] == "unanswered");
+    BOOST_TEST(line["http_status"] == "500");
+}
+
+// Lines for answered calls would cost time for each task.
+BOOST_AUTO_TEST_CASE(answered_call_is_not_logged) {
+    resetting_server server(loop, target.address, after_reset::accept);
+    calls.start({target, run, "payload", 1000});
+    loop.run_for(100ms);
+    BOOST_TEST(server.requests == 1);
+    BOOST_TEST(observer.lines.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace figridge::platform
