--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -1016,6 +1016,95 @@
     BOOST_TEST(sent.assignments.empty());
 }
 
+// A host that holds two endpoints, each with room for one task. A task of a
+// peer runs on one of them.
+struct holder_of_a_peers_task : quiet_dispatcher {
+    holder_of_a_peers_task() {
+        std::vector<endpoint_record> listed;
+        for (const auto* id : {"endpoint-1", "endpoint-2"}) {
+            listed.push_back(make_endpoint(id));
+            listed.back().capacity = {8'000, 32'768, 0};
+        }
+        core.set_catalogue(1, "one");
+        core.set_endpoints(now, listed);
+        advance(600ms);
+        for (const auto& [request, rows] : std::exchange(store.writes, {})) {
+            core.handle_write_result(now, request, store_status::ok);
+        }
+        for (const auto& call : std::exchange(endpoints.holds, {})) {
+            hold_reply reply;
+            reply.number = call.number;
+            reply.call = {call_status::ok, to_ms(now) + 500};
+            reply.instance_started_ms = 1000;
+            core.handle_hold(now, call.target, reply);
+        }
+        hear(peer);
+        assigned_at = now;
+        hear(peer, 1);
+        BOOST_REQUIRE(endpoints.starts.size() == 1U);
+        core.handle_start(now, endpoints.starts[0].target,
+                          endpoints.starts[0].run,
+                          {call_status::ok, to_ms(now) + 500});
+    }
+
+    // Delivers an envelope of a host that has just heard this one. A sequence
+    // above 0 carries the assignment of the task's first run.
+    void hear(const process_id& from, std::uint64_t sequence = 0) {
+        envelope message;
+        message.from = from;
+        message.failure_domain = "domain-1";
+        message.to_incarnation = 99;
+        message.stamp_us = now.count();
+        message.echo_us = now.count();
+        message.content_echo_us = assigned_at.count();
+        message.sequence = sequence;
+        if (sequence > 0) {
+            message.content.assignments = {{"0123456789abcdef",
+                                            "payload",
+                                            "pool",
+                                            1,
+                                            200'000,
+                                            1'500'000,
+                                            {{{{"0123456789abcdef", 0, 0}, 1},
+                                              {{6000, 64, 0}, 60, {}, {}},
+                                              {}}}}};
+        }
+        core.handle_envelope(now, message);
+    }
+
+    process_id peer{"10.1.0.2:1", 12};
+    timestamp assigned_at{0};
+};
+
+// Guards against two runs at a time by one host, on two of its endpoints: the
+// sender of the assignment fell silent and its row was removed, so its payload
+// was handled again. The envelopes are those of a version without streams.
+BOOST_FIXTURE_TEST_CASE(
+    assignment_handled_again_after_its_sender_was_forgotten_starts_nothing,
+    holder_of_a_peers_task) {
+    advance(500ms);
+    core.remove_member(peer.address);
+    hear(peer, 1);
+    advance(25ms);
+    hear(peer, 1);
+    advance(100ms);
+    BOOST_TEST(endpoints.starts.size() == 1U);
+}
+
+// Guards against the same if the job comes again through another host while the
+// first run goes on.
+BOOST_FIXTURE_TEST_CASE(
+    job_that_comes_through_another_host_starts_no_second_run,
+    holder_of_a_peers_task) {
+    const process_id other{"10.1.0.3:1", 13};
+    advance(100ms);
+    assigned_at = now;
+    hear(other);
+    hear(other, 1);
+    advance(100ms);
+    BOOST_TEST(endpoints.starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
