An odd entry leaves the other endpoints of the list usable

What callers could see, on the other platform: hosts that stop following the list of endpoints, for as long as one entry of it can't be read.

Cause: one entry that could not be read made the whole list unreadable.

Fix: such an entry, or one without a usable address, is left out with a warning each time that the list has changed (endpoint_row_unreadable).

odd_entry_leaves_the_other_endpoints_listed was written with the fix; parsing was no function of its own before.

--- a/src/adapters/platform_http.cpp
+++ b/src/adapters/platform_http.cpp
@@ -3,6 +3,8 @@
 #include <absl/strings/str_cat.h>
 
 #include "codec/json_codec.hpp"
+#include "log_observer.hpp"
+#include "socket_address.hpp"
 
 namespace figridge {
 namespace {
@@ -85,29 +87,47 @@
     client_.send(std::move(call), [this, request](const http_result& result) {
         const bool ok = result.outcome == http_outcome::answered &&
                         result.status == http_ok &&
-                        parse_endpoint_list(result.body);
+                        update_endpoints(result.body);
         events_.on_endpoint_list(request, ok, endpoints_);
     });
 }
 
-// Parses a list; skips one that is identical to the last parsed list.
-bool platform_http::parse_endpoint_list(const std::string& text) {
-    if (!parsed_text_.empty() && text == parsed_text_) {
-        return true;
-    }
+absl::StatusOr<std::vector<endpoint_info>>
+parse_endpoint_list(const std::string& text) {
     const auto body = parse_json(text);
-    if (!body.ok() || !body->is_array()) {
-        return false;
+    if (!body.ok()) {
+        return body.status();
+    }
+    if (!body->is_array()) {
+        return absl::InvalidArgumentError("body: expected an array");
     }
     std::vector<endpoint_info> endpoints;
     for (const auto& item : *body) {
         const auto endpoint = endpoint_from_json(item);
-        if (!endpoint.ok()) {
-            return false;
+        const auto status =
+            endpoint.ok() ? parse_socket_address(endpoint->address).status()
+                          : endpoint.status();
+        if (!status.ok()) {
+            log_event(log_level::warning, "endpoint_row_unreadable",
+                      {{"row", endpoint.ok() ? endpoint->address : ""},
+                       {"error", std::string(status.message())}});
+            continue;
         }
         endpoints.push_back(*endpoint);
     }
-    endpoints_ = std::move(endpoints);
+    return endpoints;
+}
+
+// A list that is identical to the last one is not parsed again.
+bool platform_http::update_endpoints(const std::string& text) {
+    if (!parsed_text_.empty() && text == parsed_text_) {
+        return true;
+    }
+    auto endpoints = parse_endpoint_list(text);
+    if (!endpoints.ok()) {
+        return false;
+    }
+    endpoints_ = *std::move(endpoints);
     parsed_text_ = text;
     return true;
 }
--- a/src/adapters/platform_http.hpp
+++ b/src/adapters/platform_http.hpp
@@ -2,6 +2,8 @@
 #ifndef FIGRIDGE_ADAPTERS_PLATFORM_HTTP_HPP
 #define FIGRIDGE_ADAPTERS_PLATFORM_HTTP_HPP
 
+#include <absl/status/statusor.h>
+
 #include "figridge/ports.hpp"
 #include "http_client.hpp"
 
@@ -18,6 +20,12 @@
                      const std::vector<endpoint_info>& endpoints) = 0;
 };
 
+// Reads the platform's list of endpoints. Entries that cannot be read, or whose
+// address is not an IPv4 address with a port, are left out with a warning.
+// Returns an error if the text is not a list. Thread-safe, but for the log.
+absl::StatusOr<std::vector<endpoint_info>>
+parse_endpoint_list(const std::string& text);
+
 // Owned by the daemon's main object. Not thread-safe.
 class platform_http final : public platform_port {
 public:
@@ -32,7 +40,8 @@
     void read_endpoints(std::uint64_t request) override;
 
 private:
-    bool parse_endpoint_list(const std::string& text);
+    // Returns whether `endpoints_` is the list in `text`.
+    bool update_endpoints(const std::string& text);
     void post(std::uint64_t request, const std::string& path, std::string body);
 
     http_client& client_;
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -1,7 +1,9 @@
-// Submission ids, JSON conversion and edits of the catalogue.
+// Submission ids, JSON conversion, edits of the catalogue and the list of
+// endpoints.
 #define BOOST_TEST_DYN_LINK
 #include <boost/test/unit_test.hpp>
 
+#include "adapters/platform_http.hpp"
 #include "codec/json_codec.hpp"
 #include "figridge/submission_id.hpp"
 
@@ -109,6 +111,31 @@
     BOOST_TEST(next.entries.contains("new"));
 }
 
+// Guards against hosts that stop following the list of endpoints: one entry
+// that could not be read made the whole list unreadable.
+BOOST_AUTO_TEST_CASE(odd_entry_leaves_the_other_endpoints_listed) {
+    const auto make_entry = [](const std::string& address,
+                               const std::string& slots) {
+        return R"({"address":")" + address +
+               R"(","failure_domain":"d1","slots":)" + slots +
+               R"(,"cpu_millis":1000,"memory_mb":64})";
+    };
+    const auto good = make_entry("127.0.0.1:5", "4");
+    for (const auto& odd :
+         {make_entry("127.0.0.1:70000", "4"), make_entry("odd", "4"),
+          make_entry("127.0.0.1:6", "18446744073709551616"),
+          make_entry("127.0.0.1:6", "-1"), std::string("{}"), std::string("7"),
+          std::string(30'000, '[') + std::string(30'000, ']')}) {
+        BOOST_TEST_CONTEXT("entry " << odd.substr(0, 80)) {
+            const auto list = parse_endpoint_list("[" + odd + "," + good + "]");
+            BOOST_REQUIRE(list.ok());
+            BOOST_REQUIRE(list->size() == 1U);
+            BOOST_TEST(list->front().address == "127.0.0.1:5");
+        }
+    }
+    BOOST_TEST(!parse_endpoint_list("{}").ok());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge
