Calls to an address where another endpoint answers are made with pauses

What callers could see: a good worker that is kept busy. An entry of the list with the address of another worker led to a call with each tick, 40 a second, from each host that holds one.

Cause: each answer 421 began a new instance and set the number of failed calls to one, and the first failed call is repeated at once.

Fix: these answers count like other failed calls, with pauses up to 500 ms.

Failed before: endpoint_of_another_instance_is_polled_with_pauses (81 calls in 2 s instead of at most 8). Held before and after: entry_of_an_instance_that_never_began_ends_no_run (a start far in the future in the list, while the endpoint says otherwise).

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -231,7 +231,9 @@
         return false;
     case call_status::other_instance:
         end_instance(now);
-        failed_calls_ = 1;
+        // Counts, so that calls to an address where another endpoint answers
+        // are repeated with growing pauses.
+        ++failed_calls_;
         return false;
     case call_status::not_sent:
     case call_status::unanswered:
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -613,6 +613,50 @@
     BOOST_TEST(events.started.size() == 1U);
 }
 
+// Guards against a busy endpoint: an entry of the platform's list that names
+// the address of another endpoint led to a call with each tick.
+BOOST_AUTO_TEST_CASE(endpoint_of_another_instance_is_polled_with_pauses) {
+    answer_hold({});
+    const auto before = port.holds.size();
+    for (const auto end = now + 2s; now < end;) {
+        if (port.holds.size() > answered_holds) {
+            answered_holds = port.holds.size();
+            hold_reply other;
+            other.number = port.holds.back().number;
+            other.call = {call_status::other_instance, -1};
+            session->handle_hold(now, other);
+        }
+        if (port.starts.empty()) {
+            start(0); // ends the pause of an idle endpoint
+            answer_start(0);
+        }
+        pass(25ms);
+    }
+    // Pauses of 0, 100, 200, 300, 400 and 500 ms.
+    BOOST_TEST(port.holds.size() - before <= 8U);
+    answer_hold({});
+    BOOST_TEST(session->accepts_tasks());
+}
+
+// Guards against runs that are given up, or an endpoint that is not used any
+// more, when its entry in the platform's list has a start far in the future.
+BOOST_AUTO_TEST_CASE(entry_of_an_instance_that_never_began_ends_no_run) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    auto odd = endpoint;
+    odd.instance_started_ms = 9'000'000'000'000'000;
+    for (int i = 0; i < 4; ++i) {
+        const auto before = renewals();
+        session->update(now, odd);
+        stay_without_stops({run_of(0)}, 500ms);
+        BOOST_TEST(events.ends.empty());
+        BOOST_TEST(session->accepts_tasks());
+        BOOST_TEST(renewals() > before);
+    }
+    BOOST_TEST(port.stops.empty());
+}
+
 // Guards against duplicate runs: the caller of a coordinator that ended resends
 // its job 1.3 s later, while the lease was renewed until 700 ms after that end.
 BOOST_AUTO_TEST_CASE(
