A lease is renewed as soon as its endpoint answers again

Seen by callers: tasks on an endpoint that was out of reach for 600 to 900 ms end with the lease and run again, although the endpoint answered before the lease had ended.

Cause: the delay before a failed poll is repeated grows to 500 ms, with each failed call of any kind. An answer to another call, such as the stop of an unanswered start, left the next poll where it was, up to 500 ms later, so the lease of 1,000 ms ran out.

Fix: the first answer after a failed poll makes the next poll due at once.

No proof of docs/design/proofs.md changes: a lease is still renewed only if the last call was answered, never for a revoked run, and each renewal counts in the latest deadline that the end of a silent endpoint's runs is taken from.

Test lease_is_renewed_once_an_endpoint_answers_again failed before (1 renewal where 2 are right).

A lost start isn't decided sooner: before the endpoint answers, only the lease says that its run is over.

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <set>
+#include <utility>
 
 #include "core/name_table.hpp"
 
@@ -241,6 +242,9 @@
         return false;
     default:
         failed_calls_ = 0;
+        if (std::exchange(poll_delay_, duration{0}) > duration{0}) {
+            next_poll_ = now; // the lease may be about to end
+        }
         // The answer to a start or stop may be from a later instance, so it
         // does not set a clock that is not known.
         if (reply.clock_ms >= 0 && clock_.is_known() && of_present_instance) {
@@ -250,6 +254,16 @@
     }
 }
 
+// The first failed poll is repeated at once, so that leases can still be
+// renewed in time.
+duration endpoint_session::next_retry_delay() {
+    if (failed_calls_ == 0) {
+        return retry_delay;
+    }
+    return std::exchange(poll_delay_,
+                         std::min(poll_delay_ + retry_delay, max_retry_delay));
+}
+
 void endpoint_session::handle_hold(timestamp now, const hold_reply& reply) {
     if (reply.number != 0 && reply.number <= calls_before_) {
         return;
@@ -264,10 +278,7 @@
         if (is_list_call) {
             return;
         }
-        // The first failed call is repeated at once, so that leases can still
-        // be renewed in time.
-        const auto delays = failed_calls_ > 0 ? failed_calls_ - 1 : 1;
-        next_poll_ = now + std::min(retry_delay * delays, max_retry_delay);
+        next_poll_ = now + next_retry_delay();
         return;
     }
     const bool other_instance =
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -139,6 +139,8 @@
     // Returns whether the endpoint answered and is still held.
     bool process_call_reply(timestamp now, const call_reply& reply,
                             bool of_present_instance);
+    // Delay before the poll that has just failed is repeated.
+    duration next_retry_delay();
 
     const dispatch_settings& settings_;
     endpoint_port& port_;
@@ -167,6 +169,9 @@
     timestamp idle_since_{0};
     timestamp claims_until_{0};
     std::uint32_t failed_calls_ = 0;
+    // Delay before the next failed poll is repeated; 0 if the last one was
+    // answered, or any call since.
+    duration poll_delay_{0};
     bool gone_ = false;
     // When a new instance of the endpoint was noticed, if any was.
     std::optional<timestamp> instance_began_at_;
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -479,6 +479,23 @@
     BOOST_TEST(session->ledger().size() == 2U);
 }
 
+// Guards against runs that end with their lease although their endpoint answers
+// again: the next poll waited for up to 500 ms after a stop had been answered.
+BOOST_AUTO_TEST_CASE(lease_is_renewed_once_an_endpoint_answers_again) {
+    answer_hold({});
+    start(1);
+    answer_start(1);
+    start(0);
+    answer_start(0, call_status::unanswered);
+    refuse_calls(600ms);
+    const auto before = renewals();
+    while (unanswered_stops == port.stops.size()) {
+        pass(25ms);
+    }
+    session->handle_stop(now, run_of(0), {call_status::ok, clock_ms()});
+    BOOST_TEST(renewals() == before + 1);
+}
+
 // Guards against duplicate runs: the clock of an idle endpoint was not read, so
 // a start could be carried out later than the bound for the runs of a host that
 // ends allows.
--- a/tests/dispatch/session_fixture.hpp
+++ b/tests/dispatch/session_fixture.hpp
@@ -133,6 +133,24 @@
         }
     }
 
+    // For this time, the endpoint refuses connections.
+    void refuse_calls(duration time) {
+        for (const auto end = now + time; now < end;) {
+            if (port.holds.size() > answered_holds) {
+                answered_holds = port.holds.size();
+                hold_reply reply;
+                reply.number = port.holds.back().number;
+                reply.call.status = call_status::not_sent;
+                session->handle_hold(now, reply);
+            }
+            for (; unanswered_stops < port.stops.size(); ++unanswered_stops) {
+                session->handle_stop(now, port.stops[unanswered_stops].run,
+                                     {call_status::not_sent, -1});
+            }
+            pass(25ms);
+        }
+    }
+
     // Number of calls that renewed the lease.
     [[nodiscard]] std::ptrdiff_t renewals() const {
         return std::count_if(port.holds.begin(), port.holds.end(),
