More odd rows in tests: real processes, and workers that can't be reached

The platform test stores, beside the rows of hosts, entries of workers that are nested 30,000 deep, have a number too large or a port out of range, and a row of `holders` with a token of 2^53: each host warns once a row, goes on, and each endpoint has a holder again.

--- a/tests/platform/row_handler_test.cpp
+++ b/tests/platform/row_handler_test.cpp
@@ -242,6 +242,37 @@
     BOOST_TEST(one.gauge("endpoints_held") == 0.0);
 }
 
+// Guards against calls and writes that do not end: an entry names a port where
+// nothing listens.
+BOOST_AUTO_TEST_CASE(endpoint_that_can_not_be_reached_costs_one_write) {
+    row_host one;
+    one.unreachable = "10.0.0.2:9";
+    one.put(operator_table, "", catalogue_key,
+            R"({"version":7,"routes":[],"services":[]})");
+    one.put(endpoint_table, "", "good", make_endpoint_text());
+    one.put(endpoint_table, "", "odd", make_endpoint_text(one.unreachable));
+    one.read_all();
+    one.advance(10s);
+    std::size_t writes = 0;
+    for (const auto& [request, batch] : one.host.store.writes) {
+        writes += static_cast<std::size_t>(
+            std::count_if(batch.begin(), batch.end(), [](const auto& record) {
+                return record.endpoint == "odd";
+            }));
+    }
+    BOOST_TEST(writes == 1U);
+    const auto calls = std::count_if(
+        one.targets.begin(), one.targets.end(),
+        [](const auto& target) { return target.endpoint == "odd"; });
+    // Pauses grow to 500 ms within six calls.
+    BOOST_TEST(calls <= 6 + 10s / 500ms);
+    BOOST_TEST(one.host.core.is_ready(one.host.now));
+    one.rows.apply_endpoint_snapshot(one.host.now,
+                                     {make_row("good", make_endpoint_text())});
+    one.advance(3s);
+    BOOST_TEST(one.gauge("endpoints_held") == 1.0);
+}
+
 // Guards against a log and a memory that grow with each odd row.
 BOOST_AUTO_TEST_CASE(warnings_about_unreadable_rows_are_bounded) {
     const auto before = logged("endpoint_row_unreadable");
--- a/tests/platform/row_host.hpp
+++ b/tests/platform/row_host.hpp
@@ -91,6 +91,7 @@
     std::map<std::tuple<std::string, std::string, std::string>, stored_row>
         stored;
     std::vector<dispatch::call_target> targets; // of all calls to endpoints
+    std::string unreachable; // an address that refuses connections
     // The highest token that each endpoint has seen.
     std::map<std::string, std::uint64_t> tokens_seen;
 
@@ -161,6 +162,13 @@
     void answer_calls() {
         for (const auto& call : std::exchange(host.endpoints.holds, {})) {
             targets.push_back(call.target);
+            if (call.target.address == unreachable) {
+                dispatch::hold_reply none;
+                none.number = call.number;
+                none.call.status = dispatch::call_status::not_sent;
+                host.core.handle_hold(host.now, call.target, none);
+                continue;
+            }
             auto& seen = tokens_seen[call.target.endpoint];
             dispatch::hold_reply reply;
             reply.number = call.number;
--- a/tests/platform_test.sh
+++ b/tests/platform_test.sh
@@ -25,9 +25,14 @@
         failures=$((failures + 1))
     fi
 }
-put_row() { # table, key, value: as written by another program
+put_row() { # table, key, value, part: as written by another program
     status -X POST -d "{\"set-keys\":[{\"table\":\"$1\",\"key\":\"$2\",
-        \"value\":\"$(base64 -w 0 <<<"$3")\"}]}" "http://$(store)/rows-tx"
+        \"part\":\"${4:-}\",\"value\":\"$(base64 -w 0 <<<"$3")\"}]}" \
+        "http://$(store)/rows-tx"
+}
+nested() { # depth: that many lists in each other
+    printf '[%.0s' $(seq "$1")
+    printf ']%.0s' $(seq "$1")
 }
 wait_for_line() { # text, file; gives up after ten seconds
     local tries=200
@@ -75,18 +80,33 @@
 expect "calm load completed" 60 "$(report_field completed)"
 check_invariants "calm load"
 
-# Rows of another writer name no host, now and after a restart. Hosts that took
-# them for addresses of peers ended whenever they read them.
+# Rows of another writer name no host or worker, now and after a restart. Hosts
+# that took them for addresses of peers ended whenever they read them.
 for key in 127.0.0.1:70000 odd; do
     expect "row $key is stored" 200 "$(put_row hosts "$key" '{}')"
 done
+worker='"service":"pool-1","zone":"d1","state":"ready","capacity":{"cpu":8000'
+expect "deep entry is stored" 200 "$(put_row servers deep \
+    "{\"odd\":$(nested 30000),\"address\":\"127.0.0.1:9\",$worker}}")"
+expect "entry with a large number is stored" 200 "$(put_row servers large \
+    "{\"address\":\"127.0.0.1:9\",$worker,\"gpu\":1e999}}")"
+expect "entry with an odd port is stored" 200 "$(put_row servers port \
+    "{\"address\":\"127.0.0.1:70000\",$worker}}")"
+expect "odd holder is stored" 200 "$(put_row holders endpoint-0 \
+    '{"host":"127.0.0.1:9","incarnation":7,"token":9007199254740992}' d1)"
 for ((i = 0; i < hosts; i++)); do
-    wait_for_line "event=host_row_unreadable row=odd" "$cluster_dir/host$i.log"
-    expect "odd rows logged by host $i" 2 \
-        "$(grep -c event=host_row_unreadable "$cluster_dir/host$i.log")"
+    for name in odd deep large port endpoint-0; do
+        wait_for_line "_row_unreadable row=$name" "$cluster_dir/host$i.log"
+        expect "rows $name logged by host $i" 1 \
+            "$(grep -c "_row_unreadable row=$name" "$cluster_dir/host$i.log")"
+    done
+    expect "odd rows logged by host $i" 6 \
+        "$(grep -c _row_unreadable "$cluster_dir/host$i.log")"
     expect "host $i goes on" 200 \
         "$(status "${as[@]}" "http://$(host_callers "$i")/jobs/")"
 done
+wait_for_endpoints 20
+expect "each endpoint has a holder again" 0 $?
 
 # A new catalogue comes into force on every host, with the store reachable from
 # all of them.
