--- a/tests/dispatch/orders/order_model.hpp
+++ b/tests/dispatch/orders/order_model.hpp
@@ -12,6 +12,7 @@
 #ifndef FIGRIDGE_TESTS_DISPATCH_ORDERS_ORDER_MODEL_HPP
 #define FIGRIDGE_TESTS_DISPATCH_ORDERS_ORDER_MODEL_HPP
 
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -82,6 +83,8 @@
     double clock_rate = 1.0; // of the endpoints' clocks
     // A caller whose connection broke sends its job again after this.
     duration resend_after{1'300'000};
+    // With more deviations, two runs may be no fault.
+    std::size_t max_depth = std::numeric_limits<std::size_t>::max();
 };
 
 const std::vector<scenario>& all_scenarios();
