A stop that a former instance answered doesn't count for the next one

What callers could see: a task running twice, after an endpoint started again under its id with a start in flight.

Cause: a stop that is in flight when a later instance is noticed stays in flight, and an answer to it counted for that instance. The answer may be of the former one: it is read late, or overtaken by the platform's list or a list of runs on another connection. The next list of the present instance, which has seen no stop, then proved the start "lost: not listed after its stop", and the task was placed again. The start may still be carried out there: the instance knows no run number and no token, and the start's deadline is on the former clock, so far ahead. Answers read before the restart was noticed were reset already.

Fix: begin_instance marks the stop in flight; its answer decides nothing, and the stop is sent again at once. The mark also replaces the comparison of times for the clock of stop answers.

Failed before: late_stop_answer_of_a_former_instance_decides_nothing (the run was lost after the first list; 1 stop instead of 2).

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -487,6 +487,7 @@
         // Clock readings and stops of the former instance do not apply.
         entry.lease_deadline_ms = unknown_deadline;
         entry.stop_answered_at_call.reset();
+        entry.stop_outdated = entry.stop_in_flight;
         entry.next_stop = now;
     }
 }
@@ -577,7 +578,7 @@
                          entry.state != run_state::starting;
         if (due) {
             entry.stop_in_flight = true;
-            entry.stop_sent_at = now;
+            entry.stop_outdated = false;
             port_.stop({target(), run});
         }
     }
@@ -586,14 +587,16 @@
 void endpoint_session::handle_stop(timestamp now, const task_run& run,
                                    const call_reply& reply) {
     auto* entry = ledger_.find(run);
-    process_call_reply(now, reply,
-                       entry != nullptr && is_of_instance(entry->stop_sent_at));
+    process_call_reply(now, reply, entry != nullptr && !entry->stop_outdated);
     entry = ledger_.find(run);
     if (entry == nullptr) {
         return;
     }
     entry->stop_in_flight = false;
-    if (reply.status == call_status::ok) {
+    if (entry->stop_outdated) {
+        // A later instance has not seen this stop.
+        entry->next_stop = now;
+    } else if (reply.status == call_status::ok) {
         const bool awaited = awaits_revocation();
         entry->stop_answered_at_call = calls_sent_;
         if (awaited && !awaits_revocation()) {
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -274,6 +274,31 @@
     BOOST_TEST(session->free_resources().cpu_millis == 16'000U);
 }
 
+// Guards against duplicate runs: the former instance answered the stop, and the
+// answer is read after the next instance was noticed. That one has seen no stop
+// and may still carry the start out.
+BOOST_AUTO_TEST_CASE(late_stop_answer_of_a_former_instance_decides_nothing) {
+    answer_hold({});
+    start(0);
+    now += 150ms;
+    answer_start(0, call_status::unanswered);
+    BOOST_REQUIRE_EQUAL(port.stops.size(), 1U);
+    auto restarted = endpoint;
+    restarted.instance_started_ms = 3000;
+    session->update(now, restarted);
+    session->handle_stop(now, run_of(0), {call_status::ok, clock_ms()});
+    pass(25ms);
+    answer_hold({}, {}, 3000);
+    pass(25ms);
+    answer_hold({}, {}, 3000);
+    BOOST_TEST(events.ends.empty());
+    BOOST_REQUIRE_EQUAL(port.stops.size(), 2U);
+    session->handle_stop(now, run_of(0), {call_status::ok, clock_ms()});
+    pass(25ms);
+    answer_hold({}, {}, 3000);
+    BOOST_TEST(events.ends.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(runs_are_lost_if_the_next_instance_never_answers) {
     answer_hold({});
     start(0);
