A list of yet another instance resets what the one before it answered

What callers could see: a task running twice, after an endpoint started again twice under its id with a start in flight.

Cause: a list of another instance was taken for the beginning of one only if the clock was known. After the platform's list has shown an instance, the clock is not known until that one's first list. If it answers a stop and ends before that list, the next instance's first list met a stop that counted as answered: the start was "lost: not listed after its stop" and the task placed again, while the start may still be carried out on an instance that has seen no stop.

Fix: each list of another instance begins one, whatever is known of the clock. No run starts while the clock is not known, so only stops, numbers of ends and the number of the last call are reset. Since the latter is, an answer that the instance in between gave late is ignored too.

Failed before: stop_is_repeated_if_an_instance_ends_before_its_list (lost; 2 stops instead of 3).

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -304,7 +304,7 @@
         suspended_at_call_.reset();
     }
     if (later_instance) {
-        if (endpoint_.instance_started_ms != 0 && clock_.is_known()) {
+        if (endpoint_.instance_started_ms != 0) {
             begin_instance(now);
         }
         endpoint_.instance_started_ms = reply.instance_started_ms;
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -299,6 +299,30 @@
     BOOST_TEST(events.ends.size() == 1U);
 }
 
+// Guards against duplicate runs: the endpoint restarts a second time before the
+// list of the instance that answered the stop.
+BOOST_AUTO_TEST_CASE(stop_is_repeated_if_an_instance_ends_before_its_list) {
+    answer_hold({});
+    start(0);
+    now += 150ms;
+    answer_start(0, call_status::unanswered);
+    auto restarted = endpoint;
+    restarted.instance_started_ms = 3000;
+    session->update(now, restarted);
+    session->handle_stop(now, run_of(0), {call_status::unanswered, -1});
+    pass(125ms);
+    BOOST_REQUIRE_EQUAL(port.stops.size(), 2U);
+    session->handle_stop(now, run_of(0), {call_status::ok, 100});
+    pass(25ms);
+    session->handle_hold(now, {{}, 0, {}, {}, port.holds.back().number});
+    pass(200ms);
+    answer_hold({}, {}, 4000);
+    pass(25ms);
+    answer_hold({}, {}, 4000);
+    BOOST_TEST(events.ends.empty());
+    BOOST_REQUIRE_EQUAL(port.stops.size(), 3U);
+}
+
 BOOST_AUTO_TEST_CASE(runs_are_lost_if_the_next_instance_never_answers) {
     answer_hold({});
     start(0);
