Another endpoint's late answer at a former address ends no run

What callers could see: a task running twice, after an endpoint started again under its id at another address.

Cause: an answer of another instance (421) to any call ended all runs as lost, also if the call had been sent before the present instance was noticed. The endpoint that has the former address by then refuses calls that were meant for the former instance; read late, or overtaken by the first list at the new address, that refusal gave up the runs of the present one, without a stop or a list.

Fix: it counts only if the call was sent after the present instance was noticed: by the number of a call for a list, by the time of a start, by the mark of a stop. The refused start itself is over, as before.

Failed before: late_answer_at_a_former_address_ends_no_run (the run on the present instance was lost).

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -223,6 +223,10 @@
     return !instance_began_at_ || sent_at > *instance_began_at_;
 }
 
+bool endpoint_session::is_of_instance(std::uint64_t call) const {
+    return !last_call_before_instance_ || call > *last_call_before_instance_;
+}
+
 bool endpoint_session::process_call_reply(timestamp now,
                                           const call_reply& reply,
                                           bool of_present_instance) {
@@ -231,7 +235,10 @@
         fence();
         return false;
     case call_status::other_instance:
-        end_instance(now);
+        // A former instance may have had another address.
+        if (of_present_instance) {
+            end_instance(now);
+        }
         // Counts, so that calls to an address where another endpoint answers
         // are repeated with growing pauses.
         ++failed_calls_;
@@ -275,7 +282,7 @@
         return;
     }
     if (reply.call.status != call_status::ok) {
-        process_call_reply(now, reply.call, false);
+        process_call_reply(now, reply.call, is_of_instance(reply.number));
         if (is_list_call) {
             return;
         }
@@ -285,9 +292,7 @@
     const bool other_instance =
         reply.instance_started_ms != 0 &&
         reply.instance_started_ms != endpoint_.instance_started_ms;
-    const bool later_instance =
-        other_instance && (!last_call_before_instance_ ||
-                           reply.number > *last_call_before_instance_);
+    const bool later_instance = other_instance && is_of_instance(reply.number);
     if (other_instance && !later_instance) {
         // The former instance answered before it ended. Its lists and its clock
         // say nothing of the present one.
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -135,7 +135,9 @@
     void over(const run_entry& entry, update_kind kind);
     // Whether a call sent then can't have been answered by a former instance.
     [[nodiscard]] bool is_of_instance(timestamp sent_at) const;
-    // `of_present_instance`: the reply's clock is not a former instance's.
+    [[nodiscard]] bool is_of_instance(std::uint64_t call) const;
+    // `of_present_instance`: the call was sent after the present instance was
+    // noticed, so its answer is not a former instance's.
     // Returns whether the endpoint answered and is still held.
     bool process_call_reply(timestamp now, const call_reply& reply,
                             bool of_present_instance);
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -697,6 +697,32 @@
     BOOST_TEST(events.started.size() == 1U);
 }
 
+// Guards against duplicate runs: an endpoint starts again at another address,
+// and the answer of the endpoint that has its former address is read late.
+BOOST_AUTO_TEST_CASE(late_answer_at_a_former_address_ends_no_run) {
+    answer_hold({});
+    start(0);
+    start(1);
+    answer_start(1, call_status::unanswered); // its stop is in flight
+    const auto poll = port.holds.back();
+    auto restarted = endpoint;
+    restarted.address = "10.0.0.2:80";
+    restarted.instance_started_ms = 3000;
+    session->update(now, restarted);
+    hold_reply other;
+    other.number = poll.number;
+    other.call = {call_status::other_instance, -1};
+    session->handle_hold(now, other);
+    pass(25ms);
+    answer_hold({}, {}, 3000);
+    start(2);
+    answer_start(2);
+    answer_start(0, call_status::other_instance);
+    session->handle_stop(now, run_of(1), other.call);
+    BOOST_TEST(session->ledger().find(run_of(2)) != nullptr);
+    BOOST_TEST(session->knows_runs());
+}
+
 // Guards against a busy endpoint: an entry of the platform's list that names
 // the address of another endpoint led to a call with each tick.
 BOOST_AUTO_TEST_CASE(endpoint_of_another_instance_is_polled_with_pauses) {
