--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -269,14 +269,13 @@
 }
 
 // The first failed poll is repeated at once, so that leases can still be
-// renewed in time. The delay grows only while no run needs its lease renewed.
+// renewed in time.
 duration endpoint_session::next_retry_delay() {
     if (failed_calls_ == 0) {
         return retry_delay;
     }
-    const auto longest = ledger_.empty() ? max_retry_delay : retry_delay;
     return std::exchange(poll_delay_,
-                         std::min(poll_delay_ + retry_delay, longest));
+                         std::min(poll_delay_ + retry_delay, max_retry_delay));
 }
 
 void endpoint_session::handle_hold(timestamp now, const hold_reply& reply) {
