--- a/tests/platform/envelope_transport_test.cpp
+++ b/tests/platform/envelope_transport_test.cpp
@@ -5,6 +5,7 @@
 
 #include "adapters/socket_address.hpp"
 #include "dispatch/quiet_dispatcher.hpp"
+#include "dispatch/quiet_observer.hpp"
 #include "envelope_transport.hpp"
 #include "figridged/envelope_link.hpp"
 
