An unanswered start may run on an instance that its holder does not know

The deadline of the start, 300 ms ahead on the clock of the former instance, is far ahead on the new one, which grants a whole lease. The holder counts a silent endpoint's run as lost once the deadline has passed on the former clock, and the task starts elsewhere. That this deadline ended the run is inferred: its run_over line is missing in the log.

--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -368,6 +368,21 @@
     BOOST_TEST(to_ms(waited) < 1150);
 }
 
+// Guards against duplicate runs: the endpoint restarts under its id, carries out
+// a start before its holder knows, and falls silent. The deadline of the start,
+// on the clock of the former instance, passes long before the lease of the run.
+BOOST_AUTO_TEST_CASE(unanswered_start_may_run_on_an_unknown_next_instance) {
+    answer_hold({});
+    pass(2s);
+    start(0);
+    answer_start(0, call_status::unanswered);
+    refuse_calls(1s);
+    BOOST_TEST(events.ends.empty());
+    refuse_calls(250ms);
+    BOOST_REQUIRE_EQUAL(events.ends.size(), 1U);
+    BOOST_TEST((events.ends[0].second == update_kind::lost));
+}
+
 // A lost answer to a renewal must not let the lease expire.
 BOOST_AUTO_TEST_CASE(runs_outlive_one_lost_answer_to_a_renewal) {
     answer_hold({});
