--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -640,8 +640,8 @@
 // --- time -----------------------------------------------------------------
 
 // Time from the sending of a start, or from the detection of a new instance
-// while it was in flight, until its run on a new instance has ended. Starts that
-// may be carried out even later are not covered; they are stopped.
+// while it was in flight, until its run on a new instance has ended. Starts
+// that may be carried out even later are not covered; they are stopped.
 duration endpoint_session::silent_instance_limit() const {
     const auto drift_allowance = std::chrono::duration_cast<duration>(
         settings_.lease_limit * settings_.clock_drift);
@@ -664,8 +664,8 @@
         const bool may_still_start =
             unanswered && entry.lease_deadline_ms == unknown_deadline;
         // The endpoint may have restarted before the start arrived: on the
-        // clock of the next instance its deadline is far ahead, so the run has a
-        // whole lease.
+        // clock of the next instance its deadline is far ahead, so the run has
+        // a whole lease.
         const bool may_run_on_next_instance =
             unanswered && now - entry.entered_at <= silent_instance_limit();
         if (!may_still_start && !may_run_on_next_instance) {
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -368,9 +368,10 @@
     BOOST_TEST(to_ms(waited) < 1150);
 }
 
-// Guards against duplicate runs: the endpoint restarts under its id, carries out
-// a start before its holder knows, and falls silent. The deadline of the start,
-// on the clock of the former instance, passes long before the lease of the run.
+// Guards against duplicate runs: the endpoint restarts under its id, carries
+// out a start before its holder knows, and falls silent. The deadline of the
+// start, on the clock of the former instance, passes long before the lease of
+// the run.
 BOOST_AUTO_TEST_CASE(unanswered_start_may_run_on_an_unknown_next_instance) {
     answer_hold({});
     pass(2s);
