A removed holder row does not lower the next token

What callers could see: two holders under one token, so a run given up that goes on: the second acknowledges the first one's ends, which then lack on its list. Found by a review, in a scratch run of the row handler and a dispatcher.

Cause: a host forgot the token of an endpoint with its row. After another writer's removal of the row, or a write that conflicts because the endpoint's entry names another failure domain, the next takeover began at 1,000 again and climbed by refusals until it met the token of a holder that is cut off from the store, which the endpoint takes for the same holder.

Fix: a removed row leaves the token, names no holder and has version 0.

The stand-in of the store in row_host.hpp treats an expected row that is not there as a conflict, as the platform does; it took any version then.

--- a/src/core/dispatch/holder_directory.cpp
+++ b/src/core/dispatch/holder_directory.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <set>
 #include <tuple>
+#include <utility>
 
 #include "core/rendezvous.hpp"
 
@@ -112,7 +113,14 @@
 }
 
 void holder_directory::remove_holder(const std::string& endpoint) {
-    generation_ += rows_.erase(endpoint);
+    const auto found = rows_.find(endpoint);
+    if (found == rows_.end()) {
+        return;
+    }
+    auto& known = found->second;
+    known.former = std::exchange(known.record.holder, {});
+    known.record.version = 0;
+    ++generation_;
 }
 
 process_id holder_directory::former_holder_of(const std::string& id) const {
--- a/tests/platform/row_handler_test.cpp
+++ b/tests/platform/row_handler_test.cpp
@@ -273,6 +273,30 @@
     BOOST_TEST(one.gauge("endpoints_held") == 1.0);
 }
 
+// Guards against two holders under one token: another writer removes the row of
+// a holder that is cut off from the store. Counted from the beginning again,
+// the tokens of the next holder reached that of the former one.
+BOOST_AUTO_TEST_CASE(token_is_not_given_again_after_its_row_was_removed) {
+    row_host one;
+    one.put(endpoint_table, "", "a", make_endpoint_text());
+    auto removed =
+        one.put(holder_table, "domain-1", "a",
+                R"({"host":"10.1.0.2:1","incarnation":7,"token":5000})");
+    one.tokens_seen["a"] = 5000;
+    one.read_all();
+    one.stored.erase({holder_table, "domain-1", "a"});
+    removed.removed = true;
+    one.rows.apply_holder_rows({removed});
+    one.advance(8s);
+    BOOST_TEST(one.gauge("endpoints_held") == 1.0);
+    BOOST_TEST(!one.host.store.writes.empty());
+    for (const auto& [request, batch] : one.host.store.writes) {
+        for (const auto& record : batch) {
+            BOOST_TEST(record.token > 5000U);
+        }
+    }
+}
+
 // Guards against a log and a memory that grow with each odd row.
 BOOST_AUTO_TEST_CASE(warnings_about_unreadable_rows_are_bounded) {
     const auto before = logged("endpoint_row_unreadable");
--- a/tests/platform/row_host.hpp
+++ b/tests/platform/row_host.hpp
@@ -139,8 +139,12 @@
                 {holder_table, record.failure_domain, record.endpoint});
             const auto present =
                 found == stored.end() ? 0 : found->second.version;
-            if (present != record.version && found != stored.end()) {
-                conflicts.push_back(found->second);
+            if (present != record.version) {
+                conflicts.push_back(
+                    found != stored.end()
+                        ? found->second
+                        : stored_row{holder_table, record.failure_domain,
+                                     record.endpoint, "", 0, true});
             }
         }
         if (!conflicts.empty()) {
