--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -11,8 +11,8 @@
 constexpr duration shared_work_refresh_interval = 1s;
 // Only a suspended or starved process has longer gaps between inputs.
 constexpr duration suspension_gap = 400ms;
-// Shorter gaps are logged from here on: the answers to calls that were open
-// then may have been read after the calls' time limits (`call_timeout`).
+// Shorter gaps from this length on are logged: the answers to calls that were
+// open meanwhile may have been read after the calls' time limits.
 constexpr duration delay_gap = 100ms;
 // For this long after a holder is lost, any host may have to take over
 // endpoints.
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -540,7 +540,8 @@
     BOOST_TEST(core.is_drained());
 }
 
-// A receiver without a list of endpoints does not know the endpoint's address.
+// Guards against an endpoint without a holder: a receiver without a list of
+// endpoints does not know the endpoint's address and ignored the grant.
 BOOST_AUTO_TEST_CASE(host_that_knows_no_endpoints_is_granted_none) {
     complete_takeover();
     const auto receive = [this] {
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -206,9 +206,10 @@
     BOOST_TEST(!session->accepts_tasks());
 }
 
-// The answer to a poll of the former instance may arrive after the platform's
-// list has shown the next one. Taken for a list of an even later instance, it
-// let tasks start with deadlines on the former clock, far in the future.
+// Guards against duplicate runs: the answer to a poll of the former instance
+// may arrive after the platform's list has shown the next one. Taken for a list
+// of an even later instance, it let tasks start with deadlines on the former
+// clock, far in the future.
 BOOST_AUTO_TEST_CASE(late_list_of_a_former_instance_is_ignored) {
     answer_hold({});
     start(0);
@@ -228,9 +229,9 @@
     BOOST_TEST(session->accepts_tasks());
 }
 
-// Answers on different connections may overtake each other. The clock of a
-// former instance, read for that of the present one, let all leases count as
-// expired while their runs went on.
+// Guards against duplicate runs: answers on different connections may overtake
+// each other. The clock of a former instance, read for that of the present one,
+// let all leases count as expired while their runs went on.
 BOOST_AUTO_TEST_CASE(clock_of_a_former_instance_is_not_read_from_late_answers) {
     answer_hold({});
     start(0);
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -462,9 +462,10 @@
                1);
 }
 
-// A holder advertises free room on an endpoint that the task has to avoid, and
-// returns the task since another host has room too. Placed by free room alone,
-// the task went to and fro between the two until its caller's deadline.
+// Guards against tasks that are never started: a holder advertises free room on
+// an endpoint that the task has to avoid, and returns the task since another
+// host has room too. Placed by free room alone, the task went to and fro
+// between the two until its caller's deadline.
 BOOST_AUTO_TEST_CASE(returned_task_goes_to_another_holder_with_free_room) {
     add_holder_b();
     submit(1);
