A failed transfer's handle is not used again

What callers saw: calls that end as lost though nothing was sent, after an endpoint or host had reset a connection and refused the next one: a start waits for its stop and a list, a write of the store ends unknown.

Cause: libcurl notes on the handle of such a request that its body must be rewound, and curl_easy_reset() keeps the note.

Fix: only handles of transfers that succeeded are kept.

The stand-in's callers log why a call ended.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -186,7 +186,9 @@
     result.body = std::move(ended->response_body);
     curl_multi_remove_handle(multi_, easy);
     curl_slist_free_all(ended->headers);
-    if (idle_.size() < max_idle_handles) {
+    // After a failed transfer a handle may still have to rewind its body, which
+    // curl_easy_reset() does not change.
+    if (code == CURLE_OK && idle_.size() < max_idle_handles) {
         curl_easy_reset(easy); // its options refer to `ended`
         idle_.push_back(easy);
     } else {
--- a/testing/platform/job_callers.cpp
+++ b/testing/platform/job_callers.cpp
@@ -136,7 +136,10 @@
         {{"job", open->id},
          {"host", open->host},
          {"sent", result.outcome == http_outcome::not_sent ? "no" : "yes"},
-         {"status", std::to_string(result.status)}});
+         {"status", std::to_string(result.status)},
+         {"error", result.failure.error},
+         {"bytes_sent", std::to_string(result.failure.bytes_sent)},
+         {"elapsed_ms", std::to_string(to_ms(result.failure.elapsed))}});
     open->resend_timer =
         std::make_unique<timer_watcher>(loop_, [this, open] { send(open); });
     open->resend_timer->start_once(resend_after);
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -81,6 +81,31 @@
     BOOST_TEST(server.requests == 2);
 }
 
+// Guards against calls that end as lost before anything is sent: after a
+// request whose connection was reset and the next one refused, libcurl tried to
+// rewind the body of the next request on the same handle.
+BOOST_AUTO_TEST_CASE(call_after_a_refused_second_connection_is_sent) {
+    constexpr auto refusing = "127.0.0.1:24911";
+    constexpr auto answering = "127.0.0.1:24912";
+    event_loop loop;
+    resetting_server first(loop, refusing, after_reset::refuse);
+    resetting_server second(loop, answering, after_reset::accept);
+    http_client client(loop);
+    std::vector<http_result> results;
+    for (const auto* address : {refusing, refusing, answering}) {
+        const auto sent = results.size() + 1;
+        client.send(make_call(address, 5s),
+                    [&results](const http_result& result) {
+                        results.push_back(result);
+                    });
+        run_until(loop, [&] { return results.size() == sent; });
+    }
+    BOOST_REQUIRE_EQUAL(results.size(), 3U);
+    BOOST_TEST((results[1].outcome == http_outcome::lost));
+    BOOST_TEST((results[2].outcome == http_outcome::answered),
+               results[2].failure.error);
+}
+
 // The caller may place its request elsewhere at once.
 BOOST_AUTO_TEST_CASE(request_that_meets_no_listener_counts_as_not_sent) {
     event_loop loop;
