Crashes of endpoints are logged and reported to all hosts

A holder logs that a later instance of an endpoint began (endpoint_instance_began), and what is known of an endpoint on which runs were lost (endpoint_crash): that it refuses connections, that its instance has ended, or that it answers after all.

Assignments name the queue of their job. New fields come last, so hosts of the version before skip them, and their absence is empty.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -91,6 +91,7 @@
     sessions_.tick(now);
     holder_.tick(now);
     coordinator_.tick(now);
+    crashes_.tick(now);
     if (now >= next_check_) {
         next_check_ = now + holder_check_interval;
         check_holders(now);
@@ -333,6 +334,10 @@
         record_announced_holder(now_, from, adoption);
         coordinator_.handle_adoption(now_, from, adoption);
     }
+    // Before the updates, which may place the tasks again.
+    for (const auto& report : content.crashes) {
+        crashes_.record(now_, report);
+    }
     for (const auto& update : content.updates) {
         coordinator_.handle_update(now_, from, update);
     }
@@ -355,6 +360,16 @@
     to_self_.adoptions.push_back(adoption);
 }
 
+void dispatcher::announce_crash(const crash_report& report) {
+    for (const auto& [address, peer] : sessions_.peers()) {
+        if (auto* pending = sessions_.pending_for(peer.id);
+            pending != nullptr && !peer.lost) {
+            pending->crashes.push_back(report);
+        }
+    }
+    to_self_.crashes.push_back(report);
+}
+
 timestamp dispatcher::last_contact(const process_id& coordinator) const {
     if (coordinator == settings_.self) {
         return timestamp::max();
@@ -402,6 +417,7 @@
     has_endpoints_ = true;
     for (const auto& endpoint : listed) {
         directory_.set_endpoint(endpoint);
+        crashes_.handle_listed(endpoint.id, endpoint.instance_started_ms);
         holder_.update_endpoint(now, endpoint);
     }
     end_input(now);
@@ -410,6 +426,7 @@
 void dispatcher::remove_endpoint(timestamp now, const std::string& endpoint) {
     begin_input(now);
     directory_.remove_endpoint(endpoint);
+    crashes_.handle_removed(endpoint);
     holder_.mark_gone(now, endpoint);
     end_input(now);
 }
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -19,6 +19,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "core/dispatch/crash_ledger.hpp"
 #include "core/dispatch/endpoint_holder.hpp"
 #include "core/dispatch/holder_directory.hpp"
 #include "core/dispatch/job_coordinator.hpp"
@@ -153,6 +154,7 @@
     void send_update(const process_id& coordinator,
                      const task_update& update) override;
     void announce(const endpoint_adoption& adoption) override;
+    void announce_crash(const crash_report& report) override;
     [[nodiscard]] timestamp
     last_contact(const process_id& coordinator) const override;
     void send_assignment(const process_id& holder,
@@ -178,6 +180,7 @@
     dispatch_ports ports_;
     holder_views views_;
     holder_directory directory_;
+    crash_ledger crashes_;
     endpoint_holder holder_;
     job_coordinator coordinator_;
     peer_sessions sessions_;
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -1,8 +1,21 @@
 #include "core/dispatch/endpoint_holder.hpp"
 
 #include <algorithm>
+#include <set>
+
+#include <absl/strings/str_join.h>
 
 namespace figridge::dispatch {
+namespace {
+
+// Endpoints that begin to refuse connections within this time of each other
+// probably do so for the same cause.
+constexpr duration common_cause_window = 100ms;
+// A task crashes one endpoint at a time, a cut or a lost rack takes more.
+constexpr std::size_t max_crashes_at_once = 2;
+
+} // namespace
+
 endpoint_holder::endpoint_holder(const dispatch_settings& settings,
                                  endpoint_port& port, observer_port& observer,
                                  holder_events& events)
@@ -104,6 +117,7 @@
         task.coordinator = coordinator;
         task.payload = payload;
         task.pool = assignment.pool;
+        task.queue = assignment.queue;
         task.priority = assignment.priority;
         task.queued_at = now;
         task.answer_by = now + duration(assignment.objective_us);
@@ -291,6 +305,7 @@
         session->tick(now);
         slow += session->health().is_slow(now) ? 1 : 0;
     }
+    report_suspected_crashes(now);
     most_are_slow_ = slow * 2 > sessions_.size();
     std::erase_if(sessions_, [](const auto& item) {
         const auto& session = *item.second;
@@ -364,6 +379,55 @@
     report(session, entry, update_kind::started);
 }
 
+void endpoint_holder::report_suspected_crashes(timestamp now) {
+    std::vector<std::pair<timestamp, endpoint_session*>> refusing;
+    for (auto& [id, session] : sessions_) {
+        if (const auto since = session->refusing_since()) {
+            refusing.emplace_back(*since, session.get());
+        }
+    }
+    for (const auto& [since, session] : refusing) {
+        const auto at_once = std::count_if(
+            refusing.begin(), refusing.end(), [since](const auto& other) {
+                return std::chrono::abs(other.first - since) <=
+                       common_cause_window;
+            });
+        if (now - since >= common_cause_window &&
+            static_cast<std::size_t>(at_once) <= max_crashes_at_once) {
+            session->report_suspected_crash();
+        }
+    }
+}
+
+void endpoint_holder::on_crash_evidence(endpoint_session& session,
+                                        const std::vector<lost_run>& runs,
+                                        crash_evidence evidence) {
+    const auto& endpoint = session.endpoint();
+    std::set<std::string> queues;
+    for (const auto& lost : runs) {
+        queues.insert(lost.queue.empty() ? "unknown" : lost.queue);
+        events_.announce_crash({lost.run, lost.queue, endpoint.id,
+                                endpoint.instance_started_ms, evidence});
+    }
+    observer_.count("endpoint_crashes", to_string(evidence));
+    observer_.log(log_level::warning, "endpoint_crash",
+                  {{"endpoint", endpoint.id},
+                   {"evidence", std::string(to_string(evidence))},
+                   {"runs", std::to_string(runs.size())},
+                   {"queues", absl::StrJoin(queues, ",")},
+                   {"token", std::to_string(session.token())}});
+}
+
+void endpoint_holder::on_instance_began(endpoint_session& session,
+                                        std::size_t runs) {
+    const auto& endpoint = session.endpoint();
+    observer_.log(log_level::info, "endpoint_instance_began",
+                  {{"endpoint", endpoint.id},
+                   {"token", std::to_string(session.token())},
+                   {"runs", std::to_string(runs)},
+                   {"phase", std::string(to_string(session.phase()))}});
+}
+
 void endpoint_holder::on_fenced(endpoint_session& session) {
     observer_.log(log_level::warning, "endpoint_fenced",
                   {{"endpoint", session.endpoint().id},
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -19,6 +19,8 @@
     virtual void send_update(const process_id& coordinator,
                              const task_update& update) = 0;
     virtual void announce(const endpoint_adoption& adoption) = 0;
+    // Sends the report to all hosts, this one included.
+    virtual void announce_crash(const crash_report& report) = 0;
     // See `session_events::last_contact`.
     [[nodiscard]] virtual timestamp
     last_contact(const process_id& coordinator) const = 0;
@@ -98,6 +100,11 @@
                          update_kind kind) override;
     void on_started(endpoint_session& session, const run_entry& entry) override;
     void on_fenced(endpoint_session& session) override;
+    void on_crash_evidence(endpoint_session& session,
+                           const std::vector<lost_run>& runs,
+                           crash_evidence evidence) override;
+    void on_instance_began(endpoint_session& session,
+                           std::size_t runs) override;
     [[nodiscard]] timestamp
     last_contact(const process_id& coordinator) const override {
         return events_.last_contact(coordinator);
@@ -125,6 +132,9 @@
     // Whether a run of the task may still run on an endpoint held here.
     [[nodiscard]] bool has_run_of(const task_key& task) const;
     void disown(endpoint_session& session);
+    // Reports the endpoints that began to refuse connections, unless so many
+    // did at the same moment that a cut is more likely.
+    void report_suspected_crashes(timestamp now);
     // Reports the state of a run to its coordinator, if that is known. The
     // update carries the endpoint and the token under which it is held, by
     // which coordinators order it against adoptions.
--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -61,6 +61,7 @@
         run_entry entry;
         entry.run = task.run;
         entry.need = task.need;
+        entry.queue = task.queue;
         entry.coordinator = task.coordinator;
         entry.answer_by = task.answer_by;
         entry.caller_deadline = task.caller_deadline;
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -89,6 +89,9 @@
     const auto instance_started_ms =
         std::max(endpoint.instance_started_ms, endpoint_.instance_started_ms);
     const bool moved = endpoint.address != endpoint_.address;
+    if (restarted) {
+        note_later_instance();
+    }
     endpoint_ = endpoint;
     endpoint_.instance_started_ms = instance_started_ms;
     gone_ = false;
@@ -103,6 +106,9 @@
 
 void endpoint_session::mark_gone() {
     gone_ = true;
+    if (refusing_since_) {
+        confirm_crash();
+    }
 }
 
 void endpoint_session::suspend(timestamp now) {
@@ -251,11 +257,17 @@
         ++failed_calls_;
         return false;
     case call_status::not_sent:
+        if (!refusing_since_) {
+            refusing_since_ = now;
+        }
+        ++failed_calls_;
+        return false;
     case call_status::unanswered:
         ++failed_calls_;
         return false;
     default:
         failed_calls_ = 0;
+        refusing_since_.reset();
         if (std::exchange(poll_delay_, duration{0}) > duration{0}) {
             next_poll_ = now; // the lease may be about to end
         }
@@ -317,9 +329,12 @@
     }
     if (later_instance) {
         if (endpoint_.instance_started_ms != 0) {
+            note_later_instance();
             begin_instance(now);
         }
         endpoint_.instance_started_ms = reply.instance_started_ms;
+    } else if (reply.number > lost_runs_at_call_) {
+        withdraw_suspected_crash();
     }
     const bool first_of_instance = !clock_.is_known();
     process_call_reply(now, reply.call, true);
@@ -473,6 +488,7 @@
 // The instance is gone, and later instances do not accept calls meant for it,
 // so all its runs are lost.
 void endpoint_session::end_instance(timestamp now) {
+    note_later_instance();
     auto entries = ledger_.entries();
     for (const auto& [run, entry] : entries) {
         over(entry, update_kind::lost);
@@ -488,6 +504,7 @@
 // gone, but starts may already have reached the new one: the next run list
 // shows which.
 void endpoint_session::begin_instance(timestamp now) {
+    refusing_since_.reset();
     acknowledged_ = 0;
     acknowledged_sent_ = 0;
     latest_deadline_ms_ = 0;
@@ -514,6 +531,65 @@
     }
 }
 
+void endpoint_session::record_lost_run(const run_entry& entry) {
+    // A planned stop of the endpoint is no crash.
+    if (endpoint_.state == endpoint_state::ready) {
+        lost_runs_[entry.run] = {entry.run, entry.queue};
+        lost_runs_at_call_ = calls_sent_;
+    }
+}
+
+void endpoint_session::note_later_instance() {
+    events_.on_instance_began(*this, ledger_.size());
+    for (const auto& [run, entry] : ledger_.entries()) {
+        // A start that is not answered yet may have reached the new instance.
+        if (entry.state != run_state::starting) {
+            record_lost_run(entry);
+        }
+    }
+    confirm_crash();
+}
+
+void endpoint_session::report_suspected_crash() {
+    if (crash_suspected_ || !refusing_since_) {
+        return;
+    }
+    std::vector<lost_run> runs;
+    for (const auto& [run, entry] : ledger_.entries()) {
+        if (entry.state != run_state::starting) {
+            record_lost_run(entry);
+        }
+    }
+    for (const auto& [run, lost] : lost_runs_) {
+        runs.push_back(lost);
+    }
+    if (!runs.empty()) {
+        crash_suspected_ = true;
+        events_.on_crash_evidence(*this, runs, crash_evidence::refusing);
+    }
+}
+
+void endpoint_session::withdraw_suspected_crash() {
+    std::vector<lost_run> runs;
+    for (const auto& [run, lost] : std::exchange(lost_runs_, {})) {
+        runs.push_back(lost);
+    }
+    if (std::exchange(crash_suspected_, false)) {
+        events_.on_crash_evidence(*this, runs, crash_evidence::none);
+    }
+}
+
+void endpoint_session::confirm_crash() {
+    std::vector<lost_run> runs;
+    for (const auto& [run, lost] : std::exchange(lost_runs_, {})) {
+        runs.push_back(lost);
+    }
+    crash_suspected_ = false;
+    if (!runs.empty()) {
+        events_.on_crash_evidence(*this, runs, crash_evidence::ended);
+    }
+}
+
 void endpoint_session::fence() {
     if (phase_ == session_phase::fenced) {
         return;
@@ -669,6 +745,7 @@
         const bool may_run_on_next_instance =
             unanswered && now - entry.entered_at <= silent_instance_limit();
         if (!may_still_start && !may_run_on_next_instance) {
+            record_lost_run(entry);
             over(entry, update_kind::lost);
         }
     }
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -28,6 +28,12 @@
 
 class endpoint_session;
 
+// A run that was, or may be, lost with an instance of its endpoint.
+struct lost_run {
+    task_run run;
+    std::string queue;
+};
+
 // Callbacks of sessions, made from within the session's inputs.
 class session_events {
 public:
@@ -39,6 +45,13 @@
     virtual void on_started(endpoint_session& session,
                             const run_entry& entry) = 0;
     virtual void on_fenced(endpoint_session& session) = 0;
+    // What is known of the endpoint on which these runs were lost has changed.
+    virtual void on_crash_evidence(endpoint_session& session,
+                                   const std::vector<lost_run>& runs,
+                                   crash_evidence evidence) = 0;
+    // A later instance was noticed. `runs` are those on the ledger.
+    virtual void on_instance_began(endpoint_session& session,
+                                   std::size_t runs) = 0;
     // The latest time at which the coordinator is known to have heard this
     // process; the largest value for this process itself, zero for a process
     // that is not known.
@@ -87,6 +100,9 @@
     // This process hears no other host, so one of them may have taken the
     // endpoint over. The known instance stays in use; a later one is fenced.
     void reject_later_instances() { isolated_at_call_ = calls_sent_; }
+    // Reports the runs on an endpoint that refuses connections as possibly lost
+    // by a crash, once.
+    void report_suspected_crash();
 
     // --- state ---
     [[nodiscard]] const endpoint_record& endpoint() const { return endpoint_; }
@@ -108,6 +124,10 @@
     [[nodiscard]] const endpoint_health& health() const { return health_; }
     [[nodiscard]] bool is_gone() const { return gone_; }
     [[nodiscard]] bool is_unresponsive() const { return failed_calls_ > 0; }
+    // Since when the endpoint refuses connections; empty if it does not.
+    [[nodiscard]] std::optional<timestamp> refusing_since() const {
+        return refusing_since_;
+    }
 
 private:
     [[nodiscard]] call_target target() const;
@@ -132,6 +152,14 @@
     void check_lease_expiry(timestamp now);
     void send_stops(timestamp now);
     void fence();
+    // Adds a run to those that may have been lost with this instance.
+    void record_lost_run(const run_entry& entry);
+    // The instance has answered a call sent after its runs may have been lost.
+    void withdraw_suspected_crash();
+    // Call while `endpoint_` still names the former instance.
+    void note_later_instance();
+    // The instance has ended, and the runs that it had with it.
+    void confirm_crash();
     // Removes a run from the ledger and reports its end.
     void over(const run_entry& entry, update_kind kind);
     // Whether a call sent then can't have been answered by a former instance,
@@ -177,6 +205,12 @@
     // answered, or any call since.
     duration poll_delay_{0};
     bool gone_ = false;
+    std::optional<timestamp> refusing_since_;
+    bool crash_suspected_ = false; // and reported
+    // Runs that may have been lost with the present instance, and the last call
+    // sent when the newest of them was added.
+    std::map<task_run, lost_run> lost_runs_;
+    std::uint64_t lost_runs_at_call_ = 0;
     // When a new instance of the endpoint was noticed, if any was.
     std::optional<timestamp> instance_began_at_;
     // The last call sent before that; the former instance may have answered it.
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -201,6 +201,7 @@
         assignment.job = submission.work.id;
         assignment.payload = submission.work.payload;
         assignment.pool = submission.queue.pool;
+        assignment.queue = submission.queue.name;
         assignment.priority = submission.queue.priority;
         assignment.objective_us = (state.answer_by - now).count();
         assignment.patience_us = (state.caller_deadline - now).count();
--- a/src/core/dispatch/messages.cpp
+++ b/src/core/dispatch/messages.cpp
@@ -32,6 +32,11 @@
     return kind >= update_kind::started && kind <= update_kind::disowned;
 }
 
+bool is_known(crash_evidence evidence) {
+    return evidence >= crash_evidence::none &&
+           evidence <= crash_evidence::ended;
+}
+
 absl::Status check_assignment(const task_assignment& assignment) {
     if (!is_valid_time(assignment.objective_us)) {
         return out_of_range("content.assignments.objective_us");
@@ -90,6 +95,11 @@
             }
         }
     }
+    for (const auto& report : message.content.crashes) {
+        if (!is_known(report.evidence)) {
+            return out_of_range("content.crashes.evidence");
+        }
+    }
     return absl::OkStatus();
 }
 
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -51,9 +51,12 @@
     std::int64_t objective_us = 0; // time left to the latency objective
     std::int64_t patience_us = 0;  // time left until the caller gives up
     std::vector<item> items;
+    // The queue of the job. Last, so that older peers can read the fields
+    // before it; empty if sent by one of them.
+    std::string queue;
 
     MSGPACK_DEFINE(job, payload, pool, priority, objective_us, patience_us,
-                   items);
+                   items, queue);
 };
 
 // Cancels all tasks of a job at a holder: queued ones are dropped, running
@@ -115,6 +118,25 @@
     MSGPACK_DEFINE(endpoint, token, version);
 };
 
+// What is known of an endpoint instance on which a run was lost.
+enum class crash_evidence {
+    none,     // it has answered since
+    refusing, // it refuses connections, which a cut may cause as well
+    ended,    // it has ended
+};
+
+// A run whose endpoint has, or may have, crashed while it ran there. Sent to
+// all hosts; a later report of the same run and instance replaces an earlier
+// one. `queue` is empty if the holder does not know it.
+struct crash_report {
+    task_run run;
+    std::string queue;
+    std::string endpoint;
+    std::int64_t instance_started_ms = 0;
+    crash_evidence evidence = crash_evidence::none;
+    MSGPACK_DEFINE(run, queue, endpoint, instance_started_ms, evidence);
+};
+
 struct catalogue_query {
     std::uint64_t known_version = 0;
     MSGPACK_DEFINE(known_version);
@@ -134,16 +156,18 @@
     std::vector<endpoint_adoption> adoptions;
     std::vector<adoption_claim> claims;
     std::vector<task_update> updates;
-    std::vector<endpoint_grant> grants; // last, so that older peers can read it
+    // Last, so that older peers can read the fields before them.
+    std::vector<endpoint_grant> grants;
+    std::vector<crash_report> crashes;
 
     [[nodiscard]] bool empty() const {
         return catalogue_queries.empty() && catalogues.empty() &&
                assignments.empty() && withdrawals.empty() &&
                adoptions.empty() && claims.empty() && updates.empty() &&
-               grants.empty();
+               grants.empty() && crashes.empty();
     }
     MSGPACK_DEFINE(catalogue_queries, catalogues, assignments, withdrawals,
-                   adoptions, claims, updates, grants);
+                   adoptions, claims, updates, grants, crashes);
 };
 
 // `sequence` numbers the payload, 0 if there is none; payloads before
@@ -179,6 +203,7 @@
 };
 
 std::string_view to_string(update_kind kind);
+std::string_view to_string(crash_evidence evidence);
 
 // Checks that all fields are in range; the error names the first that is not.
 // A peer of the same version sends only valid envelopes.
@@ -187,5 +212,6 @@
 } // namespace figridge::dispatch
 
 MSGPACK_ADD_ENUM(figridge::dispatch::update_kind);
+MSGPACK_ADD_ENUM(figridge::dispatch::crash_evidence);
 
 #endif
--- a/src/core/dispatch/names.cpp
+++ b/src/core/dispatch/names.cpp
@@ -17,6 +17,12 @@
     {update_kind::disowned, "disowned"},
 }};
 
+constexpr name_table<crash_evidence, 3> crash_evidence_names{{
+    {crash_evidence::none, "none"},
+    {crash_evidence::refusing, "refusing"},
+    {crash_evidence::ended, "ended"},
+}};
+
 constexpr name_table<call_status, 10> call_status_names{{
     {call_status::ok, "ok"},
     {call_status::stale_token, "stale_token"},
@@ -59,6 +65,10 @@
     return find_name(update_kind_names, kind);
 }
 
+std::string_view to_string(crash_evidence evidence) {
+    return find_name(crash_evidence_names, evidence);
+}
+
 std::string_view to_string(call_status status) {
     return find_name(call_status_names, status);
 }
--- a/src/core/dispatch/run_ledger.hpp
+++ b/src/core/dispatch/run_ledger.hpp
@@ -25,6 +25,7 @@
 struct run_entry {
     task_run run;
     task_need need;
+    std::string queue; // of the job; empty if not known
     process_id coordinator;
     run_state state = run_state::starting;
     timestamp entered_at{0};
--- a/src/core/dispatch/task_queue.hpp
+++ b/src/core/dispatch/task_queue.hpp
@@ -21,6 +21,7 @@
     process_id coordinator;
     std::shared_ptr<const std::string> payload;
     std::string pool;
+    std::string queue; // of the job; empty if not known
     std::uint32_t priority = 0;
     timestamp queued_at{0};
     timestamp answer_by{0}; // latest answer that is in time
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -1068,7 +1068,8 @@
                                             1'500'000,
                                             {{{{"0123456789abcdef", 0, 0}, 1},
                                               {{6000, 64, 0}, 60, {}, {}},
-                                              {}}}}};
+                                              {}}},
+                                            "queue-1"}};
         }
         core.handle_envelope(now, message);
     }
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -15,12 +15,16 @@
         updates.push_back(update);
     }
     void announce(const endpoint_adoption& /*adoption*/) override {}
+    void announce_crash(const crash_report& report) override {
+        crashes.push_back(report);
+    }
     [[nodiscard]] timestamp
     last_contact(const process_id& /*coordinator*/) const override {
         return timestamp::max();
     }
 
     std::vector<task_update> updates;
+    std::vector<crash_report> crashes;
 };
 
 // A holder of two endpoints of 16 cores each.
@@ -55,6 +59,7 @@
         task_assignment assignment;
         assignment.job = job;
         assignment.pool = "pool";
+        assignment.queue = "queue-1";
         assignment.objective_us = objective.count();
         assignment.patience_us = duration(1500ms).count();
         for (std::uint32_t i = 0; i < tasks; ++i) {
@@ -87,6 +92,24 @@
         return runs;
     }
 
+    // For this time, these endpoints refuse connections.
+    void refuse_calls(const std::set<std::string>& endpoints, duration time) {
+        for (const auto end = now + time; now < end;) {
+            const auto holds = port.holds;
+            for (; answered_holds < holds.size(); ++answered_holds) {
+                const auto& call = holds[answered_holds];
+                if (endpoints.contains(call.target.endpoint)) {
+                    hold_reply reply;
+                    reply.number = call.number;
+                    reply.call.status = call_status::not_sent;
+                    holder.handle_hold(now, call.target.endpoint, 1, reply);
+                }
+            }
+            now += 25ms;
+            holder.tick(now);
+        }
+    }
+
     // For this time, the endpoints list the runs started there in each reply to
     // a poll, and answer no stop.
     void stay_without_stops(duration time) {
@@ -434,6 +457,34 @@
     BOOST_TEST(events.updates.size() == 1U);
 }
 
+// Many endpoints that refuse connections at the same moment are cut off, or
+// share a rack that is lost: no task is at fault.
+BOOST_AUTO_TEST_CASE(endpoints_that_refuse_at_once_are_not_suspected) {
+    for (const auto* id : {"endpoint-3", "endpoint-4"}) {
+        endpoint_record endpoint;
+        endpoint.id = id;
+        endpoint.pool = "pool";
+        endpoint.capacity = {16'000, 32'768, 0};
+        holder.take(now, endpoint, 1, {});
+        answer_hold(id, {});
+    }
+    assign("0123456789abcdef", 8);
+    answer_starts();
+    refuse_calls({"endpoint-1", "endpoint-2", "endpoint-3"}, 300ms);
+    BOOST_TEST(events.crashes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(endpoint_that_refuses_alone_is_suspected) {
+    assign("0123456789abcdef", 2);
+    answer_starts();
+    refuse_calls({"endpoint-1", "endpoint-2"}, 50ms);
+    BOOST_TEST(events.crashes.empty());
+    refuse_calls({"endpoint-1", "endpoint-2"}, 100ms);
+    BOOST_REQUIRE_EQUAL(events.crashes.size(), 2U);
+    BOOST_TEST((events.crashes[0].evidence == crash_evidence::refusing));
+    BOOST_TEST(events.crashes[0].queue == "queue-1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -862,6 +862,94 @@
                clock_ms() + to_ms(settings.start_window));
 }
 
+// --- crashes ---
+
+// A cut that resets and refuses connections looks like a crash.
+BOOST_AUTO_TEST_CASE(crash_of_a_refusing_endpoint_is_only_suspected) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    refuse_calls(200ms);
+    session->report_suspected_crash();
+    BOOST_REQUIRE_EQUAL(events.crashes.size(), 1U);
+    BOOST_TEST((events.crashes[0].second == crash_evidence::refusing));
+    pass(500ms);
+    answer_hold({run_of(0)});
+    BOOST_REQUIRE_EQUAL(events.crashes.size(), 2U);
+    BOOST_TEST((events.crashes[1].second == crash_evidence::none));
+}
+
+BOOST_AUTO_TEST_CASE(silent_endpoint_is_not_suspected_of_a_crash) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    pass(2s);
+    session->report_suspected_crash();
+    BOOST_TEST(events.crashes.empty());
+}
+
+// The runs of a silent endpoint are lost long before it is known whether it has
+// crashed.
+BOOST_AUTO_TEST_CASE(lost_run_counts_as_crashed_when_a_later_instance_answers) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    refuse_calls(2s);
+    BOOST_REQUIRE_EQUAL(events.ends.size(), 1U);
+    BOOST_TEST(events.crashes.empty());
+    pass(500ms);
+    answer_hold({}, {}, 2000);
+    BOOST_REQUIRE_EQUAL(events.crashes.size(), 1U);
+    BOOST_TEST((events.crashes[0].second == crash_evidence::ended));
+    BOOST_TEST(events.instances_began == 1);
+}
+
+BOOST_AUTO_TEST_CASE(run_lost_with_a_listed_later_instance_has_crashed) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    endpoint.instance_started_ms = 2000;
+    session->update(now, endpoint);
+    BOOST_REQUIRE_EQUAL(events.crashes.size(), 1U);
+    BOOST_TEST((events.crashes[0].second == crash_evidence::ended));
+}
+
+BOOST_AUTO_TEST_CASE(run_of_another_instances_endpoint_has_crashed) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    pass(50ms);
+    hold_reply reply;
+    reply.number = port.holds.back().number;
+    reply.call.status = call_status::other_instance;
+    session->handle_hold(now, reply);
+    BOOST_REQUIRE_EQUAL(events.crashes.size(), 1U);
+    BOOST_TEST((events.crashes[0].second == crash_evidence::ended));
+}
+
+BOOST_AUTO_TEST_CASE(refusing_endpoint_that_leaves_the_list_has_crashed) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    refuse_calls(200ms);
+    session->report_suspected_crash();
+    session->mark_gone();
+    BOOST_REQUIRE_EQUAL(events.crashes.size(), 2U);
+    BOOST_TEST((events.crashes[1].second == crash_evidence::ended));
+}
+
+BOOST_AUTO_TEST_CASE(end_of_a_draining_endpoint_is_no_crash) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    endpoint.state = endpoint_state::draining;
+    session->update(now, endpoint);
+    refuse_calls(200ms);
+    session->report_suspected_crash();
+    session->mark_gone();
+    BOOST_TEST(events.crashes.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/dispatch/quiet_dispatcher.hpp
+++ b/tests/dispatch/quiet_dispatcher.hpp
@@ -128,7 +128,8 @@
                             1,
                             60'000,
                             1'500'000,
-                            {{run, need, {"endpoint-1"}}}}};
+                            {{run, need, {"endpoint-1"}}},
+                            "queue-1"}};
     content.withdrawals = {{"0123456789abcdef"}};
     content.adoptions = {{"endpoint-1",
                           {"10.1.0.3:1", 13},
@@ -138,6 +139,8 @@
     content.claims = {{"endpoint-1", {{run, need}}}};
     content.updates = {{run, update_kind::done, "endpoint-1", 4}};
     content.grants = {{"endpoint-1", 5, 3}};
+    content.crashes = {
+        {run, "queue-1", "endpoint-1", 1000, crash_evidence::refusing}};
     message.first_sequence = 1;
     message.stream = 4'000'000;
     message.ack_stream =
--- a/tests/dispatch/session_fixture.hpp
+++ b/tests/dispatch/session_fixture.hpp
@@ -35,6 +35,17 @@
         started.push_back(entry.run);
     }
     void on_fenced(endpoint_session& /*session*/) override { ++fenced; }
+    void on_crash_evidence(endpoint_session& /*session*/,
+                           const std::vector<lost_run>& runs,
+                           crash_evidence evidence) override {
+        for (const auto& lost : runs) {
+            crashes.emplace_back(lost.run, evidence);
+        }
+    }
+    void on_instance_began(endpoint_session& /*session*/,
+                           std::size_t /*runs*/) override {
+        ++instances_began;
+    }
     [[nodiscard]] timestamp
     last_contact(const process_id& /*coordinator*/) const override {
         return contact;
@@ -45,7 +56,9 @@
     std::vector<endpoint_adoption> adoptions;
     std::vector<std::pair<task_run, update_kind>> ends;
     std::vector<task_run> started;
+    std::vector<std::pair<task_run, crash_evidence>> crashes;
     int fenced = 0;
+    int instances_began = 0;
 };
 
 // A session with token 7 on an endpoint of 16 cores.
