A job that can't be served any more is refused as not run

Cause: jobs of the highest priority were never refused for the length of the queue, and a queued job was given up only when its time had passed. The coordinator can't say "not run" then, since a holder may be starting a task at that moment.

Change: adverts tell the queued work by priority, and any job is refused at submission if the work ahead of it takes too long. A queued job that can't be served in time any more is recalled: its holders return the tasks that they have not started. Only when every task was returned, and no start was ever sent, the job is refused, with a Retry-After. A task that has started, a lost run, a claimed run or a silent holder rule that out. Hosts of the version before skip the recall, so their jobs end as before.

The new tests can't be built without the change; before it the job of job_that_was_not_started_is_recalled_before_its_time_limit ended as gave_up, and urgent_job_waits_only_behind_urgent_ones found no refusal at priority 0.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -324,6 +324,10 @@
             send_update(from, {item.run, update_kind::returned, {}, 0});
         }
     }
+    // After the assignments, so that those of the same payload are returned.
+    for (const auto& recall : content.recalls) {
+        holder_.recall(from, recall.job);
+    }
     for (const auto& grant : content.grants) {
         // Other hosts may have taken over an endpoint granted long ago.
         if (fresh) {
@@ -398,6 +402,13 @@
     }
 }
 
+void dispatcher::send_recall(const process_id& holder,
+                             const job_recall& recall) {
+    if (auto* pending = outbox(holder)) {
+        pending->recalls.push_back(recall);
+    }
+}
+
 void dispatcher::send_claim(const process_id& holder,
                             const adoption_claim& claim) {
     if (auto* pending = outbox(holder)) {
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -161,6 +161,8 @@
                          const task_assignment& assignment) override;
     void send_withdrawal(const process_id& holder,
                          const job_withdrawal& withdrawal) override;
+    void send_recall(const process_id& holder,
+                     const job_recall& recall) override;
     void send_claim(const process_id& holder,
                     const adoption_claim& claim) override;
     void on_payload(const process_id& from, const payload& content,
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -148,6 +148,16 @@
     }
 }
 
+void endpoint_holder::recall(const process_id& coordinator,
+                             const std::string& job) {
+    const auto returned = queue_.extract([&](const queued_task& task) {
+        return task.run.task.job == job && task.coordinator == coordinator;
+    });
+    for (const auto& task : returned) {
+        return_task(task);
+    }
+}
+
 void endpoint_holder::abandon(timestamp now, const process_id& coordinator) {
     now_ = now;
     std::size_t stopped = 0;
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -54,6 +54,8 @@
                 const task_assignment& assignment);
     void withdraw(timestamp now, const process_id& coordinator,
                   const std::string& job);
+    // Returns the tasks of the job that were not started.
+    void recall(const process_id& coordinator, const std::string& job);
     void claim(timestamp now, const process_id& coordinator,
                const adoption_claim& claim);
     // Drops the queued tasks and stops the runs of a coordinator that is no
--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -2,6 +2,7 @@
 // free resources.
 #include <algorithm>
 #include <limits>
+#include <numeric>
 
 #include "core/dispatch/endpoint_holder.hpp"
 
@@ -208,7 +209,10 @@
 }
 
 void endpoint_holder::fill(advert& about) const {
-    about.queued_cpu_ms = queue_.queued_cpu_ms();
+    about.queued_cpu_ms_by_priority = queue_.queued_cpu_ms_by_priority();
+    about.queued_cpu_ms = std::accumulate(
+        about.queued_cpu_ms_by_priority.begin(),
+        about.queued_cpu_ms_by_priority.end(), std::uint64_t{0});
     about.queued_tasks = static_cast<std::uint32_t>(queue_.size());
     about.endpoints_held = static_cast<std::uint32_t>(sessions_.size());
     for (const auto& [id, session] : sessions_) {
--- a/src/core/dispatch/holder_views.cpp
+++ b/src/core/dispatch/holder_views.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 
 namespace figridge::dispatch {
 namespace {
@@ -126,10 +127,20 @@
     return free_shares;
 }
 
-duration holder_views::min_queue_wait() const {
+duration holder_views::min_queue_wait(std::uint32_t priority) const {
     double least = std::numeric_limits<double>::max();
     for (const auto& [holder, view] : views_) {
-        least = std::min(least, wait_ms(view.advertised));
+        auto ahead = view.advertised;
+        const auto& by_priority = ahead.queued_cpu_ms_by_priority;
+        if (!by_priority.empty()) {
+            const auto levels =
+                std::min<std::size_t>(by_priority.size(), priority + 1);
+            ahead.queued_cpu_ms = std::accumulate(
+                by_priority.begin(),
+                by_priority.begin() + static_cast<std::ptrdiff_t>(levels),
+                std::uint64_t{0});
+        }
+        least = std::min(least, wait_ms(ahead));
     }
     return views_.empty() ? duration{0}
                           : duration(static_cast<std::int64_t>(least * 1000));
--- a/src/core/dispatch/holder_views.hpp
+++ b/src/core/dispatch/holder_views.hpp
@@ -38,8 +38,9 @@
     // holders without queued tasks, except `self`.
     [[nodiscard]] std::vector<std::uint32_t>
     free_cpu_elsewhere(const process_id& self) const;
-    // Shortest time that a task would wait behind the queued work of a holder.
-    [[nodiscard]] duration min_queue_wait() const;
+    // Shortest time that a task of this priority would wait behind the queued
+    // work of a holder: that of the same or a higher priority.
+    [[nodiscard]] duration min_queue_wait(std::uint32_t priority) const;
 
 private:
     struct view {
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -21,8 +21,9 @@
 // Retry delay if no endpoint is known or large enough; a takeover takes about
 // this long.
 constexpr duration retry_after_takeover = 1s;
-// Largest queue wait, as a share of the caller's time-out, to accept a job.
-constexpr double max_wait_share = 1.0;
+// A job that was never sent is recalled this long before it can't be completed
+// in time any more: a round trip between failure domains, and wake-ups.
+constexpr duration recall_margin = 50ms;
 
 // Estimates are off by about 40%, and the fastest endpoints are 25% faster than
 // typical ones.
@@ -56,7 +57,8 @@
          {"queue", submission.queue.name},
          {"reason", answer.reason},
          {"holders_known", views_.empty() ? "no" : "yes"},
-         {"queue_wait_ms", std::to_string(to_ms(views_.min_queue_wait()))},
+         {"queue_wait_ms", std::to_string(to_ms(views_.min_queue_wait(
+                               submission.queue.priority)))},
          {"retry_after_ms", std::to_string(to_ms(answer.retry_after))}});
     observer_.count("jobs", to_string(answer.outcome));
     callers_.answer(token, answer);
@@ -101,9 +103,8 @@
             {job_outcome::refused, "no_endpoints", retry_after_takeover});
     }
     duration total_estimate{0};
-    duration min_time{0};
+    const auto min_time = min_job_time(submission.work);
     for (const auto& step : submission.work.steps) {
-        min_time = std::max(min_time, min_run_time(step.need));
         if (!takeover_pending && !views_.fits_any_endpoint(step.need)) {
             return refuse(now, token, submission,
                           {job_outcome::refused, "task_fits_no_endpoint",
@@ -111,14 +112,12 @@
         }
         total_estimate += std::chrono::milliseconds(step.need.estimate_ms);
     }
-    const auto wait = views_.min_queue_wait();
+    const auto wait = views_.min_queue_wait(submission.queue.priority);
     if (min_time > submission.caller_timeout) {
         return refuse(now, token, submission,
                       {job_outcome::refused, "too_little_time", wait});
     }
-    if (submission.queue.priority > 0 &&
-        to_seconds(wait) >
-            max_wait_share * to_seconds(submission.caller_timeout)) {
+    if (wait + min_time > submission.caller_timeout) {
         return refuse(now, token, submission,
                       {job_outcome::refused, "queue_too_long", wait});
     }
@@ -131,6 +130,7 @@
                           static_cast<double>(total_estimate.count())));
     state.caller_deadline = now + submission.caller_timeout;
     const auto former = former_runs_.find(id);
+    state.never_sent = former == former_runs_.end();
     const auto first_run =
         former == former_runs_.end() ? 1 : former->second.highest_run + 1;
     if (former != former_runs_.end()) {
@@ -170,6 +170,9 @@
 }
 
 void job_coordinator::place(timestamp now, job_state& state) {
+    if (state.recalled) {
+        return;
+    }
     const auto& submission = state.submission;
     std::map<process_id, task_assignment> assignments;
     for (std::uint32_t s = 0; s < state.steps.size(); ++s) {
@@ -237,6 +240,11 @@
     const bool of_earlier_tenure = task->holder == holder &&
                                    task->endpoint == update.endpoint &&
                                    update.token < task->token;
+    if (update.kind != update_kind::returned &&
+        update.kind != update_kind::refused) {
+        state->never_sent = false;
+        state->recalled = false;
+    }
     const bool ends_run = update.kind != update_kind::started &&
                           update.kind != update_kind::disowned;
     if (of_earlier_tenure && !ends_run) {
@@ -300,7 +308,8 @@
         break;
     }
     // The update may have ended the job.
-    if (const auto found = jobs_.find(id); found != jobs_.end()) {
+    if (const auto found = jobs_.find(id);
+        found != jobs_.end() && !refuse_recalled(now, id)) {
         place(now, found->second);
     }
 }
@@ -414,6 +423,67 @@
     }
 }
 
+// The longest lower bound of a step's run time.
+duration job_coordinator::min_job_time(const job& work) {
+    duration longest{0};
+    for (const auto& step : work.steps) {
+        longest = std::max(longest, min_run_time(step.need));
+    }
+    return longest;
+}
+
+bool job_coordinator::is_hopeless(timestamp now, const job_state& state,
+                                  duration queue_wait) {
+    const auto left = state.caller_deadline - now;
+    return state.never_sent && !state.recalled &&
+           min_job_time(state.submission.work) +
+                   std::max(queue_wait, recall_margin) >
+               left;
+}
+
+void job_coordinator::recall(timestamp now, job_state& state) {
+    state.recalled = true;
+    std::set<process_id> holders;
+    for (const auto& step : state.steps) {
+        for (const auto& task : step.tasks) {
+            if (task.phase == task_phase::placed) {
+                holders.insert(task.holder);
+            }
+        }
+    }
+    observer_.log(log_level::info, "job_recalled",
+                  {{"job", state.submission.work.id},
+                   {"request", state.submission.request_id},
+                   {"queue", state.submission.queue.name},
+                   {"holders", std::to_string(holders.size())},
+                   {"queue_wait_ms", std::to_string(to_ms(views_.min_queue_wait(
+                                         state.submission.queue.priority)))},
+                   {"age_ms", std::to_string(to_ms(now - state.arrived))}});
+    for (const auto& holder : holders) {
+        events_.send_recall(holder, {state.submission.work.id});
+    }
+}
+
+bool job_coordinator::refuse_recalled(timestamp now, const std::string& id) {
+    const auto& state = jobs_.at(id);
+    const bool all_returned = std::all_of(
+        state.steps.begin(), state.steps.end(), [](const step_state& step) {
+            return std::all_of(step.tasks.begin(), step.tasks.end(),
+                               [](const task_state& task) {
+                                   return task.phase == task_phase::blocked ||
+                                          task.phase == task_phase::unplaced;
+                               });
+        });
+    if (!state.recalled || !state.never_sent || !all_returned) {
+        return false;
+    }
+    const auto wait = views_.min_queue_wait(state.submission.queue.priority);
+    finish(now, id,
+           {job_outcome::refused, "queue_too_long",
+            std::max(wait, retry_after_takeover)});
+    return true;
+}
+
 void job_coordinator::withdraw(const job_state& state) {
     std::set<process_id> holders;
     for (const auto& step : state.steps) {
@@ -439,7 +509,10 @@
     observer_.count("jobs", to_string(answer.outcome));
     if (answer.outcome != job_outcome::completed) {
         record_former_runs(now, state);
-        log_job(log_level::info, "job_failed", state, answer, now);
+        log_job(log_level::info,
+                answer.outcome == job_outcome::refused ? "job_refused"
+                                                       : "job_failed",
+                state, answer, now);
     } else {
         log_job(log_level::debug, "job_completed", state, answer, now);
         observer_.record(latency_metric::response_time, now - state.arrived);
@@ -533,6 +606,8 @@
         no_holder_since_ = now;
     }
     std::vector<std::pair<std::string, const char*>> expired;
+    std::vector<std::string> recalled;
+    std::map<std::uint32_t, duration> waits; // by priority
     for (auto& [id, state] : jobs_) {
         if (now > state.caller_deadline) {
             expired.emplace_back(id, "deadline_passed");
@@ -542,6 +617,14 @@
             expired.emplace_back(id, "too_late_to_complete");
             continue;
         }
+        const auto priority = state.submission.queue.priority;
+        if (!waits.contains(priority)) {
+            waits[priority] = views_.min_queue_wait(priority);
+        }
+        if (is_hopeless(now, state, waits[priority])) {
+            recall(now, state);
+            recalled.push_back(id);
+        }
         bool unplaced = false;
         for (std::uint32_t s = 0; s < state.steps.size(); ++s) {
             auto& tasks = state.steps[s].tasks;
@@ -549,6 +632,7 @@
                 auto& task = tasks[i];
                 if (task.phase == task_phase::placed && task.holder_lost &&
                     now > task.runs_end_by) {
+                    state.never_sent = false;
                     reschedule({id, s, i}, task, update_kind::lost, {},
                                "bound_passed");
                 }
@@ -559,6 +643,9 @@
             place(now, state);
         }
     }
+    for (const auto& id : recalled) {
+        refuse_recalled(now, id);
+    }
     for (const auto& [id, reason] : expired) {
         finish(now, id, {job_outcome::gave_up, reason, {}});
     }
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -25,6 +25,8 @@
                                  const job_withdrawal& withdrawal) = 0;
     virtual void send_claim(const process_id& holder,
                             const adoption_claim& claim) = 0;
+    virtual void send_recall(const process_id& holder,
+                             const job_recall& recall) = 0;
 };
 
 struct job_submission {
@@ -129,6 +131,11 @@
         timestamp caller_deadline{0};
         std::vector<step_state> steps;
         bool any_started = false;
+        // No run of the job was sent to an endpoint, as far as is known.
+        bool never_sent = true;
+        // The holders were asked to return the tasks, since the job can't be
+        // completed in time. They are not placed again.
+        bool recalled = false;
     };
 
     struct cached_answer {
@@ -185,6 +192,16 @@
     // Whether a task that has not started could not end before the caller's
     // deadline even if it started now on the fastest endpoint.
     static bool cannot_complete_in_time(timestamp now, const job_state& state);
+    static duration min_job_time(const job& work);
+    // Whether a job that was never sent can't be completed in time if it waits
+    // for `queue_wait`.
+    static bool is_hopeless(timestamp now, const job_state& state,
+                            duration queue_wait);
+    // Asks the holders of the job's tasks to return them.
+    void recall(timestamp now, job_state& state);
+    // Refuses a recalled job once all its tasks are back. Returns whether it
+    // did, which ends the job.
+    bool refuse_recalled(timestamp now, const std::string& id);
     void withdraw(const job_state& state);
     void record_former_runs(timestamp now, const job_state& state);
     void finish(timestamp now, const std::string& id, const job_answer& answer);
--- a/src/core/dispatch/job_coordinator_holders.cpp
+++ b/src/core/dispatch/job_coordinator_holders.cpp
@@ -171,6 +171,7 @@
         if (task.found && !on_endpoint) {
             return; // at most one of two such runs is the task's own
         }
+        state.never_sent = false;
         claim_run(holder, adoption, run, need, task.holder, on_endpoint, claim);
         if (on_endpoint) {
             task.holder = holder;
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -28,12 +28,17 @@
     std::uint32_t largest_memory_mb = 0;
     std::vector<std::uint32_t> free_cpu;
     // Whether the process has a list of endpoints, without which it can hold
-    // none. Last, so that older peers can read the fields before it.
+    // none. This and the next are last, so that older peers can read the fields
+    // before them.
     bool knows_endpoints = true;
+    // `queued_cpu_ms` by priority, the highest first; the last entry includes
+    // all lower priorities. Empty if sent by an older peer.
+    std::vector<std::uint64_t> queued_cpu_ms_by_priority;
 
     MSGPACK_DEFINE(catalogue_version, draining, cpu_share, endpoints_held,
                    capacity_cpu, queued_cpu_ms, queued_tasks, largest_cpu,
-                   largest_memory_mb, free_cpu, knows_endpoints);
+                   largest_memory_mb, free_cpu, knows_endpoints,
+                   queued_cpu_ms_by_priority);
 };
 
 // Assigns tasks of one job to a holder. Times are relative to the sending.
@@ -66,6 +71,13 @@
     MSGPACK_DEFINE(job);
 };
 
+// Asks a holder for the tasks of a job that it has not started; it returns
+// each of them.
+struct job_recall {
+    std::string job;
+    MSGPACK_DEFINE(job);
+};
+
 enum class update_kind {
     started,
     done,
@@ -159,15 +171,16 @@
     // Last, so that older peers can read the fields before them.
     std::vector<endpoint_grant> grants;
     std::vector<crash_report> crashes;
+    std::vector<job_recall> recalls;
 
     [[nodiscard]] bool empty() const {
         return catalogue_queries.empty() && catalogues.empty() &&
                assignments.empty() && withdrawals.empty() &&
                adoptions.empty() && claims.empty() && updates.empty() &&
-               grants.empty() && crashes.empty();
+               grants.empty() && crashes.empty() && recalls.empty();
     }
     MSGPACK_DEFINE(catalogue_queries, catalogues, assignments, withdrawals,
-                   adoptions, claims, updates, grants, crashes);
+                   adoptions, claims, updates, grants, crashes, recalls);
 };
 
 // `sequence` numbers the payload, 0 if there is none; payloads before
--- a/src/core/dispatch/task_queue.cpp
+++ b/src/core/dispatch/task_queue.cpp
@@ -7,6 +7,9 @@
 namespace figridge::dispatch {
 namespace {
 
+// Queues rarely use more than three priorities.
+constexpr std::size_t advertised_priorities = 4;
+
 auto order_of(timestamp now, const queued_task& task) {
     const auto latest_start =
         task.answer_by - std::chrono::milliseconds(task.need.estimate_ms);
@@ -48,13 +51,15 @@
     return least;
 }
 
-std::uint64_t task_queue::queued_cpu_ms() const {
-    std::uint64_t sum = 0;
+std::vector<std::uint64_t> task_queue::queued_cpu_ms_by_priority() const {
+    std::vector<std::uint64_t> sums(advertised_priorities, 0);
     for (const auto& task : tasks_) {
-        sum += std::uint64_t{task.need.room.cpu_millis} *
-               task.need.estimate_ms / 1000;
+        const auto level =
+            std::min<std::size_t>(task.priority, advertised_priorities - 1);
+        sums[level] += std::uint64_t{task.need.room.cpu_millis} *
+                       task.need.estimate_ms / 1000;
     }
-    return sum;
+    return sums;
 }
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/task_queue.hpp
+++ b/src/core/dispatch/task_queue.hpp
@@ -50,8 +50,9 @@
     // Smallest processor share that a waiting task asks for, in thousandths of
     // a core; the largest value of the type if the queue is empty.
     [[nodiscard]] std::uint32_t smallest_cpu_request() const;
-    // Estimated processor time of all waiting tasks, in milliseconds.
-    [[nodiscard]] std::uint64_t queued_cpu_ms() const;
+    // Estimated processor time of all waiting tasks, in milliseconds, by
+    // priority; see `advert::queued_cpu_ms_by_priority`.
+    [[nodiscard]] std::vector<std::uint64_t> queued_cpu_ms_by_priority() const;
 
 private:
     std::vector<queued_task> tasks_;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -125,7 +125,8 @@
         message.to_incarnation = 99;
         message.stamp_us = now.count();
         message.echo_us = echo.count();
-        message.about = {1, false, 0.25, 1, 16'000, 0, 0, 16'000, 32'768, {}};
+        message.about = {1, false,  0.25,   1,  16'000, 0,
+                         0, 16'000, 32'768, {}, true,   {}};
         message.about.free_cpu = {16'000};
         core.handle_envelope(now, message);
     };
@@ -995,7 +996,8 @@
         message.stamp_us = now.count();
         message.echo_us = now.count();
         message.content_echo_us = now.count();
-        message.about = {1, false, 0.25, 1, 16'000, 0, 0, 16'000, 32'768, {}};
+        message.about = {1, false,  0.25,   1,  16'000, 0,
+                         0, 16'000, 32'768, {}, true,   {}};
         message.about.free_cpu = {16'000};
         message.sequence = sequence;
         message.content = content;
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -485,6 +485,29 @@
     BOOST_TEST(events.crashes[0].queue == "queue-1");
 }
 
+// The coordinator answers a job as not run once all its tasks were returned.
+BOOST_AUTO_TEST_CASE(recall_returns_only_tasks_that_were_not_started) {
+    assign("0123456789abcdef", 6);
+    BOOST_REQUIRE_EQUAL(port.starts.size(), 4U);
+    holder.recall(coordinator, "0123456789abcdef");
+    BOOST_REQUIRE_EQUAL(events.updates.size(), 2U);
+    for (const auto& update : events.updates) {
+        BOOST_TEST((update.kind == update_kind::returned));
+        BOOST_TEST(std::none_of(port.starts.begin(), port.starts.end(),
+                                [&update](const start_call& call) {
+                                    return call.run == update.run;
+                                }));
+    }
+    BOOST_TEST(holder.queue().empty());
+}
+
+BOOST_AUTO_TEST_CASE(recall_of_another_coordinators_job_returns_nothing) {
+    assign("0123456789abcdef", 6);
+    holder.recall({"10.1.0.77:1", 77}, "0123456789abcdef");
+    BOOST_TEST(events.updates.empty());
+    BOOST_TEST(holder.queue().size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -44,6 +44,10 @@
                     const adoption_claim& claim) override {
         claims.emplace_back(holder, claim);
     }
+    void send_recall(const process_id& holder,
+                     const job_recall& recall) override {
+        recalls.emplace_back(holder, recall);
+    }
     void answer(caller_token /*token*/, const job_answer& answer) override {
         answers.push_back(answer);
     }
@@ -80,6 +84,20 @@
         return count;
     }
 
+    // The holder has this much work of one priority queued.
+    void queue_up(duration work, std::uint32_t priority = 0) {
+        advert about;
+        about.capacity_cpu = 64'000;
+        about.largest_cpu = 16'000;
+        about.largest_memory_mb = 32'000;
+        about.queued_tasks = 100;
+        about.queued_cpu_ms =
+            static_cast<std::uint64_t>(to_ms(work)) * about.capacity_cpu / 1000;
+        about.queued_cpu_ms_by_priority.assign(4, 0);
+        about.queued_cpu_ms_by_priority[priority] = about.queued_cpu_ms;
+        views.update(now, holder_a, "domain-1", about);
+    }
+
     void advance(duration time) {
         for (const auto end = now + time; now < end;) {
             now += 25ms;
@@ -94,6 +112,7 @@
     std::vector<std::pair<process_id, task_assignment>> assignments;
     std::vector<process_id> withdrawals;
     std::vector<std::pair<process_id, adoption_claim>> claims;
+    std::vector<std::pair<process_id, job_recall>> recalls;
     std::vector<job_answer> answers;
     job_coordinator coordinator;
 };
@@ -679,6 +698,85 @@
     BOOST_TEST(assignments[1].second.items[0].run.task.step == 1U);
 }
 
+// --- refusal of jobs that can't be served any more ---
+
+// Such jobs were held until the caller's time limit, and then answered as if
+// they might have run.
+BOOST_AUTO_TEST_CASE(queued_job_that_would_wait_too_long_is_refused) {
+    submit(2);
+    queue_up(3s);
+    advance(25ms);
+    BOOST_REQUIRE_EQUAL(recalls.size(), 1U);
+    BOOST_TEST(recalls[0].first.address == holder_a.address);
+    BOOST_TEST(answers.empty());
+    update(holder_a, 0, update_kind::returned);
+    BOOST_TEST(answers.empty());
+    update(holder_a, 1, update_kind::returned);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::refused));
+    BOOST_TEST(to_ms(answers[0].retry_after) >= 3000);
+    BOOST_TEST(placements() == 2U);
+}
+
+// A job of which a task was started may not be answered as not run.
+BOOST_AUTO_TEST_CASE(recalled_job_goes_on_if_one_of_its_tasks_has_started) {
+    submit(2);
+    queue_up(3s);
+    advance(25ms);
+    update(holder_a, 1, update_kind::returned);
+    update(holder_a, 0, update_kind::started);
+    BOOST_TEST(answers.empty());
+    advance(25ms);
+    BOOST_TEST(answers.empty());
+    BOOST_TEST(placements() == 3U);
+    update(holder_a, 0, update_kind::done);
+    update(holder_a, 1, update_kind::done);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::completed));
+}
+
+// A lost run may have done its work.
+BOOST_AUTO_TEST_CASE(job_with_a_lost_run_is_not_recalled) {
+    submit(1);
+    update(holder_a, 0, update_kind::lost);
+    queue_up(3s);
+    advance(200ms);
+    BOOST_TEST(recalls.empty());
+}
+
+BOOST_AUTO_TEST_CASE(
+    job_that_was_not_started_is_recalled_before_its_time_limit) {
+    submit(1, 3, 500ms);
+    advance(400ms);
+    BOOST_TEST(recalls.empty());
+    advance(50ms);
+    BOOST_REQUIRE_EQUAL(recalls.size(), 1U);
+    update(holder_a, 0, update_kind::returned);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::refused));
+}
+
+BOOST_AUTO_TEST_CASE(recalled_job_that_does_not_come_back_counts_as_run) {
+    submit(1, 3, 500ms);
+    advance(525ms);
+    BOOST_TEST(recalls.size() == 1U);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::gave_up));
+}
+
+// Urgent tasks start first, whatever else is queued.
+BOOST_AUTO_TEST_CASE(urgent_job_waits_only_behind_urgent_ones) {
+    queue_up(3s, 1);
+    submit(1);
+    BOOST_TEST(answers.empty());
+    queue_up(3s, 0);
+    coordinator.drop_caller(now, 1);
+    answers.clear();
+    submit(1);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST(answers[0].reason == "queue_too_long");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/dispatch/quiet_dispatcher.hpp
+++ b/tests/dispatch/quiet_dispatcher.hpp
@@ -116,7 +116,8 @@
     message.stamp_us = 5'000'000;
     message.echo_us = 99'990'000;
     message.content_echo_us = 99'990'000;
-    message.about = {3, false, 0.25, 2, 32'000, 9, 1, 16'000, 4096, {7, 8}};
+    message.about = {3, false,  0.25, 2,      32'000, 9,
+                     1, 16'000, 4096, {7, 8}, true,   {9}};
     const task_run run{{"0123456789abcdef", 0, 1}, 2};
     const task_need need{{500, 64, 0}, 60, "label", "rack"};
     auto& content = message.content;
@@ -141,6 +142,7 @@
     content.grants = {{"endpoint-1", 5, 3}};
     content.crashes = {
         {run, "queue-1", "endpoint-1", 1000, crash_evidence::refusing}};
+    content.recalls = {{"0123456789abcdef"}};
     message.first_sequence = 1;
     message.stream = 4'000'000;
     message.ack_stream =
