Assignments tell how many endpoints crashed under a task

A holder can't keep a suspect apart from other runs without knowing it. The coordinator reads the ledger of crashes; each item of an assignment says how many endpoint instances have, or may have, crashed under the task by then, and the queued task and its run keep the count. Nothing acts on it yet. The field comes last in the item, so hosts of the version before skip it, and its absence is 0.

--- a/src/core/dispatch/crash_ledger.hpp
+++ b/src/core/dispatch/crash_ledger.hpp
@@ -20,6 +20,10 @@
 struct task_crashes {
     std::vector<std::string> certain; // ids of endpoints that have crashed
     std::size_t suspected = 0;        // endpoints that may have crashed
+
+    [[nodiscard]] std::size_t total() const {
+        return certain.size() + suspected;
+    }
 };
 
 // Owned by a `dispatcher`. Not thread-safe.
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -32,7 +32,8 @@
                        const dispatch_ports& ports)
     : settings_(settings), ports_(ports), views_(settings.failure_domain),
       holder_(settings_, ports.endpoints, ports.observer, *this),
-      coordinator_(settings_, views_, ports.callers, ports.observer, *this),
+      coordinator_(settings_, views_, crashes_, ports.callers, ports.observer,
+                   *this),
       sessions_(settings_, ports.peers, *this) {}
 
 void dispatcher::start(timestamp now) {
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -114,6 +114,7 @@
         task.run = item.run;
         task.need = item.need;
         task.avoid = item.avoid;
+        task.crashes = item.crashes;
         task.coordinator = coordinator;
         task.payload = payload;
         task.pool = assignment.pool;
--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -62,6 +62,7 @@
         entry.run = task.run;
         entry.need = task.need;
         entry.queue = task.queue;
+        entry.crashes = task.crashes;
         entry.coordinator = task.coordinator;
         entry.answer_by = task.answer_by;
         entry.caller_deadline = task.caller_deadline;
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -38,10 +38,11 @@
 } // namespace
 
 job_coordinator::job_coordinator(const dispatch_settings& settings,
-                                 holder_views& views, caller_port& callers,
-                                 observer_port& observer,
+                                 holder_views& views,
+                                 const crash_ledger& crashes,
+                                 caller_port& callers, observer_port& observer,
                                  coordinator_events& events)
-    : settings_(settings), views_(views), callers_(callers),
+    : settings_(settings), views_(views), crashes_(crashes), callers_(callers),
       observer_(observer), events_(events) {}
 
 // --- arrival ----------------------------------------------------------------
@@ -193,8 +194,13 @@
             task.runs_end_by = timestamp{0};
             task.own_run_open = false;
             task.found.reset();
+            const task_key key{submission.work.id, s, i};
+            const auto crashes = crashes_.of(key);
             assignments[*holder].items.push_back(
-                {{{submission.work.id, s, i}, task.run}, need, task.avoid});
+                {{key, task.run},
+                 need,
+                 task.avoid,
+                 static_cast<std::uint32_t>(crashes.total())});
         }
     }
     for (auto& [holder, assignment] : assignments) {
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -9,6 +9,7 @@
 
 #include <set>
 
+#include "core/dispatch/crash_ledger.hpp"
 #include "core/dispatch/holder_views.hpp"
 #include "core/dispatch/ports.hpp"
 #include "core/dispatch/settings.hpp"
@@ -48,9 +49,10 @@
 // Owned by a `dispatcher`. Not thread-safe.
 class job_coordinator {
 public:
+    // `crashes` must outlive the coordinator.
     job_coordinator(const dispatch_settings& settings, holder_views& views,
-                    caller_port& callers, observer_port& observer,
-                    coordinator_events& events);
+                    const crash_ledger& crashes, caller_port& callers,
+                    observer_port& observer, coordinator_events& events);
 
     void submit(timestamp now, caller_token token, job_submission submission);
     // Call when the caller has closed its connection; ends its job.
@@ -200,6 +202,7 @@
 
     const dispatch_settings& settings_;
     holder_views& views_;
+    const crash_ledger& crashes_;
     caller_port& callers_;
     observer_port& observer_;
     coordinator_events& events_;
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -42,7 +42,10 @@
         task_run run;
         task_need need;
         std::vector<std::string> avoid; // endpoints this task failed on
-        MSGPACK_DEFINE(run, need, avoid);
+        // Endpoint instances that have, or may have, crashed under the task.
+        // Last, so that older peers can read the fields before it.
+        std::uint32_t crashes = 0;
+        MSGPACK_DEFINE(run, need, avoid, crashes);
     };
     std::string job;
     std::string payload;
--- a/src/core/dispatch/run_ledger.hpp
+++ b/src/core/dispatch/run_ledger.hpp
@@ -26,6 +26,8 @@
     task_run run;
     task_need need;
     std::string queue; // of the job; empty if not known
+    // Of its task, certain or suspected, when it was assigned; 0 if not known.
+    std::uint32_t crashes = 0;
     process_id coordinator;
     run_state state = run_state::starting;
     timestamp entered_at{0};
--- a/src/core/dispatch/task_queue.hpp
+++ b/src/core/dispatch/task_queue.hpp
@@ -23,6 +23,7 @@
     std::string pool;
     std::string queue; // of the job; empty if not known
     std::uint32_t priority = 0;
+    std::uint32_t crashes = 0; // certain or suspected, when it was assigned
     timestamp queued_at{0};
     timestamp answer_by{0}; // latest answer that is in time
     timestamp caller_deadline{0};
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -14,7 +14,7 @@
 // A coordinator with one known holder; records the messages that it sends.
 struct coordinator_fixture : coordinator_events, caller_port {
     coordinator_fixture()
-        : coordinator(settings, views, *this, observer, *this) {
+        : coordinator(settings, views, crashes, *this, observer, *this) {
         advert about;
         about.capacity_cpu = 64'000;
         about.largest_cpu = 16'000;
@@ -90,6 +90,7 @@
     timestamp now{10s};
     dispatch_settings settings;
     holder_views views{"domain-1"};
+    crash_ledger crashes;
     quiet_observer observer;
     std::vector<std::pair<process_id, task_assignment>> assignments;
     std::vector<process_id> withdrawals;
