A task under which two endpoints crashed is given up

What callers saw: a task that crashes each endpoint that starts it took one endpoint after the other, each with its neighbours, until the caller's time limit ended its job.

Cause: lost runs use up no attempt and were placed again without any limit.

A task under which two endpoint instances have certainly crashed ends its job at once as failed, with a reason that names the task and the endpoints; the other tasks are withdrawn. So does a crash that becomes certain later, by a report or by the platform's list. A task with two crashes, certain or suspected, is not placed until one is withdrawn; suspicions alone never fail a job, since a cut with resets looks alike. Each host's ledger keeps the count by task, so a job that comes again, here or at another host, is answered at its submission, or starts with the count of its tasks. Open jobs are looked through only when the ledger has changed. A task that is done is not counted.

--- a/src/core/dispatch/crash_ledger.cpp
+++ b/src/core/dispatch/crash_ledger.cpp
@@ -87,4 +87,13 @@
     return crashes;
 }
 
+std::vector<task_key> crash_ledger::tasks_of(const std::string& job) const {
+    std::vector<task_key> found;
+    for (auto task = tasks_.lower_bound({job, 0, 0});
+         task != tasks_.end() && task->first.job == job; ++task) {
+        found.push_back(task->first);
+    }
+    return found;
+}
+
 } // namespace figridge::dispatch
--- a/src/core/dispatch/crash_ledger.hpp
+++ b/src/core/dispatch/crash_ledger.hpp
@@ -44,7 +44,11 @@
     void tick(timestamp now);
 
     [[nodiscard]] task_crashes of(const task_key& task) const;
+    // The tasks of the job under which endpoints have, or may have, crashed.
+    [[nodiscard]] std::vector<task_key> tasks_of(const std::string& job) const;
     [[nodiscard]] bool empty() const { return tasks_.empty(); }
+    // Number of tasks with entries.
+    [[nodiscard]] std::size_t size() const { return tasks_.size(); }
     // Changes with each change of what `of()` returns.
     [[nodiscard]] std::uint64_t generation() const { return generation_; }
 
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
 namespace figridge::dispatch {
 namespace {
 
@@ -18,6 +21,9 @@
 constexpr duration disowned_run_limit = 1300ms;
 // Endpoints avoided per task; a task that fails on this many is at fault.
 constexpr std::size_t max_avoided = 4;
+// A task is given up when this many endpoint instances have crashed under it,
+// and not placed while as many have, or may have.
+constexpr std::size_t max_crashes = 2;
 // Retry delay if no endpoint is known or large enough; a takeover takes about
 // this long.
 constexpr duration retry_after_takeover = 1s;
@@ -51,7 +57,8 @@
                              const job_submission& submission,
                              const job_answer& answer) {
     observer_.log(
-        log_level::info, "job_refused",
+        log_level::info,
+        answer.outcome == job_outcome::failed ? "job_failed" : "job_refused",
         {{"job", submission.work.id},
          {"request", submission.request_id},
          {"queue", submission.queue.name},
@@ -91,6 +98,9 @@
         job_of_caller_[token] = id;
         return;
     }
+    if (const auto answer = find_crashing_task(submission.work)) {
+        return refuse(now, token, submission, *answer);
+    }
     if (views_.empty() && !no_holder_since_) {
         no_holder_since_ = now;
     }
@@ -180,6 +190,11 @@
             if (task.phase != task_phase::unplaced) {
                 continue;
             }
+            const task_key key{submission.work.id, s, i};
+            const auto crashes = crashes_.of(key);
+            if (hold_back(key, task, crashes)) {
+                continue;
+            }
             const auto& need = submission.work.steps[s].need;
             const auto holder = views_.place(now, need, task.returned_by);
             if (!holder) {
@@ -194,8 +209,6 @@
             task.runs_end_by = timestamp{0};
             task.own_run_open = false;
             task.found.reset();
-            const task_key key{submission.work.id, s, i};
-            const auto crashes = crashes_.of(key);
             assignments[*holder].items.push_back(
                 {{key, task.run},
                  need,
@@ -215,6 +228,63 @@
     }
 }
 
+// --- crashes of endpoints ---------------------------------------------------
+
+std::optional<job_answer>
+job_coordinator::find_crashing_task(const job& work) const {
+    const auto open = jobs_.find(work.id);
+    for (const auto& key : crashes_.tasks_of(work.id)) {
+        if (key.step >= work.steps.size() ||
+            key.index >= work.steps[key.step].count) {
+            continue;
+        }
+        const bool done = open != jobs_.end() &&
+                          open->second.steps[key.step].tasks[key.index].phase ==
+                              task_phase::done;
+        const auto endpoints = crashes_.of(key).certain;
+        if (!done && endpoints.size() >= max_crashes) {
+            return job_answer{job_outcome::failed,
+                              absl::StrCat("task ", key.step, ".", key.index,
+                                           " crashed endpoints ",
+                                           absl::StrJoin(endpoints, ", ")),
+                              {}};
+        }
+    }
+    return std::nullopt;
+}
+
+void job_coordinator::fail_crashing_jobs(timestamp now) {
+    if (crashes_.generation() == crashes_generation_) {
+        return;
+    }
+    crashes_generation_ = crashes_.generation();
+    std::vector<std::pair<std::string, job_answer>> failed;
+    for (const auto& [id, state] : jobs_) {
+        if (auto answer = find_crashing_task(state.submission.work)) {
+            failed.emplace_back(id, std::move(*answer));
+        }
+    }
+    for (const auto& [id, answer] : failed) {
+        finish(now, id, answer);
+    }
+}
+
+bool job_coordinator::hold_back(const task_key& key, task_state& task,
+                                const task_crashes& crashes) {
+    const bool held_back = crashes.total() >= max_crashes;
+    if (held_back != task.held_back) {
+        observer_.log(log_level::info,
+                      held_back ? "task_held_back" : "task_released",
+                      {{"job", key.job},
+                       {"task", absl::StrCat(key.step, ".", key.index)},
+                       {"run", std::to_string(task.run)},
+                       {"crashed", absl::StrJoin(crashes.certain, ",")},
+                       {"suspected", std::to_string(crashes.suspected)}});
+        task.held_back = held_back;
+    }
+    return held_back;
+}
+
 // --- ends -------------------------------------------------------------------
 
 job_coordinator::task_state* job_coordinator::find(const task_key& key,
@@ -538,6 +608,7 @@
     } else if (!no_holder_since_) {
         no_holder_since_ = now;
     }
+    fail_crashing_jobs(now);
     std::vector<std::pair<std::string, const char*>> expired;
     for (auto& [id, state] : jobs_) {
         if (now > state.caller_deadline) {
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -3,7 +3,8 @@
 // The coordinator keeps all jobs in memory. It assigns tasks to holders, counts
 // failed attempts, and answers when all tasks are done or one of them has used
 // up its attempts. A task gets a new run only when its previous run has
-// certainly ended.
+// certainly ended. A task that crashes endpoints is given up: see
+// docs/design/crashes.md.
 #ifndef FIGRIDGE_CORE_DISPATCH_JOB_COORDINATOR_HPP
 #define FIGRIDGE_CORE_DISPATCH_JOB_COORDINATOR_HPP
 
@@ -109,6 +110,7 @@
         std::uint32_t moves = 0;
         std::vector<std::string> avoid;
         process_id returned_by;   // the holder that gave it back last
+        bool held_back = false;   // not placed, as endpoints crashed under it
         timestamp runs_end_by{0}; // set if `holder_lost`
         bool holder_lost = false;
         bool report_lost = false; // its end may never be reported
@@ -161,6 +163,16 @@
                     const std::string& endpoint, std::string_view why);
     void apply_update(timestamp now, job_state& state, task_state& task,
                       const task_update& update);
+    // The answer to a job with a task, not done yet, under which too many
+    // endpoints have certainly crashed; nothing if there is none.
+    [[nodiscard]] std::optional<job_answer>
+    find_crashing_task(const job& work) const;
+    // Ends the jobs for which `find_crashing_task()` has an answer, if the
+    // ledger has changed since the last call.
+    void fail_crashing_jobs(timestamp now);
+    // Whether the task must not be placed because of the crashes under it.
+    bool hold_back(const task_key& key, task_state& task,
+                   const task_crashes& crashes);
     // Report of the holder of `task.found`.
     void apply_found_update(timestamp now, job_state& state, task_state& task,
                             const task_update& update);
@@ -210,6 +222,8 @@
     std::map<caller_token, std::string> job_of_caller_;
     std::map<std::string, cached_answer> cached_answers_;
     std::map<std::string, former_runs> former_runs_;
+    // Of the ledger when jobs were last looked through.
+    std::uint64_t crashes_generation_ = 0;
     std::optional<timestamp> no_holder_since_;
     std::map<std::string, recent_adoption> recent_adoptions_;
     // By endpoint: the highest token of its adoptions and when it arrived.
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -382,6 +382,45 @@
     BOOST_TEST(read.ack_stream == sent.ack_stream);
 }
 
+// The fields before crashes of endpoints were reported.
+struct older_item : task_assignment::item {
+    MSGPACK_DEFINE(run, need, avoid);
+};
+struct older_payload : payload {
+    MSGPACK_DEFINE(catalogue_queries, catalogues, assignments, withdrawals,
+                   adoptions, claims, updates, grants);
+};
+
+// Guards against hosts of two versions that can't read each other during an
+// update.
+BOOST_AUTO_TEST_CASE(messages_without_crashes_can_be_read_and_read_ours) {
+    const auto repack = [](const auto& from, auto& to) {
+        msgpack::sbuffer packed;
+        msgpack::pack(packed, from);
+        msgpack::unpack(packed.data(), packed.size()).get().convert(to);
+    };
+    auto content = make_full_envelope().content;
+    content.assignments[0].items[0].crashes = 1;
+    older_payload older;
+    repack(content, older);
+    BOOST_TEST(older.grants.size() == 1U);
+    BOOST_TEST(older.crashes.empty());
+    payload read;
+    repack(older, read);
+    BOOST_TEST(read.grants.size() == 1U);
+    BOOST_TEST(read.crashes.empty());
+    older_item item;
+    repack(content.assignments[0].items[0], item);
+    BOOST_TEST(item.avoid.size() == 1U);
+    BOOST_TEST(item.crashes == 0U);
+    task_assignment::item read_item;
+    repack(item, read_item);
+    BOOST_TEST(read_item.avoid.size() == 1U);
+    BOOST_TEST(read_item.crashes == 0U);
+    repack(content.assignments[0].items[0], read_item);
+    BOOST_TEST(read_item.crashes == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(changed_settings_keep_the_process_identity) {
     auto changed = make_settings();
     changed.self.address = "10.1.0.7:1";
@@ -1107,6 +1146,65 @@
     BOOST_TEST(endpoints.starts.size() == 1U);
 }
 
+// Reports of a peer that lost two endpoints under the task of a job of this
+// host.
+struct crash_report_fixture : holding_dispatcher {
+    crash_report_fixture() {
+        complete_takeover();
+        auto job = make_job("0123456789abcdef");
+        job.caller_timeout = 20s;
+        core.submit(now, 1, job);
+    }
+
+    static crash_report report(const std::string& endpoint,
+                               crash_evidence evidence) {
+        return {
+            {{"0123456789abcdef", 0, 0}, 1}, "queue", endpoint, 1000, evidence};
+    }
+};
+
+// Guards against tasks that crash endpoint after endpoint since the report of
+// another host's holder doesn't reach the job's coordinator.
+BOOST_FIXTURE_TEST_CASE(crashes_reported_by_a_peer_end_the_job,
+                        crash_report_fixture) {
+    payload content;
+    content.crashes = {report("endpoint-2", crash_evidence::ended),
+                       report("endpoint-3", crash_evidence::ended)};
+    receive_from_peer("domain-1", content);
+    advance(25ms);
+    BOOST_REQUIRE_EQUAL(callers.answers.size(), 1U);
+    const auto& answer = callers.answers[0].second;
+    BOOST_TEST((answer.outcome == job_outcome::failed));
+    BOOST_TEST(answer.reason ==
+               "task 0.0 crashed endpoints endpoint-2, endpoint-3");
+    BOOST_REQUIRE_EQUAL(observer.lines["job_failed"].size(), 1U);
+    BOOST_TEST(observer.lines["job_failed"][0]["reason"] == answer.reason);
+}
+
+// Guards against a count that is lost with the holder that reported the
+// crashes.
+BOOST_FIXTURE_TEST_CASE(crashes_suspected_by_a_lost_holder_count,
+                        crash_report_fixture) {
+    payload content;
+    content.crashes = {report("endpoint-2", crash_evidence::refusing),
+                       report("endpoint-3", crash_evidence::refusing)};
+    receive_from_peer("domain-1", content);
+    advance(3s);
+    BOOST_TEST(observer.lines["peer_lost"].size() == 1U);
+    BOOST_TEST(callers.answers.empty());
+    auto later = make_endpoint("endpoint-2");
+    later.instance_started_ms = 2000;
+    core.set_endpoints(now, {later});
+    core.remove_endpoint(now, "endpoint-3");
+    advance(25ms);
+    BOOST_REQUIRE_EQUAL(callers.answers.size(), 1U);
+    BOOST_TEST((callers.answers[0].second.outcome == job_outcome::failed));
+    // The count outlives the job, too.
+    core.submit(now, 2, make_job("0123456789abcdef"));
+    BOOST_REQUIRE_EQUAL(callers.answers.size(), 2U);
+    BOOST_TEST((callers.answers[1].second.outcome == job_outcome::failed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -71,6 +71,13 @@
                                   {run_of(index, run), kind, endpoint, 1});
     }
 
+    // An endpoint has, or may have, crashed while the task ran there.
+    void report_crash(std::uint32_t index, const std::string& endpoint,
+                      crash_evidence evidence) {
+        crashes.record(now,
+                       {run_of(index), "queue-1", endpoint, 1000, evidence});
+    }
+
     // Number of assignments of a task to a holder.
     [[nodiscard]] std::size_t placements() const {
         std::size_t count = 0;
@@ -680,6 +687,168 @@
     BOOST_TEST(assignments[1].second.items[0].run.task.step == 1U);
 }
 
+// Guards against a task that crashes one endpoint after the other: lost runs
+// use up no attempt, so that only the caller's time limit ended its starts.
+BOOST_AUTO_TEST_CASE(task_that_crashes_each_endpoint_is_started_twice) {
+    submit(2, 3, 20s);
+    constexpr std::uint32_t max_runs = 12;
+    for (std::uint32_t run = 1; run <= max_runs && placements() == run + 1;
+         ++run) {
+        const auto endpoint = "endpoint-" + std::to_string(run);
+        update(holder_a, 0, update_kind::started, run, endpoint);
+        report_crash(0, endpoint, crash_evidence::refusing);
+        advance(1100ms);
+        update(holder_a, 0, update_kind::lost, run, endpoint);
+        advance(400ms);
+        report_crash(0, endpoint, crash_evidence::ended);
+    }
+    advance(25ms);
+    BOOST_TEST(placements() == 3U); // one of them of the other task
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::failed));
+    BOOST_TEST(answers[0].reason ==
+               "task 0.0 crashed endpoints endpoint-1, endpoint-2");
+    BOOST_REQUIRE_EQUAL(withdrawals.size(), 1U);
+    BOOST_TEST((withdrawals[0] == holder_a));
+}
+
+// Guards against a third crash: endpoints that were only silent at first turn
+// out to have crashed when the task is queued, or runs, on another one.
+BOOST_AUTO_TEST_CASE(crash_that_becomes_certain_later_ends_the_job) {
+    for (const bool started : {false, true}) {
+        submit(1, 3, 20s);
+        update(holder_a, 0, update_kind::lost, 1, "endpoint-1");
+        update(holder_a, 0, update_kind::lost, 2, "endpoint-2");
+        BOOST_REQUIRE_EQUAL(placements(), 3U);
+        if (started) {
+            update(holder_a, 0, update_kind::started, 3, "endpoint-3");
+        }
+        report_crash(0, "endpoint-1", crash_evidence::ended);
+        advance(25ms);
+        BOOST_TEST(answers.empty());
+        report_crash(0, "endpoint-2", crash_evidence::ended);
+        advance(25ms);
+        BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+        BOOST_TEST((answers[0].outcome == job_outcome::failed));
+        BOOST_TEST(withdrawals.size() == 1U);
+        BOOST_TEST(coordinator.job_count() == 0U);
+        // A job of its own for the second pass.
+        assignments.clear();
+        answers.clear();
+        withdrawals.clear();
+        crashes.tick(now + 61s);
+        advance(11s);
+    }
+}
+
+// The holder that suspected the crashes may be gone by the time the platform
+// lists later instances.
+BOOST_AUTO_TEST_CASE(crashes_that_the_platforms_list_makes_certain_count) {
+    submit(1, 3, 20s);
+    report_crash(0, "endpoint-1", crash_evidence::refusing);
+    update(holder_a, 0, update_kind::lost, 1, "endpoint-1");
+    report_crash(0, "endpoint-2", crash_evidence::refusing);
+    update(holder_a, 0, update_kind::lost, 2, "endpoint-2");
+    crashes.handle_listed("endpoint-1", 2000);
+    advance(25ms);
+    BOOST_TEST(answers.empty());
+    crashes.handle_removed("endpoint-2");
+    advance(25ms);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::failed));
+}
+
+// Guards against a job that is failed, or a task that is started a third time,
+// for what may be a cut: endpoints that refuse connections may work on.
+BOOST_AUTO_TEST_CASE(task_with_two_suspicions_waits_until_one_is_withdrawn) {
+    submit(1, 3, 20s);
+    report_crash(0, "endpoint-1", crash_evidence::refusing);
+    update(holder_a, 0, update_kind::lost, 1, "endpoint-1");
+    BOOST_REQUIRE_EQUAL(placements(), 2U);
+    BOOST_TEST(assignments[1].second.items[0].crashes == 1U);
+    report_crash(0, "endpoint-2", crash_evidence::refusing);
+    update(holder_a, 0, update_kind::lost, 2, "endpoint-2");
+    advance(5s);
+    BOOST_TEST(placements() == 2U);
+    BOOST_TEST(answers.empty());
+    report_crash(0, "endpoint-1", crash_evidence::none);
+    advance(25ms);
+    BOOST_REQUIRE_EQUAL(placements(), 3U);
+    BOOST_TEST(assignments[2].second.items[0].crashes == 1U);
+    update(holder_a, 0, update_kind::done, 3, "endpoint-3");
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::completed));
+}
+
+BOOST_AUTO_TEST_CASE(one_certain_and_one_suspected_crash_keep_a_task_waiting) {
+    submit(1, 3, 20s);
+    report_crash(0, "endpoint-1", crash_evidence::ended);
+    update(holder_a, 0, update_kind::lost, 1, "endpoint-1");
+    report_crash(0, "endpoint-2", crash_evidence::refusing);
+    update(holder_a, 0, update_kind::lost, 2, "endpoint-2");
+    advance(5s);
+    BOOST_TEST(placements() == 2U);
+    BOOST_TEST(answers.empty());
+    report_crash(0, "endpoint-2", crash_evidence::ended);
+    advance(25ms);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::failed));
+}
+
+// Guards against a task that crashes two more endpoints each time its caller
+// submits the job again, at this or at another host.
+BOOST_AUTO_TEST_CASE(job_with_a_crashing_task_fails_when_it_comes_again) {
+    report_crash(1, "endpoint-1", crash_evidence::ended);
+    report_crash(1, "endpoint-2", crash_evidence::ended);
+    submit(2);
+    BOOST_TEST(assignments.empty());
+    BOOST_TEST(coordinator.job_count() == 0U);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::failed));
+    BOOST_TEST(answers[0].reason ==
+               "task 0.1 crashed endpoints endpoint-1, endpoint-2");
+}
+
+BOOST_AUTO_TEST_CASE(job_that_comes_again_starts_with_its_tasks_crashes) {
+    report_crash(1, "endpoint-1", crash_evidence::ended);
+    submit(2);
+    BOOST_TEST(answers.empty());
+    BOOST_REQUIRE_EQUAL(placements(), 2U);
+    const auto& items = assignments[0].second.items;
+    BOOST_TEST(items[0].crashes == 0U);
+    BOOST_TEST(items[1].crashes == 1U);
+}
+
+// A run elsewhere has done the task before the reports of its former runs
+// arrive.
+BOOST_AUTO_TEST_CASE(crashes_of_a_task_that_is_done_do_not_end_its_job) {
+    submit(2, 3, 20s);
+    update(holder_a, 0, update_kind::lost, 1, "endpoint-1");
+    update(holder_a, 0, update_kind::lost, 2, "endpoint-2");
+    update(holder_a, 0, update_kind::done, 3, "endpoint-3");
+    report_crash(0, "endpoint-1", crash_evidence::ended);
+    report_crash(0, "endpoint-2", crash_evidence::ended);
+    advance(25ms);
+    BOOST_TEST(answers.empty());
+    update(holder_a, 1, update_kind::done);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::completed));
+}
+
+BOOST_AUTO_TEST_CASE(crashes_of_other_jobs_do_not_end_a_job) {
+    submit(1, 3, 20s);
+    for (const auto* endpoint : {"endpoint-1", "endpoint-2"}) {
+        crashes.record(now, {{{"fedcba9876543210", 0, 0}, 1},
+                             "queue-1",
+                             endpoint,
+                             1000,
+                             crash_evidence::ended});
+    }
+    advance(25ms);
+    BOOST_TEST(answers.empty());
+    BOOST_TEST(coordinator.job_count() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
