--- a/src/core/dispatch/dispatcher_dump.cpp
+++ b/src/core/dispatch/dispatcher_dump.cpp
@@ -116,6 +116,7 @@
             {"endpoints_held", holder_.sessions().size()},
             {"endpoints_ejected", ejected},
             {"hosts_live", sessions_.live_count() + 1},
+            {"tasks_with_crashes", crashes_.size()},
             {"catalogue_version", catalogue_version_}};
 }
 
