A task that may have crashed an endpoint starts where nothing else runs

A holder starts a task with a crash, certain or suspected, only on an endpoint with an empty ledger, and nothing else there until its run has ended, so that the second crash harms nobody and leaves one task to blame. If no endpoint is idle, the one that will be idle first gets no new tasks, or a suspect would not start under full load. At most one in eight held endpoints (at least one) runs, is reserved for, or was lost under a suspect. Suspects are not returned for another holder, not moved from a slow endpoint, and not shown in adverts, where they would keep others' tasks away; nor is the room beside them.

Tests: nine cases of endpoint_holder_test.

--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -205,6 +205,10 @@
 
 void endpoint_holder::return_queued(std::vector<std::uint32_t> free_cpu) {
     const auto returned = queue_.extract([&](const queued_task& task) {
+        // Another holder would have to empty an endpoint for it as well.
+        if (is_suspect(task)) {
+            return false;
+        }
         const auto cpu = task.need.room.cpu_millis;
         const auto room =
             std::find_if(free_cpu.begin(), free_cpu.end(),
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -117,6 +117,7 @@
         resources room;
     };
     std::vector<available_endpoint> available_endpoints(timestamp now);
+    void place_queued(timestamp now);
     available_endpoint* choose(std::vector<available_endpoint>& available,
                                const queued_task& task) const;
     // Whether an endpoint is slow while at most half of those held are.
@@ -129,6 +130,26 @@
                                           const run_entry& entry);
     static bool reserve(std::vector<available_endpoint>& available,
                         const std::string& pool, const resources& need);
+    // Whether the endpoint, if it were idle, could run the task.
+    static bool could_run(const endpoint_record& endpoint,
+                          const queued_task& task);
+
+    // --- isolation of suspects: tasks that may have crashed an endpoint ---
+    static bool is_suspect(const queued_task& task) { return task.crashes > 0; }
+    // Determines which endpoints run a suspect, or were lost under one, and
+    // drops the reservations that are of no use any more.
+    void update_isolation();
+    // Whether the isolation of suspects lets the task start there.
+    [[nodiscard]] bool isolation_admits(const endpoint_session& session,
+                                        const queued_task& task) const;
+    // Whether one more endpoint may run a suspect or be reserved for one.
+    [[nodiscard]] bool may_isolate_another() const;
+    [[nodiscard]] bool is_isolated(const endpoint_session& session) const;
+    void note_suspect_started(const endpoint_session& session,
+                              const queued_task& task);
+    // Reserves endpoints for the suspects that found no idle one.
+    void reserve_for_suspects();
+    endpoint_session* choose_to_reserve(const queued_task& task);
     // Whether a run of the task may still run on an endpoint held here.
     [[nodiscard]] bool has_run_of(const task_key& task) const;
     void disown(endpoint_session& session);
@@ -159,6 +180,12 @@
     task_queue queue_;
     timestamp now_{0};           // of the input being handled
     bool most_are_slow_ = false; // as of the last tick
+    // Endpoints that run a suspect, or were lost under one, as of the last
+    // start.
+    std::set<std::string> suspect_endpoints_;
+    // Endpoints that get no new tasks until they are idle and the suspect
+    // starts there.
+    std::map<std::string, task_key> reserved_;
 };
 
 } // namespace figridge::dispatch
--- /dev/null
+++ b/src/core/dispatch/endpoint_holder_isolation.cpp
@@ -0,0 +1,155 @@
+// Isolation of suspects: a task that may have crashed an endpoint starts only
+// where nothing else runs, and nothing else starts there until it has ended.
+#include <algorithm>
+
+#include "core/dispatch/endpoint_holder.hpp"
+
+namespace figridge::dispatch {
+namespace {
+
+// At most one in this many held endpoints is isolated at a time, so that
+// suspects take no failure domain.
+constexpr std::size_t endpoints_per_isolated = 8;
+
+bool runs_suspect(const endpoint_session& session) {
+    const auto& entries = session.ledger().entries();
+    return std::any_of(entries.begin(), entries.end(), [](const auto& item) {
+        return item.second.crashes > 0;
+    });
+}
+
+std::string task_name(const task_key& task) {
+    return std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
+bool is_reserved_for(const std::map<std::string, task_key>& reserved,
+                     const task_key& task) {
+    return std::any_of(
+        reserved.begin(), reserved.end(),
+        [&task](const auto& item) { return item.second == task; });
+}
+
+// When the runs there have probably ended.
+timestamp idle_at(timestamp now, const endpoint_session& session) {
+    auto latest = now;
+    for (const auto& [run, entry] : session.ledger().entries()) {
+        latest =
+            std::max(latest, entry.entered_at + std::chrono::milliseconds(
+                                                    entry.need.estimate_ms));
+    }
+    return latest;
+}
+
+} // namespace
+
+void endpoint_holder::update_isolation() {
+    suspect_endpoints_.clear();
+    for (const auto& [id, session] : sessions_) {
+        if (session->is_lost_under_suspect() || runs_suspect(*session)) {
+            suspect_endpoints_.insert(id);
+        }
+    }
+    std::erase_if(reserved_, [this](const auto& item) {
+        const auto& [endpoint, task] = item;
+        const auto session = sessions_.find(endpoint);
+        const auto& queued = queue_.tasks();
+        return session == sessions_.end() ||
+               !session->second->accepts_tasks() ||
+               std::none_of(queued.begin(), queued.end(),
+                            [&key = task](const queued_task& waiting) {
+                                return is_suspect(waiting) &&
+                                       waiting.run.task == key;
+                            });
+    });
+}
+
+bool endpoint_holder::may_isolate_another() const {
+    const auto limit =
+        std::max<std::size_t>(1, sessions_.size() / endpoints_per_isolated);
+    return suspect_endpoints_.size() + reserved_.size() < limit;
+}
+
+bool endpoint_holder::is_isolated(const endpoint_session& session) const {
+    return reserved_.contains(session.endpoint().id) || runs_suspect(session);
+}
+
+bool endpoint_holder::isolation_admits(const endpoint_session& session,
+                                       const queued_task& task) const {
+    const auto reserved = reserved_.find(session.endpoint().id);
+    if (reserved != reserved_.end() && reserved->second != task.run.task) {
+        return false;
+    }
+    if (!is_suspect(task)) {
+        return !runs_suspect(session);
+    }
+    return session.ledger().empty() &&
+           (is_reserved_for(reserved_, task.run.task) || may_isolate_another());
+}
+
+void endpoint_holder::note_suspect_started(const endpoint_session& session,
+                                           const queued_task& task) {
+    const auto& endpoint = session.endpoint().id;
+    const bool was_reserved = reserved_.contains(endpoint);
+    std::erase_if(reserved_, [&task](const auto& item) {
+        return item.second == task.run.task;
+    });
+    suspect_endpoints_.insert(endpoint);
+    observer_.log(
+        log_level::info, "suspect_started",
+        {{"job", task.run.task.job},
+         {"task", task_name(task.run.task)},
+         {"run", std::to_string(task.run.run)},
+         {"crashes", std::to_string(task.crashes)},
+         {"endpoint", endpoint},
+         {"reserved", was_reserved ? "yes" : "no"},
+         {"isolated",
+          std::to_string(suspect_endpoints_.size() + reserved_.size())},
+         {"held", std::to_string(sessions_.size())},
+         {"queued_ms", std::to_string(to_ms(now_ - task.queued_at))}});
+}
+
+void endpoint_holder::reserve_for_suspects() {
+    for (const auto& task : queue_.tasks()) {
+        if (!may_isolate_another()) {
+            return;
+        }
+        if (!is_suspect(task) || is_reserved_for(reserved_, task.run.task) ||
+            has_run_of(task.run.task)) {
+            continue;
+        }
+        if (const auto* session = choose_to_reserve(task)) {
+            reserved_.emplace(session->endpoint().id, task.run.task);
+            observer_.log(
+                log_level::info, "endpoint_reserved",
+                {{"endpoint", session->endpoint().id},
+                 {"job", task.run.task.job},
+                 {"task", task_name(task.run.task)},
+                 {"runs", std::to_string(session->ledger().size())},
+                 {"idle_in_ms",
+                  std::to_string(to_ms(idle_at(now_, *session) - now_))}});
+        }
+    }
+}
+
+endpoint_session* endpoint_holder::choose_to_reserve(const queued_task& task) {
+    endpoint_session* best = nullptr;
+    const auto estimate = std::chrono::milliseconds(task.need.estimate_ms);
+    auto best_idle_at = task.caller_deadline - estimate;
+    for (auto& [id, session] : sessions_) {
+        const bool usable =
+            session->accepts_tasks() && !session->awaits_revocation() &&
+            session->health().accepts_tasks(now_) &&
+            !is_slow_outlier(now_, *session) && !is_isolated(*session) &&
+            could_run(session->endpoint(), task);
+        if (!usable) {
+            continue;
+        }
+        if (const auto idle = idle_at(now_, *session); idle <= best_idle_at) {
+            best = session.get();
+            best_idle_at = idle;
+        }
+    }
+    return best;
+}
+
+} // namespace figridge::dispatch
--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -36,9 +36,15 @@
 
 void endpoint_holder::dispatch(timestamp now) {
     now_ = now;
+    update_isolation();
     if (queue_.empty()) {
         return;
     }
+    place_queued(now);
+    reserve_for_suspects();
+}
+
+void endpoint_holder::place_queued(timestamp now) {
     auto available = available_endpoints(now);
     std::uint32_t largest_free_cpu = 0;
     for (const auto& option : available) {
@@ -70,6 +76,9 @@
         chosen->room = chosen->session->health().is_on_probation()
                            ? resources{}
                            : chosen->session->free_resources();
+        if (is_suspect(task)) {
+            note_suspect_started(*chosen->session, task);
+        }
         return true;
     });
 }
@@ -123,13 +132,15 @@
         }
         if (!std::exchange(listed, true)) {
             available = available_endpoints(now);
-            std::erase_if(available, [now](const available_endpoint& option) {
-                return option.session->health().is_slow(now);
+            std::erase_if(available, [&](const available_endpoint& option) {
+                return option.session->health().is_slow(now) ||
+                       is_isolated(*option.session);
             });
         }
         std::vector<task_run> moved;
         for (const auto& [run, entry] : session->ledger().entries()) {
-            if (finishes_sooner_elsewhere(now, entry) &&
+            // A suspect would wait for another idle endpoint.
+            if (entry.crashes == 0 && finishes_sooner_elsewhere(now, entry) &&
                 reserve(available, session->endpoint().pool, entry.need.room)) {
                 moved.push_back(run);
             }
@@ -168,6 +179,18 @@
     return false;
 }
 
+bool endpoint_holder::could_run(const endpoint_record& endpoint,
+                                const queued_task& task) {
+    const auto& label = task.need.required_label;
+    const auto& labels = endpoint.labels;
+    return endpoint.pool == task.pool &&
+           fits(task.need.room, endpoint.capacity) &&
+           (label.empty() ||
+            std::find(labels.begin(), labels.end(), label) != labels.end()) &&
+           std::find(task.avoid.begin(), task.avoid.end(), endpoint.id) ==
+               task.avoid.end();
+}
+
 endpoint_holder::available_endpoint*
 endpoint_holder::choose(std::vector<available_endpoint>& available,
                         const queued_task& task) const {
@@ -175,17 +198,8 @@
     double best_cost = std::numeric_limits<double>::max();
     for (auto& option : available) {
         const auto& endpoint = option.session->endpoint();
-        if (endpoint.pool != task.pool || !fits(task.need.room, option.room)) {
-            continue;
-        }
-        const auto& label = task.need.required_label;
-        if (!label.empty() &&
-            std::find(endpoint.labels.begin(), endpoint.labels.end(), label) ==
-                endpoint.labels.end()) {
-            continue;
-        }
-        if (std::find(task.avoid.begin(), task.avoid.end(), endpoint.id) !=
-            task.avoid.end()) {
+        if (!could_run(endpoint, task) || !fits(task.need.room, option.room) ||
+            !isolation_admits(*option.session, task)) {
             continue;
         }
         const bool far = !task.need.preferred_rack.empty() &&
@@ -210,7 +224,10 @@
 
 void endpoint_holder::fill(advert& about) const {
     about.queued_cpu_ms = queue_.queued_cpu_ms();
-    about.queued_tasks = static_cast<std::uint32_t>(queue_.size());
+    // Suspects wait for an idle endpoint, while others can start at once.
+    about.queued_tasks = static_cast<std::uint32_t>(std::count_if(
+        queue_.tasks().begin(), queue_.tasks().end(),
+        [](const queued_task& task) { return !is_suspect(task); }));
     about.endpoints_held = static_cast<std::uint32_t>(sessions_.size());
     for (const auto& [id, session] : sessions_) {
         if (!session->accepts_tasks()) {
@@ -225,7 +242,7 @@
         about.largest_memory_mb =
             std::max(about.largest_memory_mb, capacity.memory_mb);
         if (!session->health().is_on_probation() &&
-            !is_slow_outlier(now_, *session)) {
+            !is_slow_outlier(now_, *session) && !is_isolated(*session)) {
             about.free_cpu.push_back(session->free_resources().cpu_millis);
         }
     }
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -268,6 +268,7 @@
     default:
         failed_calls_ = 0;
         refusing_since_.reset();
+        lost_under_suspect_ = false;
         if (std::exchange(poll_delay_, duration{0}) > duration{0}) {
             next_poll_ = now; // the lease may be about to end
         }
@@ -505,6 +506,7 @@
 // shows which.
 void endpoint_session::begin_instance(timestamp now) {
     refusing_since_.reset();
+    lost_under_suspect_ = false;
     acknowledged_ = 0;
     acknowledged_sent_ = 0;
     latest_deadline_ms_ = 0;
@@ -746,6 +748,7 @@
             unanswered && now - entry.entered_at <= silent_instance_limit();
         if (!may_still_start && !may_run_on_next_instance) {
             record_lost_run(entry);
+            lost_under_suspect_ |= entry.crashes > 0;
             over(entry, update_kind::lost);
         }
     }
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -129,6 +129,12 @@
         return refusing_since_;
     }
 
+    // Whether a run of a suspect was lost with the endpoint, which has not
+    // answered since. A suspect is a task that may have crashed an endpoint.
+    [[nodiscard]] bool is_lost_under_suspect() const {
+        return lost_under_suspect_;
+    }
+
 private:
     [[nodiscard]] call_target target() const;
     // The deadline of a renewal; nothing if the lease must not be extended.
@@ -207,6 +213,7 @@
     bool gone_ = false;
     std::optional<timestamp> refusing_since_;
     bool crash_suspected_ = false; // and reported
+    bool lost_under_suspect_ = false;
     // Runs that may have been lost with the present instance, and the last call
     // sent when the newest of them was added.
     std::map<task_run, lost_run> lost_runs_;
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -55,7 +55,7 @@
 
     // Tasks of one job, each on six cores for about 60 ms.
     void assign(const std::string& job, std::uint32_t tasks,
-                duration objective = 200ms) {
+                duration objective = 200ms, std::uint32_t crashes = 0) {
         task_assignment assignment;
         assignment.job = job;
         assignment.pool = "pool";
@@ -66,12 +66,31 @@
             task_need need;
             need.room = {6000, 64, 0};
             need.estimate_ms = 60;
-            assignment.items.push_back({{{job, 0, i}, 1}, need, {}});
+            assignment.items.push_back({{{job, 0, i}, 1}, need, {}, crashes});
         }
         holder.assign(now, coordinator, assignment);
         holder.dispatch(now);
     }
 
+    // One task of a job, under which an endpoint has, or may have, crashed.
+    void assign_suspect(const std::string& job) { assign(job, 1, 200ms, 1); }
+
+    // The first list may be of a call sent before the last start was answered.
+    void end_runs(const std::string& endpoint) {
+        answer_hold(endpoint, {});
+        answer_hold(endpoint, {});
+    }
+
+    // Where the task of this job was started; empty if it was not.
+    [[nodiscard]] std::string endpoint_of(const std::string& job) const {
+        for (const auto& call : port.starts) {
+            if (call.run.task.job == job) {
+                return call.target.endpoint;
+            }
+        }
+        return {};
+    }
+
     void answer_starts() {
         for (; answered < port.starts.size(); ++answered) {
             const auto& call = port.starts[answered];
@@ -485,6 +504,160 @@
     BOOST_TEST(events.crashes[0].queue == "queue-1");
 }
 
+// Guards against neighbours of a deadly task that lose their endpoint: a task
+// under which one has crashed was started beside other runs.
+BOOST_AUTO_TEST_CASE(suspect_starts_only_where_nothing_runs) {
+    assign("job-1", 1);
+    answer_starts();
+    assign_suspect("suspect-1");
+    BOOST_REQUIRE_EQUAL(port.starts.size(), 2U);
+    BOOST_TEST(endpoint_of("suspect-1") != endpoint_of("job-1"));
+    answer_starts();
+    answer_hold(endpoint_of("suspect-1"), {});
+    assign("job-2", 3);
+    answer_starts();
+    BOOST_REQUIRE_EQUAL(port.starts.size(), 5U);
+    assign_suspect("suspect-2");
+    BOOST_TEST(endpoint_of("suspect-2").empty());
+}
+
+// Guards against the same: others were started beside a task under which an
+// endpoint has crashed.
+BOOST_AUTO_TEST_CASE(nothing_starts_beside_a_suspect) {
+    assign_suspect("suspect-1");
+    BOOST_REQUIRE_EQUAL(port.starts.size(), 1U);
+    const auto isolated = endpoint_of("suspect-1");
+    advert about;
+    holder.fill(about);
+    BOOST_TEST(about.free_cpu.size() == 1U);
+    assign("job-1", 4);
+    answer_starts();
+    BOOST_TEST(runs_on(isolated, 0).size() == 1U);
+    BOOST_TEST(port.starts.size() == 3U);
+    BOOST_TEST(holder.queue().size() == 2U);
+    answer_hold(isolated, {}); // its run has ended
+    holder.dispatch(now);
+    BOOST_TEST(runs_on(isolated, 0).size() == 3U);
+}
+
+// Guards against a suspect that never starts: under full load no endpoint is
+// idle unless one gets no new tasks for a while.
+BOOST_AUTO_TEST_CASE(endpoint_is_emptied_for_a_waiting_suspect) {
+    assign("job-1", 3);
+    answer_starts();
+    // One endpoint has two runs, the other one has one, which ends later.
+    now += 20ms;
+    assign("job-2", 1);
+    answer_starts();
+    const auto late = endpoint_of("job-2");
+    const std::string early =
+        late == "endpoint-1" ? "endpoint-2" : "endpoint-1";
+    assign_suspect("suspect-1");
+    assign("job-3", 2);
+    auto left = runs_on(early, 10);
+    BOOST_REQUIRE_EQUAL(left.size(), 2U);
+    left.pop_back();
+    answer_hold(early, left);
+    holder.dispatch(now);
+    BOOST_TEST(endpoint_of("suspect-1").empty());
+    BOOST_TEST(endpoint_of("job-3").empty());
+    advert about;
+    holder.fill(about);
+    BOOST_TEST(about.free_cpu.size() == 1U);
+    answer_hold(early, {});
+    holder.dispatch(now);
+    BOOST_TEST(endpoint_of("suspect-1") == early);
+    BOOST_TEST(endpoint_of("job-3").empty());
+}
+
+// Guards against an endpoint that stays empty for a task that was withdrawn.
+BOOST_AUTO_TEST_CASE(reserved_endpoint_is_used_again_without_its_suspect) {
+    assign("job-1", 4);
+    answer_starts();
+    assign_suspect("suspect-1");
+    assign("job-2", 4);
+    holder.withdraw(now, coordinator, "suspect-1");
+    end_runs("endpoint-1");
+    end_runs("endpoint-2");
+    holder.dispatch(now);
+    BOOST_TEST(port.starts.size() == 8U);
+}
+
+// Guards against suspects that take all endpoints of a holder.
+BOOST_AUTO_TEST_CASE(few_endpoints_at_a_time_run_suspects) {
+    assign_suspect("suspect-1");
+    assign_suspect("suspect-2");
+    answer_starts();
+    BOOST_REQUIRE_EQUAL(port.starts.size(), 1U);
+    answer_hold(endpoint_of("suspect-1"), {});
+    holder.dispatch(now);
+    BOOST_TEST(!endpoint_of("suspect-2").empty());
+}
+
+// Guards against the same: the next suspect was started as soon as the lease of
+// the first one had passed.
+BOOST_AUTO_TEST_CASE(endpoint_lost_under_a_suspect_counts_until_it_is_gone) {
+    assign_suspect("suspect-1");
+    answer_starts();
+    const auto lost = endpoint_of("suspect-1");
+    now += 100ms;
+    assign_suspect("suspect-2");
+    refuse_calls({lost}, 1400ms);
+    BOOST_REQUIRE(holder.sessions().at(lost)->ledger().empty());
+    holder.dispatch(now);
+    BOOST_REQUIRE_EQUAL(holder.queue().size(), 1U);
+    BOOST_TEST(endpoint_of("suspect-2").empty());
+    holder.mark_gone(now, lost);
+    holder.tick(now);
+    holder.dispatch(now);
+    BOOST_TEST(!endpoint_of("suspect-2").empty());
+    BOOST_TEST(endpoint_of("suspect-2") != lost);
+}
+
+// Guards against the same count for an endpoint that was only cut off.
+BOOST_AUTO_TEST_CASE(endpoint_that_answers_again_is_not_lost_under_a_suspect) {
+    assign_suspect("suspect-1");
+    answer_starts();
+    const auto cut = endpoint_of("suspect-1");
+    now += 100ms;
+    assign_suspect("suspect-2");
+    refuse_calls({cut}, 1400ms);
+    BOOST_REQUIRE(holder.sessions().at(cut)->is_lost_under_suspect());
+    answer_hold(cut, {});
+    holder.dispatch(now);
+    BOOST_TEST(!endpoint_of("suspect-2").empty());
+}
+
+// Guards against suspects that holders send to and fro, and against other tasks
+// that are sent to other holders because a suspect waits here.
+BOOST_AUTO_TEST_CASE(waiting_suspect_stays_and_holds_nobody_up) {
+    assign_suspect("suspect-1");
+    assign_suspect("suspect-2");
+    BOOST_REQUIRE_EQUAL(holder.queue().size(), 1U);
+    advert about;
+    holder.fill(about);
+    BOOST_TEST(about.queued_tasks == 0U);
+    events.updates.clear();
+    holder.return_queued({16'000, 16'000});
+    BOOST_TEST(events.updates.empty());
+    BOOST_TEST(holder.queue().size() == 1U);
+    assign("job-1", 1);
+    BOOST_TEST(!endpoint_of("job-1").empty());
+}
+
+// Guards against a suspect that is stopped on a slow endpoint and then waits
+// for another idle one.
+BOOST_AUTO_TEST_CASE(suspect_stays_on_a_slow_endpoint) {
+    assign_suspect("suspect-1");
+    answer_starts();
+    const auto slow = endpoint_of("suspect-1");
+    now += 150ms;
+    answer_hold(slow, runs_on(slow, 10));
+    BOOST_REQUIRE(holder.sessions().at(slow)->health().is_slow(now));
+    holder.tick(now);
+    BOOST_TEST(port.stops.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
