Virtual fleet: tasks that crash the endpoints that start them

What callers see: one task may take endpoint after endpoint, with the runs of others on each, until its caller's time limit passes.

The fault `deadly_tasks` sends half of the jobs to a queue of its own, of which a share has one task that crashes its endpoint 0 to 60 ms after its start. The endpoint resets its connections, refuses new ones for 1 to 4 s and is back as a new instance, half of the time under another id at its address; the former entry leaves the list 4.5 s after the crash, and calls meant for it are answered by another instance. Half of these callers wait 20 s.

Judged: BUDGET (a host in touch starts a task for the third time after three endpoints crashed under it), CRASHES (a fourth crash under a task whose starting hosts were in touch: docs/design/crashes.md), and in all runs a job that is answered `failed` although no task of it failed as often as its queue allows or lost two endpoints. `finish()` counts as no disturbance of a run that has none.

--- a/tests/dispatch/fleet/fleet_callers.cpp
+++ b/tests/dispatch/fleet/fleet_callers.cpp
@@ -12,6 +12,9 @@
 
 // One in this many jobs always fails.
 constexpr std::size_t always_fails_one_in = 40;
+constexpr int queue_attempts = 3;
+// Crashes under one task after which its job may be given up.
+constexpr int crashes_to_give_up = 2;
 
 } // namespace
 
@@ -49,13 +52,17 @@
     job.submission.queue.name = "queue";
     job.submission.queue.pool = "pool";
     job.submission.queue.priority = static_cast<std::uint32_t>(draw(3));
-    job.submission.queue.attempts = 3;
+    job.submission.queue.attempts = queue_attempts;
     job.submission.queue.stretch = 1.6;
     job.submission.queue.latency_target = 60ms;
+    if (deadly_share_ > 0.0) {
+        draw_deadly_task(job);
+    }
     ++jobs_sent;
     const auto id = job.id;
+    const auto timeout = job.timeout;
     jobs_[id] = std::move(job);
-    at(now_ + caller_timeout, [this, id] {
+    at(now_ + timeout, [this, id] {
         const auto found = jobs_.find(id);
         if (found == jobs_.end()) {
             return;
@@ -74,6 +81,36 @@
     send_job(id);
 }
 
+void virtual_fleet::draw_deadly_task(caller_job& job) {
+    if (draw(2) == 0) {
+        return;
+    }
+    job.submission.queue.name = "deadly";
+    if (draw(2) == 0) {
+        job.timeout = long_caller_timeout;
+        job.times_out_at = now_ + job.timeout;
+    }
+    if (static_cast<double>(draw(1000)) < 1000.0 * deadly_share_) {
+        auto& work = job.submission.work;
+        absl::StrAppend(&work.payload, " deadly=", draw(work.steps[0].count));
+    }
+}
+
+bool virtual_fleet::may_have_failed(const caller_job& job) const {
+    for (std::uint32_t i = 0; i < job.submission.work.steps[0].count; ++i) {
+        const task_key task{job.id, 0, i};
+        const auto failed = observed.failed_ends.find(task);
+        const auto crashed = observed.crashed.find(task);
+        if ((failed != observed.failed_ends.end() &&
+             failed->second >= queue_attempts) ||
+            (crashed != observed.crashed.end() &&
+             crashed->second.crashes >= crashes_to_give_up)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void virtual_fleet::send_job(const std::string& id) {
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) {
@@ -156,6 +193,9 @@
         ++jobs_failed;
         if (!observed.started.contains(id)) {
             observed.add_violation(now_, "FAILED without a start: " + id);
+        } else if (!may_have_failed(job)) {
+            observed.add_violation(now_, absl::StrCat("FAILED without cause: ",
+                                                      id, " ", answer.reason));
         }
         break;
     case job_outcome::gave_up:
--- a/tests/dispatch/fleet/fleet_host.cpp
+++ b/tests/dispatch/fleet/fleet_host.cpp
@@ -204,8 +204,8 @@
                  core.handle_start(fleet_.now_, call.target, call.run, reply);
              };
          },
-         [this, call](dispatcher& core) {
-             core.handle_start(fleet_.now_, call.target, call.run, {});
+         [this, call](dispatcher& core, call_status status) {
+             core.handle_start(fleet_.now_, call.target, call.run, {status});
          },
          virtual_fleet::call_kind::start});
 }
@@ -220,8 +220,8 @@
                  core.handle_stop(fleet_.now_, call.target, call.run, reply);
              };
          },
-         [this, call](dispatcher& core) {
-             core.handle_stop(fleet_.now_, call.target, call.run, {});
+         [this, call](dispatcher& core, call_status status) {
+             core.handle_stop(fleet_.now_, call.target, call.run, {status});
          },
          virtual_fleet::call_kind::stop});
 }
@@ -243,8 +243,9 @@
                  core.handle_hold(fleet_.now_, call.target, lists);
              };
          },
-         [this, call](dispatcher& core) {
+         [this, call](dispatcher& core, call_status status) {
              hold_reply none;
+             none.call.status = status;
              none.number = call.number;
              core.handle_hold(fleet_.now_, call.target, none);
          },
--- a/tests/dispatch/fleet/fleet_matrix.cpp
+++ b/tests/dispatch/fleet/fleet_matrix.cpp
@@ -193,6 +193,12 @@
          [](auto& fleet, auto /*target*/) {
              fleet.set_late_orders(0.0, 0.0);
          }});
+    // Not in the matrix while it is listed in KNOWN-RED.txt.
+    faults.push_back(
+        {"deadly_tasks",
+         [](auto& fleet, auto /*target*/) { fleet.set_deadly_share(0.15); },
+         [](auto& fleet, auto /*target*/) { fleet.set_deadly_share(0.0); },
+         false});
     return faults;
 }
 
--- a/tests/dispatch/fleet/fleet_matrix.hpp
+++ b/tests/dispatch/fleet/fleet_matrix.hpp
@@ -11,6 +11,8 @@
     std::string name;
     std::function<void(virtual_fleet&, std::size_t target)> begin;
     std::function<void(virtual_fleet&, std::size_t target)> end;
+    // Played by itself and in mixes when no fault is named.
+    bool in_matrix = true;
 };
 
 const std::vector<fleet_fault>& all_fleet_faults();
--- a/tests/dispatch/fleet/virtual_endpoint.cpp
+++ b/tests/dispatch/fleet/virtual_endpoint.cpp
@@ -17,6 +17,12 @@
 // counted from lease-ms after the first refusal.
 constexpr duration refusal_known_after = 3s;
 constexpr int later_refusals_allowed = 3;
+// By the rules, connected hosts start a task at most twice after this many
+// endpoints have crashed under it.
+constexpr int crashes_before_limit = 3;
+constexpr int starts_allowed_after_limit = 2;
+// The design's own limit (docs/design/crashes.md).
+constexpr int crashes_allowed = 3;
 
 std::uint32_t payload_value(const std::string& payload, const char* name) {
     const auto at = payload.find(name);
@@ -34,11 +40,34 @@
 
 } // namespace
 
-void virtual_endpoint::start_instance(timestamp now) {
+void virtual_endpoint::crash(timestamp now) {
     while (!runs_.empty()) {
         const auto task = runs_.begin()->first;
         end_run(task, end_kind::lapsed);
+        auto& seen = observed_.crashed[task];
+        if (++seen.crashes == crashes_allowed + 1 && seen.in_touch) {
+            observed_.add_violation(
+                now, "CRASHES of " + std::to_string(seen.crashes) +
+                         " endpoints under " + task_name(task));
+        }
+    }
+    ends_.clear();
+}
+
+void virtual_endpoint::check_crash_limit(timestamp now, const task_key& task) {
+    const bool in_touch = !is_late_call && observed_.in_touch(calling_host);
+    auto& seen = observed_.crashed[task];
+    seen.in_touch &= in_touch;
+    if (in_touch && seen.crashes >= crashes_before_limit &&
+        ++seen.starts_after_third == starts_allowed_after_limit + 1) {
+        observed_.add_violation(
+            now, "BUDGET " + task_name(task) + " is started again after " +
+                     std::to_string(seen.crashes) + " crashes");
     }
+}
+
+void virtual_endpoint::start_instance(timestamp now) {
+    crash(now);
     highest_.clear();
     refusals_.clear();
     ends_.clear();
@@ -162,9 +191,15 @@
                         std::to_string(call.run.run) + " token " +
                         std::to_string(call.target.token));
     }
+    check_crash_limit(now, task);
     ++observed_.starts;
     observed_.started.insert(task.job);
     runs_[task] = fresh;
+    const bool deadly = call.payload.find(" deadly=") != std::string::npos &&
+                        payload_value(call.payload, " deadly=") == task.index;
+    if (deadly) {
+        observed_.deadly_started(record_.id, call.run);
+    }
     return reply;
 }
 
@@ -231,6 +266,8 @@
     }
     if (kind == end_kind::done) {
         observed_.done[task.job].insert(task);
+    } else if (kind == end_kind::failed) {
+        ++observed_.failed_ends[task];
     } else if (kind == end_kind::lapsed) {
         ++observed_.lapsed;
     }
--- a/tests/dispatch/fleet/virtual_endpoint.hpp
+++ b/tests/dispatch/fleet/virtual_endpoint.hpp
@@ -1,7 +1,8 @@
 // An endpoint in virtual time that behaves as the users' platform specifies.
 //
 // It does not enforce its capacity but records a violation when it is
-// exceeded. A task's payload describes it: "ms=60 cpu=6000 [fail]".
+// exceeded. A task's payload describes it: "ms=60 cpu=6000 [fail]
+// [deadly=INDEX]"; the task with that index crashes the endpoint.
 #ifndef FIGRIDGE_TESTS_DISPATCH_FLEET_VIRTUAL_ENDPOINT_HPP
 #define FIGRIDGE_TESTS_DISPATCH_FLEET_VIRTUAL_ENDPOINT_HPP
 
@@ -12,11 +13,20 @@
 
 namespace figridge::dispatch::fleet {
 
+// Crashes of endpoints while a task ran there.
+struct task_crashes_seen {
+    int crashes = 0;
+    int starts_after_third = 0; // while the hosts were in touch
+    bool in_touch = true;       // the starting hosts, at each start
+};
+
 // Runs, answers and violations recorded by all parts of one fleet.
 struct observations {
     std::map<task_key, int> running;
     std::map<std::string, std::set<task_key>> done; // by job
     std::set<std::string> started;                  // jobs
+    std::map<task_key, task_crashes_seen> crashed;
+    std::map<task_key, int> failed_ends;
     std::vector<std::string> violations;
     std::uint64_t starts = 0;
     std::uint64_t lapsed = 0;
@@ -24,6 +34,13 @@
 
     // Whether every host can have read the current state of the store.
     std::function<bool()> all_connected;
+    // Whether a host that calls now counts as in touch by the rules.
+    std::function<bool(std::size_t host)> in_touch = [](std::size_t) {
+        return true;
+    };
+    // Called when an endpoint starts a task that crashes it.
+    std::function<void(const std::string& endpoint, const task_run& run)>
+        deadly_started;
     // Called with a line for each start and end of a run, if set.
     std::function<void(const std::string&)> trace;
 
@@ -43,6 +60,14 @@
 
     // Starts a new instance, which keeps no state of an earlier one.
     void start_instance(timestamp now);
+    // The instance ends, and its runs with it.
+    void crash(timestamp now);
+    // Changes the id of the next instance.
+    void set_id(const std::string& id) { record_.id = id; }
+    [[nodiscard]] bool has_run(const task_run& run) const {
+        const auto found = runs_.find(run.task);
+        return found != runs_.end() && found->second.number == run.run;
+    }
     // Ends the runs that are finished, stopped or past the lease.
     void advance(timestamp now);
     // When the next run ends; empty if none is running.
@@ -82,6 +107,8 @@
                             call_reply& reply);
     void renew(timestamp now, std::int64_t deadline_ms);
     void end_run(const task_key& task, end_kind kind);
+    // Judges a start of a task under which endpoints have crashed.
+    void check_crash_limit(timestamp now, const task_key& task);
 
     endpoint_record record_;
     double clock_rate_;
--- a/tests/dispatch/fleet/virtual_fleet.cpp
+++ b/tests/dispatch/fleet/virtual_fleet.cpp
@@ -20,6 +20,13 @@
 constexpr duration row_rewrite_limit = 1300ms;
 constexpr duration settle_time = 8s;
 constexpr std::uint32_t endpoint_cpu = 16'000;
+// A deadly task crashes its endpoint within this time.
+constexpr duration deadly_age_limit = 60ms;
+// How long an endpoint that has crashed is away: this, and up to three times
+// as much longer.
+constexpr duration min_crash_time = 1s;
+// The list drops a former instance after three missed heartbeats of 1.5 s.
+constexpr duration unlisted_after = 4500ms;
 // Shorter than the gap that a host takes for a suspension.
 constexpr duration slow_input_limit = 250ms;
 
@@ -30,6 +37,20 @@
     observed.all_connected = [this] {
         return now_ - last_disruption_ > reconnect_time && !any_cut();
     };
+    observed.in_touch = [this](std::size_t host) {
+        return observed.all_connected() && hosts_connected() &&
+               now_ - hosts_[host]->started_at > reconnect_time;
+    };
+    observed.deadly_started = [this](const std::string& id,
+                                     const task_run& run) {
+        const auto age =
+            duration(draw(static_cast<std::size_t>(deadly_age_limit.count())));
+        at(now_ + age, [this, id, run] {
+            if (endpoint_of(id).model->has_run(run)) {
+                crash_by_task(index_of(id));
+            }
+        });
+    };
     for (std::size_t i = 0; i < size.domains; ++i) {
         domain_names_.push_back(absl::StrCat("domain-", i));
     }
@@ -86,12 +107,15 @@
 }
 
 void virtual_fleet::finish() {
+    const bool undisturbed = observed.all_connected() && hosts_connected();
+    const auto disturbed = std::pair(last_disruption_, links_disturbed_at_);
     heal();
     set_store(store_mode::up);
     late_share_ = 0.0;
     delayed_share_ = 0.0;
     lost_share_ = 0.0;
     set_late_orders(0.0, 0.0);
+    set_deadly_share(0.0);
     for (std::size_t i = 0; i < endpoints_.size(); ++i) {
         set_mode(i, endpoint_mode::normal);
         set_slowness(i, 1.0);
@@ -104,7 +128,11 @@
             start_host(i);
         }
     }
+    if (undisturbed) {
+        std::tie(last_disruption_, links_disturbed_at_) = disturbed;
+    }
     end_load();
+    settle_after_deadly_tasks();
     run_for(settle_time);
     faults_ended_ = true;
     begin_load(25);
@@ -170,10 +198,15 @@
 virtual_fleet::endpoint_of(const std::string& id) {
     return *std::find_if(endpoints_.begin(), endpoints_.end(),
                          [&id](const fleet_endpoint& endpoint) {
-                             return endpoint.model->record().id == id;
+                             return endpoint.model->record().id == id ||
+                                    endpoint.former_ids.contains(id);
                          });
 }
 
+std::size_t virtual_fleet::index_of(const std::string& id) {
+    return static_cast<std::size_t>(&endpoint_of(id) - endpoints_.data());
+}
+
 void virtual_fleet::deliver(std::size_t index, std::uint64_t process,
                             std::function<void(dispatcher&)> input) {
     auto& host = *hosts_[index];
@@ -214,14 +247,28 @@
     const auto process = hosts_[index]->process;
     const auto answered = std::make_shared<bool>(false);
     at(now_ + call.timeout,
-       [this, index, process, answered, unanswered = call.unanswered] {
+       [this, index, process, answered, failed = call.failed] {
            if (!std::exchange(*answered, true)) {
-               deliver(index, process, unanswered);
+               deliver(index, process, [failed](dispatcher& core) {
+                   failed(core, call_status::unanswered);
+               });
            }
        });
     const auto id = target.endpoint;
-    const auto reply = [this, index, process, answered,
-                        id](std::function<void(dispatcher&)> input) {
+    const auto fail = [this, index, process, answered, id,
+                       failed = call.failed](call_status status) {
+        at(now_ + delay(),
+           [this, index, process, answered, id, failed, status] {
+               if (has_path(*hosts_[index], endpoint_of(id)) &&
+                   !std::exchange(*answered, true)) {
+                   deliver(index, process, [failed, status](dispatcher& core) {
+                       failed(core, status);
+                   });
+               }
+           });
+    };
+    const auto reply = [this, index, process, answered, id,
+                        fail](std::function<void(dispatcher&)> input) {
         const auto& endpoint = endpoint_of(id);
         const bool lost =
             endpoint.model->is_mute() ||
@@ -230,15 +277,27 @@
             return;
         }
         at(now_ + delay(),
-           [this, index, process, answered, id, input = std::move(input)] {
+           [this, index, process, answered, id, fail,
+            crashes = endpoint.crashes, input = std::move(input)] {
+               if (endpoint_of(id).crashes != crashes) {
+                   return fail(call_status::unanswered);
+               }
                if (has_path(*hosts_[index], endpoint_of(id)) &&
                    !std::exchange(*answered, true)) {
                    deliver(index, process, input);
                }
            });
     };
-    const auto execute = [this, index, id, call, reply](bool heard) {
+    const auto execute = [this, index, id, call, reply, fail](bool heard) {
         auto& endpoint = endpoint_of(id);
+        const bool meant_for_former = endpoint.model->record().id != id;
+        if (endpoint.down || meant_for_former) {
+            if (heard && !endpoint.model->is_mute()) {
+                fail(endpoint.down ? call_status::not_sent
+                                   : call_status::other_instance);
+            }
+            return;
+        }
         endpoint.model->calling_host = index;
         endpoint.model->is_late_call = !heard;
         auto input = call.execute(*endpoint.model);
@@ -250,7 +309,7 @@
                 {[this, id, call, reply] {
                      reply(call.execute(*endpoint_of(id).model));
                  },
-                 now_ + call.wait});
+                 [fail] { fail(call_status::unanswered); }, now_ + call.wait});
         } else if (heard) {
             reply(std::move(input));
         }
@@ -336,11 +395,83 @@
 }
 
 void virtual_fleet::crash_endpoint(std::size_t index) {
+    if (endpoints_[index].down) {
+        return;
+    }
     endpoints_[index].holds.clear();
     endpoints_[index].model->start_instance(now_);
     publish_endpoint(index);
 }
 
+void virtual_fleet::set_deadly_share(double share) {
+    deadly_share_ = share;
+    had_deadly_tasks_ |= share > 0.0;
+}
+
+void virtual_fleet::crash_by_task(std::size_t index) {
+    auto& endpoint = endpoints_[index];
+    const auto id = endpoint.model->record().id;
+    if (keep_log) {
+        note("crash " + id);
+    }
+    endpoint.model->crash(now_);
+    endpoint.down = true;
+    ++endpoint.crashes;
+    for (const auto& held : std::exchange(endpoint.holds, {})) {
+        held.reset();
+    }
+    const bool other_id = draw(2) == 0;
+    const auto longer =
+        duration(draw(static_cast<std::size_t>(3 * min_crash_time.count())));
+    at(now_ + min_crash_time + longer,
+       [this, index, other_id] { restart_endpoint(index, other_id); });
+    if (other_id) {
+        at(now_ + unlisted_after,
+           [this, index, id] { unlist_endpoint(index, id); });
+    }
+}
+
+void virtual_fleet::restart_endpoint(std::size_t index, bool other_id) {
+    auto& endpoint = endpoints_[index];
+    endpoint.down = false;
+    if (other_id) {
+        endpoint.former_ids.insert(endpoint.model->record().id);
+        endpoint.model->set_id(
+            absl::StrCat("endpoint-", index, ".", endpoint.crashes));
+    }
+    endpoint.model->start_instance(now_);
+    if (keep_log) {
+        note("restart " + endpoint.model->record().id);
+    }
+    publish_endpoint(index);
+}
+
+void virtual_fleet::unlist_endpoint(std::size_t index, const std::string& id) {
+    endpoints_[index].unlisted_ids.insert(id);
+    for (const auto& host : hosts_) {
+        at(now_ + duration{draw(list_poll_interval.count())},
+           [this, id, &host = *host, process = host->process] {
+               if (has_path_to_store(host) && store_ == store_mode::up) {
+                   deliver(host.index, process, [this, id](auto& core) {
+                       core.remove_endpoint(now_, id);
+                   });
+               }
+           });
+    }
+}
+
+void virtual_fleet::settle_after_deadly_tasks() {
+    if (!had_deadly_tasks_) {
+        return;
+    }
+    run_for(caller_timeout);
+    const auto limit = now_ + long_caller_timeout;
+    while (!jobs_.empty() && now_ < limit) {
+        run_for(100ms);
+    }
+    run_for(unlisted_after + list_poll_interval);
+}
+
 // The endpoint starts to drain once the store accepts its report.
 void virtual_fleet::drain_endpoint(std::size_t index, bool draining) {
     if (draining && store_ != store_mode::up) {
@@ -497,10 +628,13 @@
             return;
         }
         std::vector<endpoint_record> listed;
+        std::vector<std::string> unlisted;
         for (const auto& endpoint : endpoints_) {
             listed.push_back(endpoint.model->record());
+            unlisted.insert(unlisted.end(), endpoint.unlisted_ids.begin(),
+                            endpoint.unlisted_ids.end());
         }
-        deliver(index, process, [this, listed](dispatcher& core) {
+        deliver(index, process, [this, listed, unlisted](dispatcher& core) {
             for (const auto& other : hosts_) {
                 core.add_member(now_, other->address);
             }
@@ -508,6 +642,9 @@
                 core.set_holder(now_, row);
             }
             core.set_endpoints(now_, listed);
+            for (const auto& id : unlisted) {
+                core.remove_endpoint(now_, id);
+            }
         });
     });
 }
--- a/tests/dispatch/fleet/virtual_fleet.hpp
+++ b/tests/dispatch/fleet/virtual_fleet.hpp
@@ -28,6 +28,9 @@
 inline constexpr duration resend_after = 1300ms;
 // How long a caller waits for its answer, over all attempts.
 inline constexpr duration caller_timeout = 3s;
+// The same for half of the callers of the queue with deadly tasks, so that
+// their patience doesn't hide a missing limit on crashes.
+inline constexpr duration long_caller_timeout = 20s;
 // By the rules, hosts count as connected this long after a disruption.
 inline constexpr duration reconnect_time = 3s;
 
@@ -84,6 +87,11 @@
     void set_mode(std::size_t index, endpoint_mode mode);
     void set_slowness(std::size_t index, double slowness);
     void crash_endpoint(std::size_t index);
+    // From now on this share of the jobs of the queue "deadly" has a task that
+    // crashes each endpoint that starts it. The endpoint refuses connections
+    // for 1 to 4 s, then it is back as a new instance, under its id or another
+    // one. A share above 0 sends half of the jobs to this queue.
+    void set_deadly_share(double share);
     void drain_endpoint(std::size_t index, bool draining);
     void cut_endpoint(std::size_t index);
     // From now on this share of the calls is executed 2 to 6 s late.
@@ -131,8 +139,13 @@
         bool cut = false;
         std::size_t domain = 0;
         std::optional<timestamp> next_advance_at;
+        bool down = false;         // refuses connections after a crash
+        std::uint64_t crashes = 0; // that reset its connections
+        std::set<std::string> former_ids;
+        std::set<std::string> unlisted_ids; // of `former_ids`
         struct waiting_hold {
             std::function<void()> answer;
+            std::function<void()> reset;
             timestamp until{0};
         };
         std::vector<waiting_hold> holds;
@@ -143,14 +156,14 @@
     enum class call_kind { start, stop, hold };
 
     // `execute` runs a call at the endpoint and returns the input that gives
-    // its reply to the host. `unanswered` is the input that the host gets
-    // instead if no reply arrives before the timeout.
+    // its reply to the host. `failed` is the input that the host gets instead
+    // if no reply arrives before the timeout, or the call fails otherwise.
     struct endpoint_call {
         duration timeout{0};
         duration wait{0}; // for a run to end, before the runs are listed
         std::function<std::function<void(dispatcher&)>(virtual_endpoint&)>
             execute;
-        std::function<void(dispatcher&)> unanswered;
+        std::function<void(dispatcher&, call_status)> failed;
         call_kind kind = call_kind::hold;
     };
 
@@ -158,6 +171,7 @@
         std::string id;
         job_submission submission;
         timestamp times_out_at{0};
+        duration timeout = caller_timeout;
         std::size_t host = 0;
         std::uint64_t process = 0; // that the request was sent to; 0: none
         caller_token token = 0;
@@ -176,7 +190,9 @@
                                 const fleet_endpoint& endpoint) const;
     [[nodiscard]] bool has_path_to_store(const fleet_host& host) const;
     [[nodiscard]] fleet_host* find_host(const std::string& address);
+    // The endpoint that has, or had, this id.
     fleet_endpoint& endpoint_of(const std::string& id);
+    std::size_t index_of(const std::string& id);
     // Delivers an input to a process; delayed if the host is frozen or slow.
     void deliver(std::size_t host, std::uint64_t process,
                  std::function<void(dispatcher&)> input);
@@ -205,6 +221,17 @@
     void send_full_read(std::size_t host);
     void publish_row(const holder_record& row);
     void publish_endpoint(std::size_t index);
+    // The endpoint's former id leaves the list.
+    void unlist_endpoint(std::size_t index, const std::string& id);
+    void crash_by_task(std::size_t index);
+    void restart_endpoint(std::size_t index, bool other_id);
+    // Waits until no deadly task is left and all endpoints are back.
+    void settle_after_deadly_tasks();
+    // Draws whether the job is of the queue with deadly tasks, and which task.
+    void draw_deadly_task(caller_job& job);
+    // Whether a task of the job failed as often as its queue allows, or
+    // endpoints have crashed under it.
+    [[nodiscard]] bool may_have_failed(const caller_job& job) const;
     void submit_job();
     void send_job(const std::string& id);
     void handle_answer(std::size_t host, std::uint64_t process,
@@ -237,6 +264,8 @@
     double lost_share_ = 0.0;
     double late_starts_ = 0.0;
     double late_stops_ = 0.0;
+    double deadly_share_ = 0.0;
+    bool had_deadly_tasks_ = false;
     duration load_interval_{0};
     std::map<std::string, caller_job> jobs_;
     std::map<caller_token, std::string> tokens_;
