Virtual fleet: endpoints whose capacity shrinks and grows

`shrinking_capacity` shrinks a third of the endpoints, or all, to 20 to 80%, which may be less than what runs, for 5 s and more, and lets them grow again. The row shows a change at the next heartbeat (up to 1.5 s) that the store accepts. `shrinking_capacity_enforced` is the same on endpoints that refuse what doesn't fit. Judged: a start by a host in touch that brings the endpoint over its capacity; a former capacity counts for 4.5 s (contact-ms and one heartbeat), and what is being stopped counts. A host that is out of touch is judged by the full capacity, as before.

--- a/tests/dispatch/fleet/fleet_matrix.cpp
+++ b/tests/dispatch/fleet/fleet_matrix.cpp
@@ -7,6 +7,8 @@
 
 constexpr duration startup_time = 2s;
 constexpr duration time_after_faults = 2s;
+// A start is judged by a former capacity for less than this.
+constexpr duration former_capacity_time = 5s;
 
 using target_action = std::function<void(virtual_fleet&, std::size_t)>;
 
@@ -64,6 +66,29 @@
             }};
 }
 
+// Shrinks a third of the endpoints, or all if the target is a multiple of 4.
+fleet_fault shrinking(std::string name, bool enforced) {
+    const auto each = [](virtual_fleet& fleet, std::size_t target,
+                         const std::function<void(std::size_t)>& act) {
+        for (std::size_t i = 0; i < fleet.endpoint_count(); ++i) {
+            if (target % 4 == 0 || i % 3 == target % 3) {
+                act(i);
+            }
+        }
+    };
+    return {std::move(name),
+            [each, enforced](auto& fleet, auto target) {
+                each(fleet, target, [&fleet, enforced](std::size_t i) {
+                    fleet.shrink_capacity(i, enforced);
+                });
+            },
+            [each](auto& fleet, auto target) {
+                each(fleet, target,
+                     [&fleet](std::size_t i) { fleet.restore_capacity(i); });
+            },
+            true, former_capacity_time};
+}
+
 std::vector<fleet_fault> make_faults() {
     std::vector<fleet_fault> faults;
     faults.push_back(on_host(
@@ -193,6 +218,8 @@
          [](auto& fleet, auto /*target*/) {
              fleet.set_late_orders(0.0, 0.0);
          }});
+    faults.push_back(shrinking("shrinking_capacity", false));
+    faults.push_back(shrinking("shrinking_capacity_enforced", true));
     // Not in the matrix while it is listed in KNOWN-RED.txt.
     faults.push_back(
         {"deadly_tasks",
@@ -230,7 +257,8 @@
         step.target = random() % 90;
         at += std::chrono::milliseconds(random() % 900);
         step.at = at;
-        step.lasts = std::chrono::milliseconds(150 + random() % 3500);
+        step.lasts = std::chrono::milliseconds(150 + random() % 3500) +
+                     step.fault->at_least;
         run.steps.push_back(step);
     }
     return run;
--- a/tests/dispatch/fleet/fleet_matrix.hpp
+++ b/tests/dispatch/fleet/fleet_matrix.hpp
@@ -13,6 +13,7 @@
     std::function<void(virtual_fleet&, std::size_t target)> end;
     // Played by itself and in mixes when no fault is named.
     bool in_matrix = true;
+    duration at_least{0}; // added to the drawn length
 };
 
 const std::vector<fleet_fault>& all_fleet_faults();
--- a/tests/dispatch/fleet/virtual_endpoint.cpp
+++ b/tests/dispatch/fleet/virtual_endpoint.cpp
@@ -21,6 +21,9 @@
 // endpoints have crashed under it.
 constexpr int crashes_before_limit = 3;
 constexpr int starts_allowed_after_limit = 2;
+// By the rules, a start is judged by the former capacity for contact-ms and one
+// heartbeat after it has shrunk.
+constexpr duration former_capacity_counts = 4500ms;
 // The design's own limit (docs/design/crashes.md).
 constexpr int crashes_allowed = 3;
 
@@ -54,6 +57,29 @@
     ends_.clear();
 }
 
+void virtual_endpoint::set_capacity(timestamp now, double share) {
+    const auto cpu_millis =
+        static_cast<std::uint32_t>(share * full_cpu_millis_);
+    if (cpu_millis < cpu_millis_) {
+        former_capacities_.push_back(
+            {cpu_millis_, now + former_capacity_counts});
+    }
+    cpu_millis_ = cpu_millis;
+}
+
+std::uint32_t virtual_endpoint::capacity_limit(timestamp now) const {
+    if (!observed_.in_touch(calling_host)) {
+        return full_cpu_millis_;
+    }
+    auto limit = cpu_millis_;
+    for (const auto& former : former_capacities_) {
+        if (now <= former.counts_until) {
+            limit = std::max(limit, former.cpu_millis);
+        }
+    }
+    return limit;
+}
+
 void virtual_endpoint::check_crash_limit(timestamp now, const task_key& task) {
     const bool in_touch = !is_late_call && observed_.in_touch(calling_host);
     auto& seen = observed_.crashed[task];
@@ -148,6 +174,10 @@
         reply.status = call_status::too_late;
         return reply;
     }
+    std::uint32_t used = payload_value(call.payload, "cpu=");
+    for (const auto& [other, entry] : runs_) {
+        used += entry.cpu_millis;
+    }
     const auto& task = call.run.task;
     const auto same = runs_.find(task);
     if (same != runs_.end() && same->second.number == call.run.run) {
@@ -158,6 +188,10 @@
         reply.status = call_status::outdated_run;
         return reply;
     }
+    if (enforces_capacity && used > cpu_millis_) {
+        reply.status = call_status::no_room;
+        return reply;
+    }
     highest_[task] = call.run.run;
     run fresh;
     fresh.number = call.run.run;
@@ -168,11 +202,7 @@
                   1000.0 * slowness * payload_value(call.payload, "ms=")));
     fresh.fails = mode == endpoint_mode::fail_all ||
                   call.payload.find(" fail") != std::string::npos;
-    std::uint32_t used = fresh.cpu_millis;
-    for (const auto& [other, entry] : runs_) {
-        used += entry.cpu_millis;
-    }
-    if (used > record_.capacity.cpu_millis) {
+    if (used > capacity_limit(now)) {
         observed_.add_violation(now, "LIMIT " + record_.id + " has " +
                                          std::to_string(used) + " with " +
                                          task_name(task));
--- a/tests/dispatch/fleet/virtual_endpoint.hpp
+++ b/tests/dispatch/fleet/virtual_endpoint.hpp
@@ -1,7 +1,7 @@
 // An endpoint in virtual time that behaves as the users' platform specifies.
 //
-// It does not enforce its capacity but records a violation when it is
-// exceeded. A task's payload describes it: "ms=60 cpu=6000 [fail]
+// It records a violation when its capacity is exceeded, and enforces it only if
+// told to. A task's payload describes it: "ms=60 cpu=6000 [fail]
 // [deadly=INDEX]"; the task with that index crashes the endpoint.
 #ifndef FIGRIDGE_TESTS_DISPATCH_FLEET_VIRTUAL_ENDPOINT_HPP
 #define FIGRIDGE_TESTS_DISPATCH_FLEET_VIRTUAL_ENDPOINT_HPP
@@ -56,12 +56,18 @@
 public:
     virtual_endpoint(const endpoint_record& record, double clock_rate,
                      observations& observed)
-        : record_(record), clock_rate_(clock_rate), observed_(observed) {}
+        : record_(record), clock_rate_(clock_rate), observed_(observed),
+          cpu_millis_(record.capacity.cpu_millis),
+          full_cpu_millis_(cpu_millis_) {}
 
     // Starts a new instance, which keeps no state of an earlier one.
     void start_instance(timestamp now);
     // The instance ends, and its runs with it.
     void crash(timestamp now);
+    // Changes the capacity to this share of the full one. The endpoint's row
+    // shows it only after `list_capacity`.
+    void set_capacity(timestamp now, double share);
+    void list_capacity() { record_.capacity.cpu_millis = cpu_millis_; }
     // Changes the id of the next instance.
     void set_id(const std::string& id) { record_.id = id; }
     [[nodiscard]] bool has_run(const task_run& run) const {
@@ -86,6 +92,7 @@
 
     endpoint_mode mode = endpoint_mode::normal;
     double slowness = 1.0;
+    bool enforces_capacity = false;
     std::size_t calling_host = 0; // host of the current call
     bool is_late_call = false;    // the current call was delayed
     // How long a stop takes; empty: it depends on the index of the task.
@@ -107,12 +114,21 @@
                             call_reply& reply);
     void renew(timestamp now, std::int64_t deadline_ms);
     void end_run(const task_key& task, end_kind kind);
+    // The capacity by which a start by the calling host is judged now.
+    [[nodiscard]] std::uint32_t capacity_limit(timestamp now) const;
     // Judges a start of a task under which endpoints have crashed.
     void check_crash_limit(timestamp now, const task_key& task);
 
     endpoint_record record_;
     double clock_rate_;
     observations& observed_;
+    std::uint32_t cpu_millis_;      // at present
+    std::uint32_t full_cpu_millis_; // without a fault
+    struct former_capacity {
+        std::uint32_t cpu_millis = 0;
+        timestamp counts_until{0};
+    };
+    std::vector<former_capacity> former_capacities_;
     timestamp instance_started_at_{0};
     std::uint64_t token_ = 0;
     // The host that first started a run with each token.
--- a/tests/dispatch/fleet/virtual_fleet.cpp
+++ b/tests/dispatch/fleet/virtual_fleet.cpp
@@ -20,6 +20,7 @@
 constexpr duration row_rewrite_limit = 1300ms;
 constexpr duration settle_time = 8s;
 constexpr std::uint32_t endpoint_cpu = 16'000;
+constexpr duration heartbeat_interval = 1500ms;
 // A deadly task crashes its endpoint within this time.
 constexpr duration deadly_age_limit = 60ms;
 // How long an endpoint that has crashed is away: this, and up to three times
@@ -120,6 +121,9 @@
         set_mode(i, endpoint_mode::normal);
         set_slowness(i, 1.0);
         drain_endpoint(i, false);
+        if (capacity_changed_) {
+            restore_capacity(i);
+        }
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
         thaw_host(i);
@@ -403,6 +407,33 @@
     publish_endpoint(index);
 }
 
+void virtual_fleet::shrink_capacity(std::size_t index, bool enforced) {
+    capacity_changed_ = true;
+    auto& model = *endpoints_[index].model;
+    model.enforces_capacity = enforced;
+    model.set_capacity(now_, 0.2 + 0.001 * static_cast<double>(draw(601)));
+    report_capacity(
+        index,
+        duration(draw(static_cast<std::size_t>(heartbeat_interval.count()))));
+}
+
+void virtual_fleet::restore_capacity(std::size_t index) {
+    endpoints_[index].model->set_capacity(now_, 1.0);
+    report_capacity(
+        index,
+        duration(draw(static_cast<std::size_t>(heartbeat_interval.count()))));
+}
+
+void virtual_fleet::report_capacity(std::size_t index, duration after) {
+    at(now_ + after, [this, index] {
+        if (store_ != store_mode::up) {
+            return report_capacity(index, full_read_retry);
+        }
+        endpoints_[index].model->list_capacity();
+        publish_endpoint(index);
+    });
+}
+
 void virtual_fleet::set_deadly_share(double share) {
     deadly_share_ = share;
     had_deadly_tasks_ |= share > 0.0;
--- a/tests/dispatch/fleet/virtual_fleet.hpp
+++ b/tests/dispatch/fleet/virtual_fleet.hpp
@@ -87,6 +87,11 @@
     void set_mode(std::size_t index, endpoint_mode mode);
     void set_slowness(std::size_t index, double slowness);
     void crash_endpoint(std::size_t index);
+    // The capacity shrinks to 20 to 80%, which may be less than what runs. The
+    // endpoint's row shows a change at its next heartbeat that the store
+    // accepts. With `enforced`, the endpoint refuses what doesn't fit.
+    void shrink_capacity(std::size_t index, bool enforced);
+    void restore_capacity(std::size_t index);
     // From now on this share of the jobs of the queue "deadly" has a task that
     // crashes each endpoint that starts it. The endpoint refuses connections
     // for 1 to 4 s, then it is back as a new instance, under its id or another
@@ -221,6 +226,8 @@
     void send_full_read(std::size_t host);
     void publish_row(const holder_record& row);
     void publish_endpoint(std::size_t index);
+    // Publishes the capacity at the next heartbeat.
+    void report_capacity(std::size_t index, duration after);
     // The endpoint's former id leaves the list.
     void unlist_endpoint(std::size_t index, const std::string& id);
     void crash_by_task(std::size_t index);
@@ -266,6 +273,7 @@
     double late_stops_ = 0.0;
     double deadly_share_ = 0.0;
     bool had_deadly_tasks_ = false;
+    bool capacity_changed_ = false;
     duration load_interval_{0};
     std::map<std::string, caller_job> jobs_;
     std::map<caller_token, std::string> tokens_;
