--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -72,6 +72,15 @@
         holder.dispatch(now);
     }
 
+    // The list shows this capacity of an endpoint.
+    void shrink(const std::string& id, std::uint32_t cpu_millis) {
+        endpoint_record endpoint;
+        endpoint.id = id;
+        endpoint.pool = "pool";
+        endpoint.capacity = {cpu_millis, 32'768, 0};
+        holder.update_endpoint(now, endpoint);
+    }
+
     void answer_starts() {
         for (; answered < port.starts.size(); ++answered) {
             const auto& call = port.starts[answered];
@@ -249,6 +258,21 @@
     BOOST_TEST(about.capacity_cpu < 24'000U);
 }
 
+// Guards against tasks placed where they don't fit: other hosts go by the
+// advert.
+BOOST_AUTO_TEST_CASE(advert_shows_a_shrunk_capacity) {
+    assign("0123456789abcdef", 2);
+    answer_starts();
+    shrink("endpoint-1", 8000);
+    shrink("endpoint-2", 8000);
+    advert about;
+    holder.fill(about);
+    BOOST_TEST(about.largest_cpu == 8000U);
+    BOOST_TEST(about.capacity_cpu == 16'000U);
+    BOOST_TEST(*std::max_element(about.free_cpu.begin(),
+                                 about.free_cpu.end()) <= 8000U);
+}
+
 // Guards against duplicate runs: without the token in the report of a start,
 // the coordinator treated an adoption delayed by a network cut as current.
 BOOST_AUTO_TEST_CASE(each_report_of_a_run_carries_the_token_it_is_held_under) {
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -49,6 +49,53 @@
     BOOST_TEST(session->free_resources().cpu_millis == 16'000U);
 }
 
+// Guards against a start over the capacity (LIMIT): the endpoint shrinks below
+// what runs there.
+BOOST_AUTO_TEST_CASE(shrunk_capacity_leaves_no_room_until_enough_has_ended) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    start(1);
+    answer_start(1);
+    endpoint.capacity = {8000, 32'768, 0};
+    session->update(now, endpoint);
+    BOOST_TEST(session->free_resources().cpu_millis == 0U);
+    answer_hold({run_of(1)}, {{1, run_of(0), end_kind::done}});
+    BOOST_TEST(session->free_resources().cpu_millis == 2000U);
+    endpoint.capacity = {16'000, 32'768, 0};
+    session->update(now, endpoint);
+    BOOST_TEST(session->free_resources().cpu_millis == 10'000U);
+}
+
+// Guards against a start over a shrunk capacity (LIMIT): what is being stopped
+// counts until its end is listed.
+BOOST_AUTO_TEST_CASE(run_being_stopped_counts_against_a_shrunk_capacity) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    endpoint.capacity = {8000, 32'768, 0};
+    session->update(now, endpoint);
+    session->stop(now, run_of(0));
+    session->handle_stop(now, run_of(0), {call_status::ok, clock_ms()});
+    BOOST_TEST(session->free_resources().cpu_millis == 2000U);
+    answer_hold({}, {{1, run_of(0), end_kind::stopped}});
+    BOOST_TEST(session->free_resources().cpu_millis == 8000U);
+}
+
+// Guards against a start over the capacity (LIMIT): the row is older than the
+// runs found at the takeover, which need more than it says.
+BOOST_AUTO_TEST_CASE(claimed_runs_may_exceed_a_shrunk_capacity) {
+    answer_hold({run_of(0), run_of(1)});
+    endpoint.capacity = {8000, 32'768, 0};
+    session->update(now, endpoint);
+    adoption_claim claim{endpoint.id,
+                         {{run_of(0), {{6000, 64, 0}, 60, {}, {}}},
+                          {run_of(1), {{6000, 64, 0}, 60, {}, {}}}}};
+    session->claim(now, {"10.1.0.2:1", 9}, claim);
+    BOOST_TEST(session->accepts_tasks());
+    BOOST_TEST(session->free_resources().cpu_millis == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(unanswered_start_occupies_resources_until_stopped) {
     answer_hold({});
     start(0);
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -644,6 +644,41 @@
     BOOST_TEST(placements() == 0U);
 }
 
+// Guards against a job refused for good: the capacity may grow again.
+BOOST_AUTO_TEST_CASE(job_refused_for_capacity_is_accepted_once_it_has_grown) {
+    advert about;
+    about.capacity_cpu = 20'000;
+    about.largest_cpu = 5000;
+    about.largest_memory_mb = 32'000;
+    views.update(now, holder_a, "domain-1", about);
+    submit(1);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::refused));
+    add_holder_b();
+    submit(1);
+    BOOST_TEST(answers.size() == 1U);
+    BOOST_TEST(placements() == 1U);
+}
+
+// Guards against a task that is given up or started twice while it fits no
+// endpoint for a while.
+BOOST_AUTO_TEST_CASE(returned_task_waits_until_the_capacity_has_grown) {
+    submit(1);
+    BOOST_TEST(placements() == 1U);
+    advert about;
+    about.capacity_cpu = 20'000;
+    about.largest_cpu = 5000;
+    about.largest_memory_mb = 32'000;
+    views.update(now, holder_a, "domain-1", about);
+    update(holder_a, 0, update_kind::returned);
+    advance(500ms);
+    BOOST_TEST(placements() == 1U);
+    BOOST_TEST(answers.empty());
+    add_holder_b();
+    advance(50ms);
+    BOOST_TEST(placements() == 2U);
+}
+
 // After the loss of all holders a takeover takes about a second.
 BOOST_AUTO_TEST_CASE(job_is_placed_when_the_next_holder_appears) {
     views.remove(holder_a);
