A queued task that fits no held endpoint any more is returned

What callers saw: a task waits in the queue of a holder until its caller's time limit, although another holder's endpoints could take it.

Cause: `return_queued` returns a task only if another host would start it at once. If the capacities of all endpoints held here shrink below the task's need, nothing here can ever start it, but it stays as long as the others are busy or have tasks queued.

A task that needs more than the capacity of each held endpoint of its pool is returned now, used or not: its coordinator goes by the adverts, whose largest capacity has shrunk too, so it places the task with another holder, or keeps it until a capacity has grown. A task with a run here is never returned, as before.

--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -208,10 +208,13 @@
         const auto room =
             std::find_if(free_cpu.begin(), free_cpu.end(),
                          [cpu](std::uint32_t free) { return free >= cpu; });
-        // Another host would start it at once.
-        if (room == free_cpu.end() || has_run_of(task.run.task)) {
+        if (has_run_of(task.run.task)) {
             return false;
         }
+        if (room == free_cpu.end()) {
+            return !fits_held_endpoint(task);
+        }
+        // Another host would start it at once.
         *room -= cpu;
         return true;
     });
@@ -220,6 +223,15 @@
     }
 }
 
+bool endpoint_holder::fits_held_endpoint(const queued_task& task) const {
+    return std::any_of(
+        sessions_.begin(), sessions_.end(), [&task](const auto& item) {
+            const auto& session = *item.second;
+            return session.endpoint().pool == task.pool &&
+                   fits(task.need.room, session.ledger().capacity());
+        });
+}
+
 void endpoint_holder::handle_process_pause(timestamp now) {
     now_ = now;
     return_all();
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -65,7 +65,8 @@
     // This process hears no other host, so one of them may have taken over its
     // endpoints: later instances of these are fenced.
     void handle_isolation();
-    // Returns queued tasks that would fit endpoints of other holders.
+    // Returns queued tasks that would fit endpoints of other holders now, or
+    // that need more than the capacity of each endpoint held here.
     // `free_cpu` is the unused processor share of each of those endpoints, in
     // thousandths of a core.
     void return_queued(std::vector<std::uint32_t> free_cpu);
@@ -131,6 +132,9 @@
                         const std::string& pool, const resources& need);
     // Whether a run of the task may still run on an endpoint held here.
     [[nodiscard]] bool has_run_of(const task_key& task) const;
+    // Whether the task needs no more than the capacity of an endpoint held
+    // here, used or not.
+    [[nodiscard]] bool fits_held_endpoint(const queued_task& task) const;
     void disown(endpoint_session& session);
     // Reports the endpoints that began to refuse connections, unless so many
     // did at the same moment that a cut is more likely.
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -273,6 +273,24 @@
                                  about.free_cpu.end()) <= 8000U);
 }
 
+// Guards against a task that waits in the queue of a holder whose endpoints
+// have all become too small for it, while others could take it later.
+BOOST_AUTO_TEST_CASE(queued_task_that_fits_no_endpoint_any_more_is_returned) {
+    assign("job-1", 4);
+    answer_starts();
+    assign("job-2", 1);
+    events.updates.clear();
+    shrink("endpoint-1", 5000);
+    holder.return_queued({});
+    BOOST_TEST(events.updates.empty());
+    shrink("endpoint-2", 5000);
+    holder.return_queued({});
+    BOOST_REQUIRE_EQUAL(events.updates.size(), 1U);
+    BOOST_TEST(events.updates[0].run.task.job == "job-2");
+    BOOST_TEST((events.updates[0].kind == update_kind::returned));
+    BOOST_TEST(holder.queue().empty());
+}
+
 // Guards against duplicate runs: without the token in the report of a start,
 // the coordinator treated an adoption delayed by a network cut as current.
 BOOST_AUTO_TEST_CASE(each_report_of_a_run_carries_the_token_it_is_held_under) {
