Order search: a takeover whose write is lost, beside another one

What callers could see, were an unknown write of a takeover taken for a stored one: two holders that use one fencing token, so that neither fences the other.

On the present code no schedule is found: writes are conditional on the version of the row, a host holds an endpoint only after an answer of the store or its own row, and a late write whose condition still holds names the host that it makes the holder, with a token that no other row of that version had.

The search did not find the mutant, since no scenario had a second takeover that could come by the same token. In the new one a host that is cut off from the others and from the store takes over from a holder that lives and is fenced by it.

--- a/tests/dispatch/orders/order_scenarios.cpp
+++ b/tests/dispatch/orders/order_scenarios.cpp
@@ -362,6 +362,24 @@
              700,
              false,
              400ms});
+        // Host 2 takes the endpoints over from a holder that it can't hear, and
+        // its write ends unknown. The token is free, and another takeover uses
+        // it.
+        add({"takeover_lost_in_a_cut",
+             3,
+             {1, 1},
+             600,
+             1,
+             false,
+             {{1700ms, cut, 2},
+              {1700ms, cut_store, 2},
+              {3700ms, block, 2},
+              {3750ms, submit, 0},
+              {4500ms, heal}},
+             6s,
+             700,
+             false,
+             400ms});
         add({"sent_again_to_one_holder",
              4,
              {1, 1},
