Ends of a former instance are not acknowledged to the next one

What callers saw: a task that was done ran again, after the first run had ended.

Cause: an endpoint that starts again under its id numbers its ends from 1 again, and nothing in a call names the instance. Until the holder noticed the restart, its polls and list calls went on acknowledging the ends of the former instance. A start that the next instance had carried out could end there and be forgotten, so that the list which showed the restart had the run neither running nor ended: the run counted as lost and its task was placed again.

Fix: a poll acknowledges nothing after a failed call, and nothing while a run has been reported as started and was not on a list yet, since the list shows which instance answers. The list call for an unanswered start acknowledges nothing. A poll that is answered at once for this reason is followed by one that acknowledges, as its list has the run.

Not covered: a call that was sent before the start and is carried out by the next instance after the run's end.

Failed before: ends_are_not_acknowledged_to_a_possible_next_instance (acknowledged 1 where 0 was expected) and list_for_an_unanswered_start_acknowledges_no_ends.

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -165,12 +165,22 @@
 
 // --- long poll ------------------------------------------------------------
 
+std::uint64_t endpoint_session::acknowledgement() const {
+    const bool unlisted =
+        std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
+                    [](const auto& item) {
+                        return item.second.state == run_state::running &&
+                               !item.second.listed;
+                    });
+    return unlisted || failed_calls_ > 0 ? 0 : acknowledged_;
+}
+
 void endpoint_session::poll(timestamp now) {
     if (poll_call_ || now < next_poll_ || phase_ == session_phase::fenced ||
         phase_ == session_phase::claiming) {
         return;
     }
-    hold_call call{target(), acknowledged_, std::nullopt, 0};
+    hold_call call{target(), acknowledgement(), std::nullopt, 0};
     if (phase_ == session_phase::active) {
         const bool occupied =
             std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
@@ -206,7 +216,7 @@
             next_poll_ = now + retry_delay;
         }
     }
-    acknowledged_sent_ = acknowledged_;
+    acknowledged_sent_ = std::max(acknowledged_sent_, call.acknowledged);
     call.number = ++calls_sent_;
     poll_call_ = call.number;
     port_.hold(call);
@@ -225,7 +235,7 @@
                     });
     if (due) {
         list_call_ = ++calls_sent_;
-        port_.hold({target(), acknowledged_, std::nullopt, 0, *list_call_});
+        port_.hold({target(), 0, std::nullopt, 0, *list_call_});
     }
 }
 
@@ -386,9 +396,11 @@
             found.entered_at = now;
             found.stop_wanted = true;
             found.revoked = true;
+            found.listed = true;
             ledger_.enter(found);
             continue;
         }
+        entry->listed = true;
         if (entry->state == run_state::uncertain) {
             entry->state = run_state::running;
             entry->confirmed_at = now;
@@ -449,6 +461,7 @@
         entry.confirmed_at = now;
         entry.confirmed_at_call = reply.number;
         entry.progress_at = now;
+        entry.listed = true;
         ledger_.enter(entry);
         found.running.push_back(running.run);
     }
@@ -516,6 +529,7 @@
         // Clock readings and stops of the former instance do not apply.
         entry.lease_deadline_ms = unknown_deadline;
         entry.stop_answered_at_call.reset();
+        entry.listed = false;
         entry.stop_outdated = entry.stop_in_flight;
         entry.next_stop = now;
     }
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -137,6 +137,10 @@
     // of this coordinator.
     [[nodiscard]] std::int64_t
     latest_lease(timestamp now, const process_id& coordinator) const;
+    // The ends that the next poll acknowledges. None after a failed call, or a
+    // start whose run has not been listed: they may be about an instance that
+    // has not been noticed, whose ends have the same numbers.
+    [[nodiscard]] std::uint64_t acknowledgement() const;
     void poll(timestamp now);
     // Requests a run list beside the long poll if an uncertain run is waiting
     // for one.
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -448,6 +448,37 @@
     BOOST_TEST(port.holds.back().acknowledged == 1U);
 }
 
+// Guards against a done task that runs again: a call acknowledged the ends of a
+// former instance to the next one, which then forgot the end of its own run
+// unseen. An answered start may be the next instance's.
+BOOST_AUTO_TEST_CASE(ends_are_not_acknowledged_to_a_possible_next_instance) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    answer_hold({}, {{1, run_of(0), end_kind::done}});
+    start(1);
+    answer_start(1);
+    BOOST_TEST(port.holds.back().acknowledged == 0U);
+    answer_hold({run_of(1)}); // so it is the known instance
+    BOOST_TEST(port.holds.back().acknowledged == 1U);
+}
+
+// Guards against the same by the list that decides about an unanswered start.
+BOOST_AUTO_TEST_CASE(list_for_an_unanswered_start_acknowledges_no_ends) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    answer_hold({}, {{1, run_of(0), end_kind::done}});
+    start(1);
+    answer_start(1, call_status::unanswered);
+    session->handle_stop(now, run_of(1), {call_status::ok, clock_ms()});
+    BOOST_REQUIRE(!port.holds.empty());
+    BOOST_TEST(port.holds.back().acknowledged == 0U);
+    for (const auto& call : port.holds) {
+        BOOST_TEST(call.acknowledged == 0U);
+    }
+}
+
 // Many endpoints may turn slow at once, and then none of their tasks ends for a
 // long time, so slowness is detected from the progress of running tasks.
 BOOST_AUTO_TEST_CASE(endpoint_whose_tasks_all_fall_behind_is_slow) {
