The runs of an endpoint that has left for good are over

What callers saw: a task waited for its caller's deadline, and a planned stop of the holder for its limit.

Cause: after a restart that is noticed while a start is in flight, only an answered stop makes the end of that run certain.

Fix: the runs of an endpoint count as lost if the platform no longer lists it, the last call to it was refused a connection, and the first refusal and the run's start are longer ago than a lease, the drift of a clock and the time limit of a call. An endpoint that was cut off in a way that refuses connections and loses its entry meanwhile has ended the run by then, since nothing has renewed the lease.

Failed before: run_ends_with_an_endpoint_that_left_for_good (no end was reported). run_of_an_endpoint_that_may_be_there_is_not_over holds before and after: a silent endpoint, or a refusal of a moment, ends nothing.

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -262,6 +262,7 @@
         if (of_present_instance && answered_at_address_) {
             end_instance(now);
         }
+        last_call_refused_ = false;
         // Counts, so that calls to an address where another endpoint answers
         // are repeated with growing pauses.
         ++failed_calls_;
@@ -270,14 +271,17 @@
         if (!refusing_since_) {
             refusing_since_ = now;
         }
+        last_call_refused_ = true;
         ++failed_calls_;
         return false;
     case call_status::unanswered:
+        last_call_refused_ = false;
         ++failed_calls_;
         return false;
     default:
         failed_calls_ = 0;
         refusing_since_.reset();
+        last_call_refused_ = false;
         if (std::exchange(poll_delay_, duration{0}) > duration{0}) {
             next_poll_ = now; // the lease may be about to end
         }
@@ -765,6 +769,23 @@
     }
 }
 
+// No process is at the address of an endpoint that has left, and no entry says
+// that another one may come, so no stop will be answered.
+void endpoint_session::check_departure(timestamp now) {
+    const bool departed = gone_ && last_call_refused_ && refusing_since_ &&
+                          now - *refusing_since_ > silent_instance_limit();
+    if (ledger_.empty() || !departed) {
+        return;
+    }
+    const auto entries = ledger_.entries();
+    for (const auto& [run, entry] : entries) {
+        if (entry.state != run_state::starting &&
+            now - entry.entered_at > silent_instance_limit()) {
+            over(entry, update_kind::lost);
+        }
+    }
+}
+
 void endpoint_session::tick(timestamp now) {
     if (phase_ == session_phase::fenced) {
         return;
@@ -777,6 +798,7 @@
         }
     }
     check_lease_expiry(now);
+    check_departure(now);
     send_stops(now);
     request_run_list();
     poll(now);
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -154,6 +154,7 @@
     void begin_address(timestamp now);
     [[nodiscard]] duration silent_instance_limit() const;
     void check_lease_expiry(timestamp now);
+    void check_departure(timestamp now);
     void send_stops(timestamp now);
     void fence();
     // Adds a run to those that may have been lost with this instance.
@@ -210,6 +211,7 @@
     duration poll_delay_{0};
     bool gone_ = false;
     std::optional<timestamp> refusing_since_;
+    bool last_call_refused_ = false;
     bool crash_suspected_ = false; // and reported
     // Runs that may have been lost with the present instance, and the last call
     // sent when the newest of them was added.
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -665,6 +665,40 @@
     BOOST_TEST(port.stops.size() == 1U);
 }
 
+// Guards against an entry that stays for good: an endpoint that restarted with
+// a start in flight leaves, so that no stop of the run is ever answered.
+BOOST_AUTO_TEST_CASE(run_ends_with_an_endpoint_that_left_for_good) {
+    answer_hold({});
+    start(0);
+    auto restarted = endpoint;
+    restarted.instance_started_ms = 3000;
+    session->update(now, restarted);
+    answer_start(0, call_status::unanswered);
+    refuse_calls(3s);
+    BOOST_TEST(events.ends.empty()); // the platform still lists the endpoint
+    session->mark_gone();
+    refuse_calls(100ms);
+    BOOST_REQUIRE_EQUAL(events.ends.size(), 1U);
+    BOOST_TEST((events.ends[0].second == update_kind::lost));
+    BOOST_TEST(session->ledger().empty());
+}
+
+// Guards against duplicate runs: an entry that the platform lost, or a cut that
+// refuses connections for a moment, does not end a run on the next instance.
+BOOST_AUTO_TEST_CASE(run_of_an_endpoint_that_may_be_there_is_not_over) {
+    answer_hold({});
+    start(0);
+    auto restarted = endpoint;
+    restarted.instance_started_ms = 3000;
+    session->update(now, restarted);
+    answer_start(0, call_status::unanswered);
+    session->mark_gone();
+    pass(3s); // silent, not refusing
+    BOOST_TEST(events.ends.empty());
+    refuse_calls(1s);
+    BOOST_TEST(events.ends.empty());
+}
+
 // Guards against duplicate runs: a claim that arrives after the claim window
 // must not renew the lease of a run whose stop is under way.
 BOOST_AUTO_TEST_CASE(late_claim_does_not_keep_a_run_that_is_being_stopped) {
