A probe that another endpoint answers is no contact

What callers could see: tasks of an endpoint waited for the bound of a lost holder, and the endpoint was not used, while a host could have gone on with it.

Cause: before a takeover a host probes the endpoint, and every answer but a stale token counted as reachable, the answer 421 of another instance too. With an outdated or wrong address in its entry, a host took the endpoint over that it could not reach.

That can't lead to two runs: the new holder's session stays in its first phase, as no call to that address is answered by the endpoint, so it neither announces an adoption nor answers a claim, and starts nothing; the former holder sends no more calls, and the coordinator waits for the bound, by which the lease has ended.

Fix: 421 is no answer to a probe.

Failed before: probe_answered_by_another_endpoint_is_no_contact (a row was written).

--- a/src/core/dispatch/dispatcher_holding.cpp
+++ b/src/core/dispatch/dispatcher_holding.cpp
@@ -121,7 +121,8 @@
             refused = {target.token, now};
         }
     } else if (status != call_status::not_sent &&
-               status != call_status::unanswered) {
+               status != call_status::unanswered &&
+               status != call_status::other_instance) {
         auto& answers = probe_answers_[target.endpoint];
         if (now - answers.last > probe_validity) {
             answers.first = now;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -452,6 +452,31 @@
     }
 };
 
+// Guards against a takeover from a holder that reaches the endpoint: with an
+// outdated address, another endpoint answers the probes.
+BOOST_FIXTURE_TEST_CASE(probe_answered_by_another_endpoint_is_no_contact,
+                        starting_dispatcher) {
+    core.set_catalogue(1, "one");
+    core.set_endpoints(now, {make_endpoint("endpoint-1")});
+    core.set_holder(now, {"endpoint-1", "domain-1", {"10.1.0.5:1", 55}, 4, 5});
+    std::size_t answered = 0;
+    const auto answer_probes = [&](call_status status) {
+        for (int i = 0; i < 40; ++i) {
+            advance(25ms);
+            for (; answered < endpoints.holds.size(); ++answered) {
+                hold_reply reply;
+                reply.call = {status, 1000};
+                core.handle_hold(now, endpoints.holds[answered].target, reply);
+            }
+        }
+    };
+    answer_probes(call_status::other_instance);
+    BOOST_TEST(answered > 0U);
+    BOOST_TEST(store.writes.empty());
+    answer_probes(call_status::ok);
+    BOOST_TEST(store.writes.size() == 1U);
+}
+
 // After a restart of all hosts, the rows of all endpoints name ended processes.
 // A host knows that its own former process has ended, so it need not wait.
 BOOST_FIXTURE_TEST_CASE(started_host_takes_over_from_its_former_process_at_once,
