--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -165,12 +165,22 @@
 
 // --- long poll ------------------------------------------------------------
 
+std::uint64_t endpoint_session::acknowledgement() const {
+    const bool unlisted =
+        std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
+                    [](const auto& item) {
+                        return item.second.state == run_state::running &&
+                               !item.second.listed;
+                    });
+    return unlisted || failed_calls_ > 0 ? 0 : acknowledged_;
+}
+
 void endpoint_session::poll(timestamp now) {
     if (poll_call_ || now < next_poll_ || phase_ == session_phase::fenced ||
         phase_ == session_phase::claiming) {
         return;
     }
-    hold_call call{target(), acknowledged_, std::nullopt, 0};
+    hold_call call{target(), acknowledgement(), std::nullopt, 0};
     if (phase_ == session_phase::active) {
         const bool occupied =
             std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
@@ -206,7 +216,7 @@
             next_poll_ = now + retry_delay;
         }
     }
-    acknowledged_sent_ = acknowledged_;
+    acknowledged_sent_ = std::max(acknowledged_sent_, call.acknowledged);
     call.number = ++calls_sent_;
     poll_call_ = call.number;
     port_.hold(call);
@@ -225,7 +235,7 @@
                     });
     if (due) {
         list_call_ = ++calls_sent_;
-        port_.hold({target(), acknowledged_, std::nullopt, 0, *list_call_});
+        port_.hold({target(), 0, std::nullopt, 0, *list_call_});
     }
 }
 
@@ -252,6 +262,7 @@
         if (of_present_instance && answered_at_address_) {
             end_instance(now);
         }
+        last_call_refused_ = false;
         // Counts, so that calls to an address where another endpoint answers
         // are repeated with growing pauses.
         ++failed_calls_;
@@ -260,15 +271,18 @@
         if (!refusing_since_) {
             refusing_since_ = now;
         }
+        last_call_refused_ = true;
         ++failed_calls_;
         return false;
     case call_status::unanswered:
+        last_call_refused_ = false;
         ++failed_calls_;
         return false;
     default:
         failed_calls_ = 0;
         refusing_since_.reset();
         lost_under_suspect_ = false;
+        last_call_refused_ = false;
         if (std::exchange(poll_delay_, duration{0}) > duration{0}) {
             next_poll_ = now; // the lease may be about to end
         }
@@ -387,9 +401,11 @@
             found.entered_at = now;
             found.stop_wanted = true;
             found.revoked = true;
+            found.listed = true;
             ledger_.enter(found);
             continue;
         }
+        entry->listed = true;
         if (entry->state == run_state::uncertain) {
             entry->state = run_state::running;
             entry->confirmed_at = now;
@@ -450,6 +466,7 @@
         entry.confirmed_at = now;
         entry.confirmed_at_call = reply.number;
         entry.progress_at = now;
+        entry.listed = true;
         ledger_.enter(entry);
         found.running.push_back(running.run);
     }
@@ -518,6 +535,7 @@
         // Clock readings and stops of the former instance do not apply.
         entry.lease_deadline_ms = unknown_deadline;
         entry.stop_answered_at_call.reset();
+        entry.listed = false;
         entry.stop_outdated = entry.stop_in_flight;
         entry.next_stop = now;
     }
@@ -754,6 +772,23 @@
     }
 }
 
+// No process is at the address of an endpoint that has left, and no entry says
+// that another one may come, so no stop will be answered.
+void endpoint_session::check_departure(timestamp now) {
+    const bool departed = gone_ && last_call_refused_ && refusing_since_ &&
+                          now - *refusing_since_ > silent_instance_limit();
+    if (ledger_.empty() || !departed) {
+        return;
+    }
+    const auto entries = ledger_.entries();
+    for (const auto& [run, entry] : entries) {
+        if (entry.state != run_state::starting &&
+            now - entry.entered_at > silent_instance_limit()) {
+            over(entry, update_kind::lost);
+        }
+    }
+}
+
 void endpoint_session::tick(timestamp now) {
     if (phase_ == session_phase::fenced) {
         return;
@@ -766,6 +801,7 @@
         }
     }
     check_lease_expiry(now);
+    check_departure(now);
     send_stops(now);
     request_run_list();
     poll(now);
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -143,6 +143,10 @@
     // of this coordinator.
     [[nodiscard]] std::int64_t
     latest_lease(timestamp now, const process_id& coordinator) const;
+    // The ends that the next poll acknowledges. None after a failed call, or a
+    // start whose run has not been listed: they may be about an instance that
+    // has not been noticed, whose ends have the same numbers.
+    [[nodiscard]] std::uint64_t acknowledgement() const;
     void poll(timestamp now);
     // Requests a run list beside the long poll if an uncertain run is waiting
     // for one.
@@ -156,6 +160,7 @@
     void begin_address(timestamp now);
     [[nodiscard]] duration silent_instance_limit() const;
     void check_lease_expiry(timestamp now);
+    void check_departure(timestamp now);
     void send_stops(timestamp now);
     void fence();
     // Adds a run to those that may have been lost with this instance.
@@ -212,6 +217,7 @@
     duration poll_delay_{0};
     bool gone_ = false;
     std::optional<timestamp> refusing_since_;
+    bool last_call_refused_ = false;
     bool crash_suspected_ = false; // and reported
     bool lost_under_suspect_ = false;
     // Runs that may have been lost with the present instance, and the last call
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -89,7 +89,7 @@
             }
         }
         return {};
-}
+    }
 
     // The list shows this capacity of an endpoint.
     void shrink(const std::string& id, std::uint32_t cpu_millis) {
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -495,6 +495,37 @@
     BOOST_TEST(port.holds.back().acknowledged == 1U);
 }
 
+// Guards against a done task that runs again: a call acknowledged the ends of a
+// former instance to the next one, which then forgot the end of its own run
+// unseen. An answered start may be the next instance's.
+BOOST_AUTO_TEST_CASE(ends_are_not_acknowledged_to_a_possible_next_instance) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    answer_hold({}, {{1, run_of(0), end_kind::done}});
+    start(1);
+    answer_start(1);
+    BOOST_TEST(port.holds.back().acknowledged == 0U);
+    answer_hold({run_of(1)}); // so it is the known instance
+    BOOST_TEST(port.holds.back().acknowledged == 1U);
+}
+
+// Guards against the same by the list that decides about an unanswered start.
+BOOST_AUTO_TEST_CASE(list_for_an_unanswered_start_acknowledges_no_ends) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    answer_hold({}, {{1, run_of(0), end_kind::done}});
+    start(1);
+    answer_start(1, call_status::unanswered);
+    session->handle_stop(now, run_of(1), {call_status::ok, clock_ms()});
+    BOOST_REQUIRE(!port.holds.empty());
+    BOOST_TEST(port.holds.back().acknowledged == 0U);
+    for (const auto& call : port.holds) {
+        BOOST_TEST(call.acknowledged == 0U);
+    }
+}
+
 // Many endpoints may turn slow at once, and then none of their tasks ends for a
 // long time, so slowness is detected from the progress of running tasks.
 BOOST_AUTO_TEST_CASE(endpoint_whose_tasks_all_fall_behind_is_slow) {
@@ -681,6 +712,40 @@
     BOOST_TEST(port.stops.size() == 1U);
 }
 
+// Guards against an entry that stays for good: an endpoint that restarted with
+// a start in flight leaves, so that no stop of the run is ever answered.
+BOOST_AUTO_TEST_CASE(run_ends_with_an_endpoint_that_left_for_good) {
+    answer_hold({});
+    start(0);
+    auto restarted = endpoint;
+    restarted.instance_started_ms = 3000;
+    session->update(now, restarted);
+    answer_start(0, call_status::unanswered);
+    refuse_calls(3s);
+    BOOST_TEST(events.ends.empty()); // the platform still lists the endpoint
+    session->mark_gone();
+    refuse_calls(100ms);
+    BOOST_REQUIRE_EQUAL(events.ends.size(), 1U);
+    BOOST_TEST((events.ends[0].second == update_kind::lost));
+    BOOST_TEST(session->ledger().empty());
+}
+
+// Guards against duplicate runs: an entry that the platform lost, or a cut that
+// refuses connections for a moment, does not end a run on the next instance.
+BOOST_AUTO_TEST_CASE(run_of_an_endpoint_that_may_be_there_is_not_over) {
+    answer_hold({});
+    start(0);
+    auto restarted = endpoint;
+    restarted.instance_started_ms = 3000;
+    session->update(now, restarted);
+    answer_start(0, call_status::unanswered);
+    session->mark_gone();
+    pass(3s); // silent, not refusing
+    BOOST_TEST(events.ends.empty());
+    refuse_calls(1s);
+    BOOST_TEST(events.ends.empty());
+}
+
 // Guards against duplicate runs: a claim that arrives after the claim window
 // must not renew the lease of a run whose stop is under way.
 BOOST_AUTO_TEST_CASE(late_claim_does_not_keep_a_run_that_is_being_stopped) {
