The first token of an endpoint is above that of any removed row

What callers could see: two holders under one token, so that neither fences the other: a run given up by one goes on, and a task runs twice.

On a young deployment, whose tokens are all 1,000, the first attempt was enough.

Fix: each takeover is a write of its own and raises the token by one stride at most, so no row up to a version of the store has a token from the next multiple on. A host notes the version at which it has read the endpoints and the rows of holders, and takes an endpoint without a row over above that bound. The bound is the one that unreadable rows stand for already.

Not covered: a row that is written after that read and removed before any host that takes over has read either.

Not run: the platform test of the real processes.

--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -56,6 +56,10 @@
     void remove_endpoint(timestamp now, const std::string& endpoint);
     void set_holder(timestamp now, const holder_record& record);
     void remove_holder(timestamp now, const std::string& endpoint);
+    // This host has read the store at this version, so a row of a holder that
+    // it does not know has been removed, or was written later. Lower versions
+    // than before are ignored.
+    void set_store_version(std::uint64_t version);
     void handle_write_result(timestamp now, std::uint64_t request,
                              store_status status);
     // This host now uses the given catalogue version.
@@ -211,6 +215,7 @@
     std::set<std::string> pending_probes_;
     std::map<std::string, probe_answers> probe_answers_;
     std::uint64_t next_request_ = 1;
+    std::uint64_t store_version_ = 0;
     std::uint64_t catalogue_version_ = 0;
     std::string catalogue_text_;
     std::map<std::string, timestamp> catalogue_requested_at_;
--- a/src/core/dispatch/dispatcher_holding.cpp
+++ b/src/core/dispatch/dispatcher_holding.cpp
@@ -34,6 +34,13 @@
     return (highest / stored_token_stride + 1) * stored_token_stride;
 }
 
+// The highest token that any holder can have got up to this version of the
+// store: each takeover is a write of its own and raises the token to the next
+// multiple of the stride.
+std::uint64_t highest_token(std::uint64_t version) {
+    return (version + 1) * stored_token_stride - 1;
+}
+
 } // namespace
 
 void dispatcher::check_holders(timestamp now) {
@@ -186,7 +193,7 @@
         new_row.failure_domain = endpoint.failure_domain;
         new_row.holder = settings_.self;
         new_row.token = next_stored_token(std::max(
-            row == nullptr ? 0 : row->token,
+            row == nullptr ? highest_token(store_version_) : row->token,
             refused == refused_tokens_.end() ? 0 : refused->second.token));
         new_row.version = row == nullptr ? 0 : row->version;
         auto& batch = by_domain[endpoint.failure_domain];
@@ -366,6 +373,10 @@
     write_rows("grant_store_begun", by_domain);
 }
 
+void dispatcher::set_store_version(std::uint64_t version) {
+    store_version_ = std::max(store_version_, version);
+}
+
 void dispatcher::remove_holder(timestamp now, const std::string& endpoint) {
     begin_input(now);
     directory_.remove_holder(endpoint);
--- a/tests/platform/row_handler_test.cpp
+++ b/tests/platform/row_handler_test.cpp
@@ -297,6 +297,27 @@
     }
 }
 
+// Guards against two holders under one token: a host that starts after another
+// writer removed the row of a holder that is cut off from the store. Its tokens
+// began below that of the holder and reached it.
+BOOST_AUTO_TEST_CASE(token_of_a_row_removed_before_the_start_is_not_reached) {
+    row_host one;
+    one.put(endpoint_table, "", "a", make_endpoint_text());
+    one.put(holder_table, "domain-1", "a",
+            R"({"host":"10.1.0.2:1","incarnation":7,"token":3000})");
+    one.tokens_seen["a"] = 3000;
+    one.stored.erase({holder_table, "domain-1", "a"});
+    one.read_all();
+    one.advance(8s);
+    BOOST_TEST(one.gauge("endpoints_held") == 1.0);
+    BOOST_TEST(!one.host.store.writes.empty());
+    for (const auto& [request, batch] : one.host.store.writes) {
+        for (const auto& record : batch) {
+            BOOST_TEST(record.token > 3000U);
+        }
+    }
+}
+
 // Guards against a log and a memory that grow with each odd row.
 BOOST_AUTO_TEST_CASE(warnings_about_unreadable_rows_are_bounded) {
     const auto before = logged("endpoint_row_unreadable");
--- a/tests/platform/row_host.hpp
+++ b/tests/platform/row_host.hpp
@@ -51,6 +51,7 @@
 
     // Reads all tables in full.
     void read_all() {
+        host.core.set_store_version(version_);
         rows.apply_operator_rows(rows_of(operator_table));
         rows.apply_host_snapshot(rows_of(host_table));
         rows.apply_endpoint_snapshot(host.now, rows_of(endpoint_table));
