A start that the known instance has answered holds back no acknowledgement

An end is acknowledged with the next call only if all runs are known to be on the noticed instance. A run counted as such only once a list had shown it, so on a busy endpoint each end cost a second call. The answer to a start carries the endpoint's clock, and that of an instance that began after the last reading is behind it; so an answer whose clock isn't says the same as a list. The test of a possible next instance now answers the start with the clock of one, which a next instance would do.

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -24,6 +24,10 @@
 // Limits how far the clock of an idle endpoint can be behind the expected one,
 // so that no start is carried out later than a lease lasts.
 constexpr duration clock_reading_interval = 20s;
+// The clock of an instance that began after the last reading is behind that of
+// the former one if this was read from it: a reading is at most
+// `clock_reading_interval` old, on a clock 2% slow, and a call takes 150 ms.
+constexpr duration min_distinct_reading = 1s;
 // A lease ends this long before the callers of a coordinator that has ended
 // resend their jobs: the time of a tick and a request.
 constexpr duration resend_margin = 30ms;
@@ -42,6 +46,19 @@
     {session_phase::fenced, "fenced"},
 }};
 
+// Whether the reply to a call sent then, with this clock, must be from the
+// instance that `known` was read from: the clock of a later one began anew.
+bool is_clock_of_instance(const endpoint_clock& known, timestamp sent_at,
+                          std::int64_t clock_ms) {
+    if (!known.is_known()) {
+        return false;
+    }
+    const auto last_reading =
+        known.expected(sent_at) - to_ms(known.age(sent_at));
+    return last_reading >= to_ms(min_distinct_reading) &&
+           clock_ms >= known.lower_bound(sent_at);
+}
+
 update_kind to_update(end_kind kind) {
     switch (kind) {
     case end_kind::done:
@@ -648,6 +665,8 @@
         entry->confirmed_at = now;
         entry->confirmed_at_call = calls_sent_;
         entry->progress_at = now;
+        entry->listed |=
+            is_clock_of_instance(clock_, entry->entered_at, reply.clock_ms);
         events_.on_started(*this, *entry);
         break;
     case call_status::unanswered:
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -497,19 +497,42 @@
 
 // Guards against a done task that runs again: a call acknowledged the ends of a
 // former instance to the next one, which then forgot the end of its own run
-// unseen. An answered start may be the next instance's.
+// unseen. A start that is answered with another clock may be the next
+// instance's.
 BOOST_AUTO_TEST_CASE(ends_are_not_acknowledged_to_a_possible_next_instance) {
     answer_hold({});
     start(0);
     answer_start(0);
     answer_hold({}, {{1, run_of(0), end_kind::done}});
     start(1);
-    answer_start(1);
+    // The clock of an instance that began after the last reading.
+    session->handle_start(now, run_of(1), {call_status::ok, 20});
     BOOST_TEST(port.holds.back().acknowledged == 0U);
     answer_hold({run_of(1)}); // so it is the known instance
     BOOST_TEST(port.holds.back().acknowledged == 1U);
 }
 
+// Guards against a second call for each end: a start that the known instance
+// has answered, as its clock tells, is no reason to withhold acknowledgements.
+BOOST_AUTO_TEST_CASE(
+    start_answered_by_the_known_clock_holds_back_no_acknowledgement) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    now += 600ms;
+    answer_hold({run_of(0)});
+    start(1);
+    answer_start(1);
+    answer_hold({run_of(1)}, {{1, run_of(0), end_kind::done}});
+    start(2);
+    answer_start(2);
+    now += 100ms;
+    answer_hold({run_of(2)}, {{2, run_of(1), end_kind::done}});
+    start(3);
+    answer_start(3);
+    BOOST_TEST(port.holds.back().acknowledged == 2U);
+}
+
 // Guards against the same by the list that decides about an unanswered start.
 BOOST_AUTO_TEST_CASE(list_for_an_unanswered_start_acknowledges_no_ends) {
     answer_hold({});
