Order search: a start on an instance that its holder does not know

The scenario broke at depth 1 (start_on_an_unknown_instance:0.1, "TWICE job.0.0 on endpoint-1"), but for a fault of the model: it carried a long poll out a second time with its answer, and so renewed the lease and acknowledged ends again. An endpoint reads the deadline of a call once, when the call arrives; the stand-in of the platform's endpoints does so too. On the instance that the poll was meant for there is no difference, since the deadline is a time on its clock and a lease is never shortened, so no schedule of a known instance is judged more mildly. On the next one the second reading gave a whole lease more, 300 ms later. The answer still checks the token.

--- a/tests/dispatch/orders/order_model.cpp
+++ b/tests/dispatch/orders/order_model.cpp
@@ -1241,34 +1241,42 @@
 
 void order_host::hold(const hold_call& call) {
     const auto wait = std::chrono::milliseconds(call.wait_ms);
-    model_.call(index, call.target.endpoint,
-                {wait, true,
-                 model_.keep_log_
-                     ? absl::StrCat("hold, token ", call.target.token)
-                     : std::string{},
-                 [this, call](virtual_endpoint& endpoint) {
-                     const auto reply = endpoint.hold(model_.now_, call);
-                     auto lists = endpoint.list_runs(model_.now_, reply);
-                     if (reply.status != call_status::ok) {
-                         lists = {};
-                         lists.call = reply;
-                     }
-                     lists.number = call.number;
-                     return [this, call, lists](dispatcher& core) {
-                         core.handle_hold(model_.now_, call.target, lists);
-                     };
-                 },
-                 [this, call](dispatcher& core) {
-                     hold_reply none;
-                     none.number = call.number;
-                     core.handle_hold(model_.now_, call.target, none);
-                 },
-                 [this, call](dispatcher& core) {
-                     hold_reply none;
-                     none.call.status = call_status::not_sent;
-                     none.number = call.number;
-                     core.handle_hold(model_.now_, call.target, none);
-                 }});
+    model_.call(
+        index, call.target.endpoint,
+        {wait, true,
+         model_.keep_log_ ? absl::StrCat("hold, token ", call.target.token)
+                          : std::string{},
+         [this, call,
+          read = std::make_shared<bool>(false)](virtual_endpoint& endpoint) {
+             // The answer of a long poll renews and acknowledges
+             // nothing once more.
+             auto present = call;
+             if (std::exchange(*read, true)) {
+                 present.acknowledged = 0;
+                 present.lease_deadline_ms.reset();
+             }
+             const auto reply = endpoint.hold(model_.now_, present);
+             auto lists = endpoint.list_runs(model_.now_, reply);
+             if (reply.status != call_status::ok) {
+                 lists = {};
+                 lists.call = reply;
+             }
+             lists.number = call.number;
+             return [this, call, lists](dispatcher& core) {
+                 core.handle_hold(model_.now_, call.target, lists);
+             };
+         },
+         [this, call](dispatcher& core) {
+             hold_reply none;
+             none.number = call.number;
+             core.handle_hold(model_.now_, call.target, none);
+         },
+         [this, call](dispatcher& core) {
+             hold_reply none;
+             none.call.status = call_status::not_sent;
+             none.number = call.number;
+             core.handle_hold(model_.now_, call.target, none);
+         }});
 }
 
 // --- store ------------------------------------------------------------------
--- a/tests/dispatch/orders/order_scenarios.cpp
+++ b/tests/dispatch/orders/order_scenarios.cpp
@@ -445,6 +445,16 @@
               {700ms, crash, 0},
               {1000ms, thaw, 1}},
              4s});
+        // Between the restart and the cut, the holder starts the run on an
+        // instance that it does not know.
+        add({"start_on_an_unknown_instance",
+             3,
+             {1, 1},
+             2500,
+             1,
+             false,
+             {{100ms, crash, 0}, {106ms, submit, 0}, {110ms, cut_endpoint, 1}},
+             5s});
         add({"slow_holder",
              3,
              {1, 1},
