A started run that no list has shown may be on a next instance

What callers could see: a task runs twice at the same time for up to 130 ms.

Cause: an endpoint starts again under its id and carries out a start before its holder knows. The deadlines of the start and of the polls then mean nothing to it: it counts a whole lease from the arrival of each. If the endpoint falls silent, the holder waited for that lease only where the start had got no answer, and only from that start. An answered start counted as ended with the clock of the former instance, 1,041 ms after the renewal that followed it, though that may have arrived up to 150 ms later. A second start that arrived later extended the lease of the first run, unseen as well.

Fix: as long as no list shows a run, it may be on an instance that has not been noticed. Its end on a silent endpoint counts from the newest start, and from the last renewal and the time limit of a call. Runs that were listed are judged as before.

Failed before: answered_start_may_run_on_an_unknown_next_instance and later_start_extends_the_lease_of_an_unknown_instance (ends reported within 1,150 ms). runs_of_a_silent_endpoint_are_lost_after_its_lease_on_a_slow_clock is about a run on a known instance; the endpoint now lists it first, and the bounds are the same.

Not covered: a start or a renewal that waits for longer than the time limit of a call.

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -751,17 +751,26 @@
     if (ledger_.empty() || !expired) {
         return;
     }
+    // An instance that has not been noticed counts a whole lease from the
+    // arrival of a call, whatever deadline that names.
+    const bool renewals_over =
+        !clock_.is_known() ||
+        clock_.has_passed(now, latest_deadline_ms_ + expiry_margin_ms +
+                                   to_ms(settings_.call_timeout));
+    timestamp newest_start{0};
+    for (const auto& [run, entry] : ledger_.entries()) {
+        newest_start = std::max(newest_start, entry.entered_at);
+    }
+    const bool starts_over = now - newest_start > silent_instance_limit();
     auto entries = ledger_.entries();
     for (const auto& [run, entry] : entries) {
         const bool unanswered = entry.state == run_state::uncertain ||
                                 entry.state == run_state::starting;
         const bool may_still_start =
             unanswered && entry.lease_deadline_ms == unknown_deadline;
-        // The endpoint may have restarted before the start arrived: on the
-        // clock of the next instance its deadline is far ahead, so the run has
-        // a whole lease.
+        // Until it is listed, the run may be on a next instance.
         const bool may_run_on_next_instance =
-            unanswered && now - entry.entered_at <= silent_instance_limit();
+            !entry.listed && !(renewals_over && starts_over);
         if (!may_still_start && !may_run_on_next_instance) {
             record_lost_run(entry);
             over(entry, update_kind::lost);
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -356,6 +356,7 @@
     answer_hold({});
     start(0);
     answer_start(0);
+    answer_hold({run_of(0)});
     const auto sent = now;
     hold_reply silence;
     for (int i = 0; i < 100 && events.ends.empty(); ++i) {
@@ -369,6 +370,41 @@
     BOOST_TEST(to_ms(waited) < 1150);
 }
 
+// Guards against duplicate runs: the endpoint restarts under its id, answers a
+// start before its holder knows, and falls silent. It may have read the poll
+// sent then up to a call's time limit later, and has renewed the lease for a
+// whole second from there.
+BOOST_AUTO_TEST_CASE(answered_start_may_run_on_an_unknown_next_instance) {
+    answer_hold({});
+    pass(2s);
+    start(0);
+    answer_start(0);
+    BOOST_REQUIRE(port.holds.back().lease_deadline_ms);
+    const auto renewed_at = now;
+    refuse_calls(1150ms);
+    BOOST_TEST(events.ends.empty());
+    refuse_calls(150ms);
+    BOOST_REQUIRE_EQUAL(events.ends.size(), 1U);
+    BOOST_TEST((events.ends[0].second == update_kind::lost));
+    BOOST_TEST(to_ms(now - renewed_at) <= 1300);
+}
+
+// Guards against the same where a later start has extended the lease of an
+// earlier run.
+BOOST_AUTO_TEST_CASE(later_start_extends_the_lease_of_an_unknown_instance) {
+    answer_hold({});
+    pass(2s);
+    start(0);
+    pass(100ms);
+    start(1);
+    answer_start(0, call_status::unanswered);
+    answer_start(1, call_status::unanswered);
+    refuse_calls(1150ms);
+    BOOST_TEST(events.ends.empty());
+    refuse_calls(100ms);
+    BOOST_TEST(events.ends.size() == 2U);
+}
+
 // Guards against duplicate runs: the endpoint restarts under its id, carries
 // out a start before its holder knows, and falls silent. The deadline of the
 // start, on the clock of the former instance, passes long before the lease of
