--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -425,7 +425,8 @@
     answer_hold({});
     pass(2s);
     start(0);
-    answer_start(0);
+    // The clock of an instance that has just begun.
+    session->handle_start(now, run_of(0), {call_status::ok, 20});
     BOOST_REQUIRE(port.holds.back().lease_deadline_ms);
     const auto renewed_at = now;
     refuse_calls(1150ms);
