A queue whose tasks crash endpoints is confined to some of them

crash_compartment compares, for each queue, how often it ran on the crashed endpoints of the last 5 s with how often it runs on any. At odds of 20 to 1 the queue's tasks start only on a share of the endpoints in proportion to its load, at most half; others' tasks start there last, and only if they are short. Reports of all holders count, since a holder alone sees few crashes.

No test covers that the dispatcher passes reports on to its holder.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -338,6 +338,7 @@
     // Before the updates, which may place the tasks again.
     for (const auto& report : content.crashes) {
         crashes_.record(now_, report);
+        holder_.record_crash(now_, report);
     }
     for (const auto& update : content.updates) {
         coordinator_.handle_update(now_, from, update);
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -205,8 +205,9 @@
 
 void endpoint_holder::return_queued(std::vector<std::uint32_t> free_cpu) {
     const auto returned = queue_.extract([&](const queued_task& task) {
-        // Another holder would have to empty an endpoint for it as well.
-        if (is_suspect(task)) {
+        // Another holder would have to empty an endpoint for it as well, or
+        // confines its queue as well.
+        if (is_held_back(task)) {
             return false;
         }
         const auto cpu = task.need.room.cpu_millis;
@@ -311,6 +312,7 @@
         slow += session->health().is_slow(now) ? 1 : 0;
     }
     report_suspected_crashes(now);
+    update_compartment(now);
     most_are_slow_ = slow * 2 > sessions_.size();
     std::erase_if(sessions_, [](const auto& item) {
         const auto& session = *item.second;
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -8,6 +8,7 @@
 
 #include <set>
 
+#include "core/dispatch/crash_compartment.hpp"
 #include "core/dispatch/endpoint_session.hpp"
 #include "core/dispatch/task_queue.hpp"
 
@@ -71,6 +72,9 @@
     void return_queued(std::vector<std::uint32_t> free_cpu);
     void return_all();
 
+    // A report of this or another holder.
+    void record_crash(timestamp now, const crash_report& report);
+
     // --- endpoints' replies ---
     void handle_hold(timestamp now, const std::string& endpoint,
                      std::uint64_t token, const hold_reply& reply);
@@ -87,6 +91,9 @@
 
     void fill(advert& about) const;
     [[nodiscard]] const task_queue& queue() const { return queue_; }
+    [[nodiscard]] const crash_compartment& compartment() const {
+        return compartment_;
+    }
     [[nodiscard]] std::size_t running_tasks() const;
     // Coordinators with queued or running tasks here.
     [[nodiscard]] std::set<process_id> coordinators() const;
@@ -118,8 +125,13 @@
     };
     std::vector<available_endpoint> available_endpoints(timestamp now);
     void place_queued(timestamp now);
+    // Where a task may start while a queue of its pool is confined.
+    enum class placement_zone { any, inside_compartment, outside_compartment };
     available_endpoint* choose(std::vector<available_endpoint>& available,
                                const queued_task& task) const;
+    available_endpoint* choose_in(placement_zone zone,
+                                  std::vector<available_endpoint>& available,
+                                  const queued_task& task) const;
     // Whether an endpoint is slow while at most half of those held are.
     [[nodiscard]] bool is_slow_outlier(timestamp now,
                                        const endpoint_session& session) const;
@@ -150,6 +162,18 @@
     // Reserves endpoints for the suspects that found no idle one.
     void reserve_for_suspects();
     endpoint_session* choose_to_reserve(const queued_task& task);
+
+    // --- compartment of the confined queue ---
+    // Records the load, and logs when a queue is confined or released.
+    void update_compartment(timestamp now);
+    [[nodiscard]] placement_zone zone_of(const queued_task& task) const;
+    [[nodiscard]] bool is_in(placement_zone zone,
+                             const endpoint_record& endpoint) const;
+    // Whether any endpoint there could run the task if it were idle.
+    [[nodiscard]] bool could_run_in(placement_zone zone,
+                                    const queued_task& task) const;
+    // Whether the task waits for certain endpoints, while others can start.
+    [[nodiscard]] bool is_held_back(const queued_task& task) const;
     // Whether a run of the task may still run on an endpoint held here.
     [[nodiscard]] bool has_run_of(const task_key& task) const;
     void disown(endpoint_session& session);
@@ -186,6 +210,8 @@
     // Endpoints that get no new tasks until they are idle and the suspect
     // starts there.
     std::map<std::string, task_key> reserved_;
+    crash_compartment compartment_;
+    timestamp load_recorded_at_{0};
 };
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/endpoint_holder_isolation.cpp
+++ b/src/core/dispatch/endpoint_holder_isolation.cpp
@@ -1,7 +1,12 @@
-// Isolation of suspects: a task that may have crashed an endpoint starts only
-// where nothing else runs, and nothing else starts there until it has ended.
+// Keeps tasks that crash endpoints apart from others.
+//
+// Suspects: a task that may have crashed an endpoint starts only where nothing
+// else runs, and nothing else starts there until it has ended. Compartment: a
+// queue whose tasks crash endpoints is confined to some of them.
 #include <algorithm>
 
+#include <absl/strings/str_cat.h>
+
 #include "core/dispatch/endpoint_holder.hpp"
 
 namespace figridge::dispatch {
@@ -10,6 +15,7 @@
 // At most one in this many held endpoints is isolated at a time, so that
 // suspects take no failure domain.
 constexpr std::size_t endpoints_per_isolated = 8;
+constexpr duration load_interval = 100ms;
 
 bool runs_suspect(const endpoint_session& session) {
     const auto& entries = session.ledger().entries();
@@ -133,6 +139,7 @@
 
 endpoint_session* endpoint_holder::choose_to_reserve(const queued_task& task) {
     endpoint_session* best = nullptr;
+    const auto zone = zone_of(task);
     const auto estimate = std::chrono::milliseconds(task.need.estimate_ms);
     auto best_idle_at = task.caller_deadline - estimate;
     for (auto& [id, session] : sessions_) {
@@ -140,6 +147,7 @@
             session->accepts_tasks() && !session->awaits_revocation() &&
             session->health().accepts_tasks(now_) &&
             !is_slow_outlier(now_, *session) && !is_isolated(*session) &&
+            is_in(zone, session->endpoint()) &&
             could_run(session->endpoint(), task);
         if (!usable) {
             continue;
@@ -152,4 +160,83 @@
     return best;
 }
 
+// --- compartment ------------------------------------------------------------
+
+void endpoint_holder::record_crash(timestamp now, const crash_report& report) {
+    compartment_.record_crash(now, report, holds(report.endpoint));
+}
+
+void endpoint_holder::update_compartment(timestamp now) {
+    if (now - load_recorded_at_ >= load_interval) {
+        load_recorded_at_ = now;
+        std::vector<endpoint_load> held;
+        for (const auto& [id, session] : sessions_) {
+            const auto& endpoint = session->endpoint();
+            if (endpoint.state == endpoint_state::draining) {
+                continue;
+            }
+            auto& load = held.emplace_back();
+            load.endpoint = id;
+            load.pool = endpoint.pool;
+            load.is_lost = session->is_gone() || session->is_unresponsive();
+            for (const auto& [run, entry] : session->ledger().entries()) {
+                if (!entry.queue.empty()) {
+                    load.cpu_millis[entry.queue] += entry.need.room.cpu_millis;
+                }
+            }
+        }
+        compartment_.record_load(now, held);
+    }
+    const auto change = compartment_.tick(now);
+    if (!change) {
+        return;
+    }
+    const bool confined = change->event == confinement_event::confined;
+    observer_.count("queue_confinements", to_string(change->event));
+    observer_.log(log_level::warning,
+                  confined ? "queue_confined" : "queue_released",
+                  {{"queue", change->queue},
+                   {"crashes", std::to_string(change->crashes)},
+                   {"with_queue", std::to_string(change->with_queue)},
+                   {"log_likelihood", absl::StrCat(change->likelihood)},
+                   {"presence", absl::StrCat(change->presence)},
+                   {"load_share", absl::StrCat(change->load_share)},
+                   {"endpoints", std::to_string(change->endpoints)},
+                   {"held", std::to_string(sessions_.size())},
+                   {"after_ms", std::to_string(to_ms(change->confined_for))}});
+}
+
+endpoint_holder::placement_zone
+endpoint_holder::zone_of(const queued_task& task) const {
+    const auto& confined = compartment_.queue();
+    if (confined.empty() || task.pool != compartment_.pool()) {
+        return placement_zone::any;
+    }
+    const auto wanted = is_suspect(task) || task.queue == confined
+                            ? placement_zone::inside_compartment
+                            : placement_zone::outside_compartment;
+    return could_run_in(wanted, task) ? wanted : placement_zone::any;
+}
+
+bool endpoint_holder::is_in(placement_zone zone,
+                            const endpoint_record& endpoint) const {
+    return zone == placement_zone::any ||
+           compartment_.contains(endpoint.id) ==
+               (zone == placement_zone::inside_compartment);
+}
+
+bool endpoint_holder::could_run_in(placement_zone zone,
+                                   const queued_task& task) const {
+    return std::any_of(
+        sessions_.begin(), sessions_.end(), [&](const auto& item) {
+            const auto& endpoint = item.second->endpoint();
+            return is_in(zone, endpoint) && could_run(endpoint, task);
+        });
+}
+
+bool endpoint_holder::is_held_back(const queued_task& task) const {
+    return is_suspect(task) ||
+           zone_of(task) == placement_zone::inside_compartment;
+}
+
 } // namespace figridge::dispatch
--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -133,14 +133,20 @@
         if (!std::exchange(listed, true)) {
             available = available_endpoints(now);
             std::erase_if(available, [&](const available_endpoint& option) {
+                const auto& endpoint = option.session->endpoint();
                 return option.session->health().is_slow(now) ||
-                       is_isolated(*option.session);
+                       is_isolated(*option.session) ||
+                       compartment_.contains(endpoint.id);
             });
         }
         std::vector<task_run> moved;
         for (const auto& [run, entry] : session->ledger().entries()) {
-            // A suspect would wait for another idle endpoint.
-            if (entry.crashes == 0 && finishes_sooner_elsewhere(now, entry) &&
+            // A suspect would wait for another idle endpoint, a task of the
+            // confined queue for one of the few in its compartment.
+            const bool may_start_elsewhere =
+                entry.crashes == 0 && (compartment_.queue().empty() ||
+                                       entry.queue != compartment_.queue());
+            if (may_start_elsewhere && finishes_sooner_elsewhere(now, entry) &&
                 reserve(available, session->endpoint().pool, entry.need.room)) {
                 moved.push_back(run);
             }
@@ -194,11 +200,26 @@
 endpoint_holder::available_endpoint*
 endpoint_holder::choose(std::vector<available_endpoint>& available,
                         const queued_task& task) const {
+    const auto zone = zone_of(task);
+    auto* chosen = choose_in(zone, available, task);
+    const bool may_enter = zone == placement_zone::outside_compartment &&
+                           compartment_.tolerates(std::chrono::milliseconds(
+                               task.need.estimate_ms));
+    return chosen == nullptr && may_enter
+               ? choose_in(placement_zone::inside_compartment, available, task)
+               : chosen;
+}
+
+endpoint_holder::available_endpoint*
+endpoint_holder::choose_in(placement_zone zone,
+                           std::vector<available_endpoint>& available,
+                           const queued_task& task) const {
     available_endpoint* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
     for (auto& option : available) {
         const auto& endpoint = option.session->endpoint();
-        if (!could_run(endpoint, task) || !fits(task.need.room, option.room) ||
+        if (!is_in(zone, endpoint) || !could_run(endpoint, task) ||
+            !fits(task.need.room, option.room) ||
             !isolation_admits(*option.session, task)) {
             continue;
         }
@@ -224,10 +245,9 @@
 
 void endpoint_holder::fill(advert& about) const {
     about.queued_cpu_ms = queue_.queued_cpu_ms();
-    // Suspects wait for an idle endpoint, while others can start at once.
     about.queued_tasks = static_cast<std::uint32_t>(std::count_if(
         queue_.tasks().begin(), queue_.tasks().end(),
-        [](const queued_task& task) { return !is_suspect(task); }));
+        [this](const queued_task& task) { return !is_held_back(task); }));
     about.endpoints_held = static_cast<std::uint32_t>(sessions_.size());
     for (const auto& [id, session] : sessions_) {
         if (!session->accepts_tasks()) {
@@ -242,7 +262,8 @@
         about.largest_memory_mb =
             std::max(about.largest_memory_mb, capacity.memory_mb);
         if (!session->health().is_on_probation() &&
-            !is_slow_outlier(now_, *session) && !is_isolated(*session)) {
+            !is_slow_outlier(now_, *session) && !is_isolated(*session) &&
+            !compartment_.contains(id)) {
             about.free_cpu.push_back(session->free_resources().cpu_millis);
         }
     }
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -30,14 +30,66 @@
 // A holder of two endpoints of 16 cores each.
 struct holder_fixture {
     holder_fixture() {
-        for (const auto* id : {"endpoint-1", "endpoint-2"}) {
-            endpoint_record endpoint;
-            endpoint.id = id;
-            endpoint.pool = "pool";
-            endpoint.capacity = {16'000, 32'768, 0};
-            holder.take(now, endpoint, 1, {});
-            answer_hold(id, {});
+        hold("endpoint-1");
+        hold("endpoint-2");
+    }
+
+    void hold(const std::string& id) {
+        endpoint_record endpoint;
+        endpoint.id = id;
+        endpoint.pool = "pool";
+        endpoint.capacity = {16'000, 32'768, 0};
+        holder.take(now, endpoint, 1, {});
+        answer_hold(id, {});
+    }
+
+    // Holds eight endpoints, a quarter of whose load is of queue-1, three of
+    // which crashed with runs of that queue only. All others are idle then.
+    void confine_queue_1() {
+        for (int i = 3; i <= 8; ++i) {
+            hold("endpoint-" + std::to_string(i));
+        }
+        assign("load-1", 4);
+        queue = "queue-2";
+        assign("load-2", 12);
+        BOOST_REQUIRE_EQUAL(port.starts.size(), 16U);
+        answer_starts();
+        now += 100ms;
+        holder.tick(now);
+        for (std::int64_t instance = 1; instance <= 3; ++instance) {
+            holder.record_crash(now, {{{"crashed", 0, 0}, 1},
+                                      "queue-1",
+                                      "endpoint-8",
+                                      instance,
+                                      crash_evidence::refusing});
         }
+        end_all_runs();
+        now += 25ms;
+        holder.tick(now);
+        BOOST_REQUIRE(holder.compartment().queue() == "queue-1");
+        BOOST_REQUIRE_EQUAL(holder.compartment().members().size(), 3U);
+        port.starts.clear();
+        answered = 0;
+    }
+
+    void end_all_runs() {
+        for (int i = 1; i <= 8; ++i) {
+            end_runs("endpoint-" + std::to_string(i));
+        }
+    }
+
+    // Starts of a job in the compartment, and elsewhere.
+    [[nodiscard]] std::pair<std::size_t, std::size_t>
+    starts_by_side(const std::string& job) const {
+        std::pair<std::size_t, std::size_t> count;
+        for (const auto& call : port.starts) {
+            if (call.run.task.job == job) {
+                ++(holder.compartment().contains(call.target.endpoint)
+                       ? count.first
+                       : count.second);
+            }
+        }
+        return count;
     }
 
     void answer_hold(const std::string& endpoint,
@@ -53,19 +105,20 @@
         holder.handle_hold(now, endpoint, 1, reply);
     }
 
-    // Tasks of one job, each on six cores for about 60 ms.
+    // Tasks of one job, each on six cores.
     void assign(const std::string& job, std::uint32_t tasks,
                 duration objective = 200ms, std::uint32_t crashes = 0) {
         task_assignment assignment;
         assignment.job = job;
         assignment.pool = "pool";
-        assignment.queue = "queue-1";
+        assignment.queue = queue;
         assignment.objective_us = objective.count();
         assignment.patience_us = duration(1500ms).count();
         for (std::uint32_t i = 0; i < tasks; ++i) {
             task_need need;
             need.room = {6000, 64, 0};
-            need.estimate_ms = 60;
+            need.estimate_ms = estimate_ms;
+            need.required_label = label;
             assignment.items.push_back({{{job, 0, i}, 1}, need, {}, crashes});
         }
         holder.assign(now, coordinator, assignment);
@@ -177,6 +230,9 @@
     recording_holder_events events;
     timestamp now{100s};
     endpoint_holder holder{settings, port, observer, events};
+    std::string queue = "queue-1"; // of the tasks assigned next
+    std::uint32_t estimate_ms = 60;
+    std::string label;
     std::size_t answered = 0;
     std::size_t answered_holds = 2;
     std::size_t unanswered_stops = 0;
@@ -658,6 +714,80 @@
     BOOST_TEST(port.stops.empty());
 }
 
+// Guards against tasks of one queue that crash the endpoints of all.
+BOOST_AUTO_TEST_CASE(confined_queue_starts_only_in_its_compartment) {
+    confine_queue_1();
+    queue = "queue-1";
+    assign("job-1", 16);
+    BOOST_TEST(
+        (starts_by_side("job-1") == std::pair<std::size_t, std::size_t>(6, 0)));
+    advert about;
+    holder.fill(about);
+    BOOST_TEST(about.free_cpu.size() == 5U);
+    BOOST_TEST(about.queued_tasks == 0U);
+    events.updates.clear();
+    holder.return_queued({16'000, 16'000});
+    BOOST_TEST(events.updates.empty());
+    queue = "queue-2";
+    assign("job-2", 2); // is not held up
+    BOOST_TEST(
+        (starts_by_side("job-2") == std::pair<std::size_t, std::size_t>(0, 2)));
+}
+
+// Guards against tasks of other queues that crash with their endpoint although
+// another one has room, and against room left unused by short tasks.
+BOOST_AUTO_TEST_CASE(short_tasks_of_others_use_the_compartment_last) {
+    confine_queue_1();
+    assign("job-2", 10);
+    BOOST_TEST((starts_by_side("job-2") ==
+                std::pair<std::size_t, std::size_t>(0, 10)));
+    assign("job-3", 2);
+    BOOST_TEST(
+        (starts_by_side("job-3") == std::pair<std::size_t, std::size_t>(2, 0)));
+}
+
+// Guards against long tasks of other queues that would probably be lost there.
+BOOST_AUTO_TEST_CASE(long_tasks_of_others_stay_out_of_the_compartment) {
+    confine_queue_1();
+    estimate_ms = 1000;
+    assign("job-2", 16);
+    BOOST_TEST((starts_by_side("job-2") ==
+                std::pair<std::size_t, std::size_t>(0, 10)));
+}
+
+// Guards against a deadly task of another queue beside the others' runs.
+BOOST_AUTO_TEST_CASE(suspects_of_any_queue_start_in_the_compartment) {
+    confine_queue_1();
+    assign_suspect("suspect-1");
+    BOOST_TEST((starts_by_side("suspect-1") ==
+                std::pair<std::size_t, std::size_t>(1, 0)));
+}
+
+// Guards against tasks that can't start at all: no endpoint on their side has
+// what they need.
+BOOST_AUTO_TEST_CASE(task_that_no_endpoint_of_its_side_can_run_may_cross) {
+    confine_queue_1();
+    const auto inside = *holder.compartment().members().begin();
+    std::string outside = "endpoint-1";
+    for (int i = 1; holder.compartment().contains(outside); ++i) {
+        outside = "endpoint-" + std::to_string(i);
+    }
+    for (const auto& id : {inside, outside}) {
+        auto endpoint = holder.sessions().at(id)->endpoint();
+        endpoint.labels = {id};
+        holder.update_endpoint(now, endpoint);
+    }
+    label = outside;
+    queue = "queue-1";
+    assign("job-1", 1);
+    BOOST_TEST(endpoint_of("job-1") == outside);
+    label = inside;
+    queue = "queue-2";
+    estimate_ms = 1000;
+    assign("job-2", 1);
+    BOOST_TEST(endpoint_of("job-2") == inside);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
