--- a/src/core/dispatch/task_queue.hpp
+++ b/src/core/dispatch/task_queue.hpp
@@ -51,9 +51,10 @@
     // Smallest processor share that a waiting task asks for, in thousandths of
     // a core; the largest value of the type if the queue is empty.
     [[nodiscard]] std::uint32_t smallest_cpu_request() const;
-    // Estimated processor time of all waiting tasks, in milliseconds, by
-    // priority; see `advert::queued_cpu_ms_by_priority`.
-    [[nodiscard]] std::vector<std::uint64_t> queued_cpu_ms_by_priority() const;
+    // Estimated processor time of the waiting tasks that `counts` is true for,
+    // in milliseconds, by priority; see `advert::queued_cpu_ms_by_priority`.
+    [[nodiscard]] std::vector<std::uint64_t> queued_cpu_ms_by_priority(
+        const std::function<bool(const queued_task&)>& counts) const;
 
 private:
     std::vector<queued_task> tasks_;
