A start refused for room is no fault of the endpoint

What callers saw: where endpoints enforce their capacity, one whose capacity has shrunk is taken out of use for 400 ms and more after two refusals, and until then each queued task is sent there and refused.

Cause: `handle_start` counted 409 `room` like any refusal as a fault of the endpoint's health, and went on using the room that the row shows.

The run still counts as not started (`refused`: the task is placed again). The endpoint's health is left alone, and it counts as full until a run there has ended, its listed capacity has changed, or 500 ms have passed.

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -15,6 +15,9 @@
 // Upper bound of the growing retry delay: an endpoint that answers again is
 // used within this time.
 constexpr duration max_retry_delay = 500ms;
+// An endpoint that refused a start for room is tried again after this, if
+// nothing has shown before that it has room.
+constexpr duration full_retry_delay = 500ms;
 // Time for coordinators to claim their runs after an adoption: a round trip
 // between failure domains plus their wake-up time.
 constexpr duration claim_window = 60ms;
@@ -95,6 +98,9 @@
     endpoint_ = endpoint;
     endpoint_.instance_started_ms = instance_started_ms;
     gone_ = false;
+    if (endpoint.capacity != ledger_.capacity()) {
+        full_since_.reset();
+    }
     ledger_.set_capacity(endpoint.capacity);
     if (moved) {
         begin_address(now);
@@ -640,6 +646,12 @@
     case call_status::outdated_run:
         over(*entry, update_kind::outdated);
         break;
+    case call_status::no_room:
+        // Its row is behind, or other runs take more than they said; the
+        // endpoint works well.
+        over(*entry, update_kind::refused);
+        full_since_ = now;
+        break;
     default:
         if (answered || reply.status == call_status::not_sent) {
             health_.record_fault(now);
@@ -710,6 +722,7 @@
 void endpoint_session::over(const run_entry& entry, update_kind kind) {
     const run_entry ended = entry;
     ledger_.remove(ended.run);
+    full_since_.reset();
     events_.on_run_finished(*this, ended, kind);
 }
 
@@ -762,6 +775,9 @@
             entry.revoked |= entry.state == run_state::unclaimed;
         }
     }
+    if (full_since_ && now - *full_since_ >= full_retry_delay) {
+        full_since_.reset();
+    }
     check_lease_expiry(now);
     send_stops(now);
     request_run_list();
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -117,7 +117,10 @@
         return phase_ == session_phase::claiming ||
                phase_ == session_phase::active;
     }
-    [[nodiscard]] resources free_resources() const { return ledger_.free(); }
+    // Zero for a while after a start was refused for room.
+    [[nodiscard]] resources free_resources() const {
+        return full_since_ ? resources{} : ledger_.free();
+    }
     [[nodiscard]] const run_ledger& ledger() const { return ledger_; }
     [[nodiscard]] run_ledger& ledger() { return ledger_; }
     [[nodiscard]] endpoint_health& health() { return health_; }
@@ -184,6 +187,9 @@
     endpoint_clock clock_;
     endpoint_health health_;
     run_ledger ledger_;
+    // When the endpoint refused a start for room; cleared when a run has ended,
+    // its capacity has changed, or after a while.
+    std::optional<timestamp> full_since_;
     std::uint64_t acknowledged_ = 0;
     std::uint64_t acknowledged_sent_ = 0;
     std::int64_t latest_deadline_ms_ = 0;
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -291,6 +291,55 @@
     BOOST_TEST(holder.queue().empty());
 }
 
+// Guards against an endpoint that is taken out of use because it enforces its
+// capacity: a refusal for room is no fault of it.
+BOOST_AUTO_TEST_CASE(start_refused_for_room_is_reported_and_no_fault) {
+    assign("job-1", 2);
+    BOOST_REQUIRE_EQUAL(port.starts.size(), 2U);
+    for (const auto& call : port.starts) {
+        holder.handle_start(now, call.target.endpoint, 1, call.run,
+                            {call_status::no_room, to_ms(now) + 500});
+    }
+    BOOST_REQUIRE_EQUAL(events.updates.size(), 2U);
+    BOOST_TEST((events.updates[0].kind == update_kind::refused));
+    BOOST_TEST((events.updates[1].kind == update_kind::refused));
+    for (const auto& [id, session] : holder.sessions()) {
+        BOOST_TEST(session->health().accepts_tasks(now));
+        BOOST_TEST(session->health().consecutive_faults() == 0U);
+    }
+}
+
+// Guards against calls in a loop: the endpoint would refuse the next start too.
+BOOST_AUTO_TEST_CASE(endpoint_that_refused_for_room_is_full_until_it_changes) {
+    assign("job-1", 1);
+    const auto full = port.starts[0].target.endpoint;
+    holder.handle_start(now, full, 1, port.starts[0].run,
+                        {call_status::no_room, to_ms(now) + 500});
+    assign("job-2", 4);
+    for (std::size_t i = 1; i < port.starts.size(); ++i) {
+        BOOST_TEST(port.starts[i].target.endpoint != full);
+    }
+    const auto before = port.starts.size();
+    BOOST_TEST(before < 5U);
+    shrink(full, 15'000); // its row has changed
+    holder.dispatch(now);
+    BOOST_TEST(port.starts.size() > before);
+}
+
+// The same, if its row doesn't change.
+BOOST_AUTO_TEST_CASE(endpoint_that_refused_for_room_is_tried_again) {
+    assign("job-1", 1);
+    const auto full = port.starts[0].target.endpoint;
+    holder.handle_start(now, full, 1, port.starts[0].run,
+                        {call_status::no_room, to_ms(now) + 500});
+    assign("job-2", 4, 2s);
+    const auto before = port.starts.size();
+    now += 1s;
+    holder.tick(now);
+    holder.dispatch(now);
+    BOOST_TEST(port.starts.size() > before);
+}
+
 // Guards against duplicate runs: without the token in the report of a start,
 // the coordinator treated an adoption delayed by a network cut as current.
 BOOST_AUTO_TEST_CASE(each_report_of_a_run_carries_the_token_it_is_held_under) {
