--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -252,8 +252,8 @@
     about.queued_cpu_ms = std::accumulate(
         about.queued_cpu_ms_by_priority.begin(),
         about.queued_cpu_ms_by_priority.end(), std::uint64_t{0});
-    about.queued_tasks = static_cast<std::uint32_t>(std::count_if(
-        queue_.tasks().begin(), queue_.tasks().end(), is_next));
+    about.queued_tasks = static_cast<std::uint32_t>(
+        std::count_if(queue_.tasks().begin(), queue_.tasks().end(), is_next));
     about.endpoints_held = static_cast<std::uint32_t>(sessions_.size());
     for (const auto& [id, session] : sessions_) {
         if (!session->accepts_tasks()) {
--- a/src/core/dispatch/task_queue.cpp
+++ b/src/core/dispatch/task_queue.cpp
@@ -51,7 +51,8 @@
     return least;
 }
 
-std::vector<std::uint64_t> task_queue::queued_cpu_ms_by_priority(const std::function<bool(const queued_task&)>& counts) const {
+std::vector<std::uint64_t> task_queue::queued_cpu_ms_by_priority(
+    const std::function<bool(const queued_task&)>& counts) const {
     std::vector<std::uint64_t> sums(advertised_priorities, 0);
     for (const auto& task : tasks_) {
         if (!counts(task)) {
