--- a/tests/dispatch/fleet/fleet_matrix.cpp
+++ b/tests/dispatch/fleet/fleet_matrix.cpp
@@ -86,7 +86,7 @@
                 each(fleet, target,
                      [&fleet](std::size_t i) { fleet.restore_capacity(i); });
             },
-            true, former_capacity_time};
+            former_capacity_time};
 }
 
 std::vector<fleet_fault> make_faults() {
@@ -220,12 +220,10 @@
          }});
     faults.push_back(shrinking("shrinking_capacity", false));
     faults.push_back(shrinking("shrinking_capacity_enforced", true));
-    // Not in the matrix while it is listed in KNOWN-RED.txt.
     faults.push_back(
         {"deadly_tasks",
          [](auto& fleet, auto /*target*/) { fleet.set_deadly_share(0.15); },
-         [](auto& fleet, auto /*target*/) { fleet.set_deadly_share(0.0); },
-         false});
+         [](auto& fleet, auto /*target*/) { fleet.set_deadly_share(0.0); }});
     return faults;
 }
 
--- a/tests/dispatch/fleet/fleet_matrix.hpp
+++ b/tests/dispatch/fleet/fleet_matrix.hpp
@@ -11,8 +11,6 @@
     std::string name;
     std::function<void(virtual_fleet&, std::size_t target)> begin;
     std::function<void(virtual_fleet&, std::size_t target)> end;
-    // Played by itself and in mixes when no fault is named.
-    bool in_matrix = true;
     duration at_least{0}; // added to the drawn length
 };
 
--- a/tests/dispatch/fleet/fleet_matrix_main.cpp
+++ b/tests/dispatch/fleet/fleet_matrix_main.cpp
@@ -93,24 +93,17 @@
         }
         return runs;
     }
-    std::vector<std::size_t> played;
-    for (std::size_t fault = 0; fault < all_fleet_faults().size(); ++fault) {
-        if (all_fleet_faults()[fault].in_matrix) {
-            played.push_back(fault);
-        }
-    }
-    const auto count = played.size();
-    for (const auto fault : played) {
+    const auto count = all_fleet_faults().size();
+    for (std::size_t fault = 0; fault < count; ++fault) {
         for (std::uint64_t seed = 0; seed < FLAGS_seeds; ++seed) {
             runs.push_back(plan_run(FLAGS_first_seed + seed, {fault}));
         }
     }
     std::mt19937_64 random(FLAGS_first_seed);
     for (std::uint64_t mix = 0; mix < FLAGS_mixes; ++mix) {
-        std::vector<std::size_t> faults{played[random() % count],
-                                        played[random() % count]};
+        std::vector<std::size_t> faults{random() % count, random() % count};
         if (mix % 2 == 1) {
-            faults.push_back(played[random() % count]);
+            faults.push_back(random() % count);
         }
         runs.push_back(plan_run(FLAGS_first_seed + mix, faults));
     }
