An unanswered start holds back acknowledgements until it is decided

Callers could see a task done twice. A poll acknowledges ends that were read from the known instance, unless a call has just failed or a run is on no list yet. A start without an answer is such a run too, but wasn't counted: when its stop was answered, the failed calls were forgotten, and the next poll acknowledged. If the endpoint had started again unnoticed (it isn't polled while idle), the start, the stop and the poll reached the next instance, whose ends have the same numbers: the end of the run was forgotten unread, the run counted as lost, and its task was started again after an end that had been taken note of.

Now no end is acknowledged while a start is undecided. It is decided by the next list or by its lease, so this takes a second or so at most.

The unit test failed before: the poll after the stop acknowledged 1 instead of 0. The tests of endpoint_session_test pass; nothing else was run.

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -189,12 +189,13 @@
 // --- long poll ------------------------------------------------------------
 
 std::uint64_t endpoint_session::acknowledgement() const {
-    const bool unlisted =
-        std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
-                    [](const auto& item) {
-                        return item.second.state == run_state::running &&
-                               !item.second.listed;
-                    });
+    const bool unlisted = std::any_of(
+        ledger_.entries().begin(), ledger_.entries().end(),
+        [](const auto& item) {
+            const auto& entry = item.second;
+            return entry.state == run_state::uncertain ||
+                   (entry.state == run_state::running && !entry.listed);
+        });
     return unlisted || failed_calls_ > 0 ? 0 : acknowledged_;
 }
 
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -586,6 +586,26 @@
     }
 }
 
+// Guards against the same after the answer to a start was lost: its stop is
+// answered, but perhaps by a next instance on which the run has ended.
+BOOST_AUTO_TEST_CASE(unanswered_start_holds_back_acknowledgements) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    now += 600ms;
+    answer_hold({}, {{1, run_of(0), end_kind::done}});
+    start(1);
+    answer_start(1, call_status::unanswered);
+    const auto poll = port.holds.back();
+    session->handle_hold(now, {{}, 0, {}, {}, poll.number});
+    session->handle_stop(now, run_of(1), {call_status::ok, 20});
+    pass(200ms);
+    BOOST_REQUIRE(port.holds.back().number > poll.number + 1);
+    for (const auto& call : port.holds) {
+        BOOST_TEST(call.acknowledged == 0U);
+    }
+}
+
 // Many endpoints may turn slow at once, and then none of their tasks ends for a
 // long time, so slowness is detected from the progress of running tasks.
 BOOST_AUTO_TEST_CASE(endpoint_whose_tasks_all_fall_behind_is_slow) {
