A run counts as lost with one instance of its endpoint only

A job could fail although no endpoint crashed. When an entry in the list names a later start, the session reports the runs on its ledger as lost with the instance, but keeps them until a list shows what runs. If the entry is odd and names a start that never was, the present instance answers next, which looks like another instance: the same runs were reported lost with that one too. That made two certain crashes under each run there, and the jobs were ended as failed. Two restarts that were noticed before a list came counted twice alike.

Shown by a unit test that failed before (2 and 4 reports instead of 1).

Now a run that was reported as lost is not reported again: it can't be lost with two instances. One certain crash is still counted for an odd entry.

The tests of endpoint_session_test, endpoint_holder_test and dispatcher_test pass (159); nothing else was run.

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -577,7 +577,7 @@
 
 void endpoint_session::record_lost_run(const run_entry& entry) {
     // A planned stop of the endpoint is no crash.
-    if (endpoint_.state == endpoint_state::ready) {
+    if (endpoint_.state == endpoint_state::ready && !entry.reported_lost) {
         lost_runs_[entry.run] = {entry.run, entry.queue};
         lost_runs_at_call_ = calls_sent_;
     }
@@ -585,10 +585,11 @@
 
 void endpoint_session::note_later_instance() {
     events_.on_instance_began(*this, ledger_.size());
-    for (const auto& [run, entry] : ledger_.entries()) {
+    for (auto& [run, entry] : ledger_.entries()) {
         // A start that is not answered yet may have reached the new instance.
         if (entry.state != run_state::starting) {
             record_lost_run(entry);
+            entry.reported_lost = true;
         }
     }
     confirm_crash();
--- a/src/core/dispatch/run_ledger.hpp
+++ b/src/core/dispatch/run_ledger.hpp
@@ -35,6 +35,7 @@
     std::uint64_t confirmed_at_call = 0; // last call sent by then
     std::int64_t lease_deadline_ms = 0;  // sent with the start
     bool listed = false;                 // on a run list of the known instance
+    bool reported_lost = false;          // with an instance that has ended
     bool stop_wanted = false;
     // The task may be placed again once the lease must have ended.
     bool revoked = false;
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -1106,6 +1106,28 @@
     BOOST_TEST((events.crashes[0].second == crash_evidence::ended));
 }
 
+// Guards against a job that fails although no endpoint crashed: an odd entry
+// names a start in the future, and its instance and the present one both seemed
+// to have ended under the same run.
+BOOST_AUTO_TEST_CASE(run_is_lost_with_one_instance_only) {
+    answer_hold({});
+    start(0);
+    answer_start(0);
+    answer_hold({run_of(0)});
+    auto odd = endpoint;
+    odd.instance_started_ms = 9'000'000'000'000'000;
+    session->update(now, odd);
+    answer_hold({run_of(0)}); // to a call sent before
+    answer_hold({run_of(0)});
+    BOOST_TEST(events.ends.empty());
+    BOOST_TEST(events.crashes.size() <= 1U);
+    session->update(now, odd);
+    answer_hold({run_of(0)});
+    answer_hold({run_of(0)});
+    BOOST_TEST(events.ends.empty());
+    BOOST_TEST(events.crashes.size() <= 1U);
+}
+
 BOOST_AUTO_TEST_CASE(run_of_another_instances_endpoint_has_crashed) {
     answer_hold({});
     start(0);
