A suspected crash is withdrawn when the next holder finds the runs

A job could wait, or fail, for a crash that never was. A holder that is cut off from an endpoint, with connections refused, reports its runs as possibly lost by a crash. If another holder then takes the endpoint over, nobody withdraws the report: the former holder has no session any more, and the next one doesn't know of it. The suspicion stayed for 60 s at every host. A task with two such isn't placed, and if the endpoint left the list or started again meanwhile, for whatever reason, the suspicion became a certain crash of a run that had gone on or ended there; two of these fail the job.

Each adoption is sent to all hosts and names the runs that the endpoint lists. An instance that lists a run, or its end, is the one on which the run was started, so it hasn't crashed: the suspicions of this instance are dropped. Certain crashes stay.

Before, with a ledger that ignores adoptions, the first test failed (the ledger had two entries), and the second passed. The tests of crash_ledger_test, job_coordinator_test, endpoint_session_test, endpoint_holder_test and dispatcher_test pass (232); nothing else was run.

--- a/src/core/dispatch/crash_ledger.cpp
+++ b/src/core/dispatch/crash_ledger.cpp
@@ -1,5 +1,7 @@
 #include "core/dispatch/crash_ledger.hpp"
 
+#include <set>
+
 namespace figridge::dispatch {
 namespace {
 
@@ -32,6 +34,7 @@
     if (known.evidence != crash_evidence::ended) {
         known.evidence = report.evidence;
     }
+    known.run = report.run.run;
     known.at = now;
     ++generation_;
 }
@@ -62,6 +65,32 @@
     }
 }
 
+void crash_ledger::handle_adoption(const endpoint_adoption& adoption) {
+    std::set<task_run> found(adoption.running.begin(), adoption.running.end());
+    for (const auto& ended : adoption.ended) {
+        found.insert(ended.run);
+    }
+    std::set<instance> answering;
+    for (const auto& [task, instances] : tasks_) {
+        for (const auto& [key, known] : instances) {
+            if (key.endpoint == adoption.endpoint &&
+                found.contains({task, known.run})) {
+                answering.insert(key);
+            }
+        }
+    }
+    if (answering.empty()) {
+        return;
+    }
+    for (auto task = tasks_.begin(); task != tasks_.end();) {
+        generation_ += std::erase_if(task->second, [&](const auto& item) {
+            return item.second.evidence == crash_evidence::refusing &&
+                   answering.contains(item.first);
+        });
+        task = task->second.empty() ? tasks_.erase(task) : std::next(task);
+    }
+}
+
 void crash_ledger::tick(timestamp now) {
     for (auto task = tasks_.begin(); task != tasks_.end();) {
         const auto erased =
--- a/src/core/dispatch/crash_ledger.hpp
+++ b/src/core/dispatch/crash_ledger.hpp
@@ -40,6 +40,10 @@
     // The platform no longer lists the endpoint. An instance that refused
     // connections has ended.
     void handle_removed(const std::string& endpoint);
+    // A holder has adopted the endpoint. An instance that lists a run, or its
+    // end, has not crashed under it, nor under the runs beside it; its former
+    // holder can't withdraw what it suspected.
+    void handle_adoption(const endpoint_adoption& adoption);
     // Forgets entries that no submission of their job can refer to any more.
     void tick(timestamp now);
 
@@ -60,6 +64,7 @@
         auto operator<=>(const instance&) const = default;
     };
     struct entry {
+        std::uint32_t run = 0; // of the task, there
         crash_evidence evidence = crash_evidence::refusing;
         timestamp at{0};
     };
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -337,6 +337,7 @@
     }
     for (const auto& adoption : content.adoptions) {
         record_announced_holder(now_, from, adoption);
+        crashes_.handle_adoption(adoption);
         coordinator_.handle_adoption(now_, from, adoption);
     }
     // Before the updates, which may place the tasks again.
--- a/tests/dispatch/crash_ledger_test.cpp
+++ b/tests/dispatch/crash_ledger_test.cpp
@@ -51,6 +51,32 @@
     BOOST_TEST(ledger.of(task).suspected == 0U);
 }
 
+// Guards against a job that fails or waits although no endpoint crashed: a cut
+// made a holder suspect a crash, another one adopted the endpoint, and the
+// suspicion became certain when the endpoint left the list later.
+BOOST_AUTO_TEST_CASE(suspicion_ends_when_the_next_holder_finds_the_runs) {
+    const task_key neighbour{"0123456789abcdef", 0, 2};
+    report("endpoint-1", crash_evidence::refusing);
+    ledger.record(now, {{neighbour, 1},
+                        "queue-1",
+                        "endpoint-1",
+                        1000,
+                        crash_evidence::refusing});
+    ledger.handle_adoption({"endpoint-1", {}, 8, {{task, 1}}, {}});
+    ledger.handle_removed("endpoint-1");
+    BOOST_TEST(ledger.empty());
+}
+
+BOOST_AUTO_TEST_CASE(suspicion_stays_when_the_next_holder_finds_other_runs) {
+    report("endpoint-1", crash_evidence::refusing);
+    ledger.handle_adoption({"endpoint-1", {}, 8, {{task, 2}}, {}});
+    ledger.handle_adoption({"endpoint-2", {}, 8, {{task, 1}}, {}});
+    BOOST_TEST(ledger.of(task).suspected == 1U);
+    report("endpoint-1", crash_evidence::ended);
+    ledger.handle_adoption({"endpoint-1", {}, 9, {{task, 1}}, {}});
+    BOOST_TEST(ledger.of(task).certain.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(each_instance_of_an_endpoint_counts) {
     report("endpoint-1", crash_evidence::ended, 1000);
     report("endpoint-1", crash_evidence::ended, 2000);
