--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -189,12 +189,13 @@
 // --- long poll ------------------------------------------------------------
 
 std::uint64_t endpoint_session::acknowledgement() const {
-    const bool unlisted =
-        std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
-                    [](const auto& item) {
-                        return item.second.state == run_state::running &&
-                               !item.second.listed;
-                    });
+    const bool unlisted = std::any_of(
+        ledger_.entries().begin(), ledger_.entries().end(),
+        [](const auto& item) {
+            const auto& entry = item.second;
+            return entry.state == run_state::uncertain ||
+                   (entry.state == run_state::running && !entry.listed);
+        });
     return unlisted || failed_calls_ > 0 ? 0 : acknowledged_;
 }
 
@@ -576,7 +577,7 @@
 
 void endpoint_session::record_lost_run(const run_entry& entry) {
     // A planned stop of the endpoint is no crash.
-    if (endpoint_.state == endpoint_state::ready) {
+    if (endpoint_.state == endpoint_state::ready && !entry.reported_lost) {
         lost_runs_[entry.run] = {entry.run, entry.queue};
         lost_runs_at_call_ = calls_sent_;
     }
@@ -584,10 +585,11 @@
 
 void endpoint_session::note_later_instance() {
     events_.on_instance_began(*this, ledger_.size());
-    for (const auto& [run, entry] : ledger_.entries()) {
+    for (auto& [run, entry] : ledger_.entries()) {
         // A start that is not answered yet may have reached the new instance.
         if (entry.state != run_state::starting) {
             record_lost_run(entry);
+            entry.reported_lost = true;
         }
     }
     confirm_crash();
