A confined queue gets twice its share of the endpoints, before others

Cause, by reading: the compartment had the queue's average load and a quarter more. The tasks of a job start together, suspects take up to two of its endpoints, and short tasks of other queues took places that became free, for longer than the queue's own tasks run. Tasks that are late come after those that can still be in time, so hardly any job was completed.

Change: twice the queue's share, at most half of the endpoints as before; others enter only while no task of the confined queue waits. A recalled job that turns out to have been sent is placed again (review).

--- a/src/core/dispatch/crash_compartment.cpp
+++ b/src/core/dispatch/crash_compartment.cpp
@@ -19,8 +19,9 @@
 constexpr double min_presence = 0.05;
 // Above this, a crash without the queue would speak against a coincidence.
 constexpr double max_presence = 1.0 - other_cause_share;
-// Room in the compartment as a multiple of the queue's share of the load.
-constexpr double compartment_headroom = 1.25;
+// Room in the compartment as a multiple of the queue's share of the load: the
+// tasks of a job start together, so they need more than the average.
+constexpr double compartment_headroom = 2.0;
 constexpr double max_compartment_share = 0.5;
 // Highest probability that a run of another queue is lost with its endpoint.
 constexpr double max_loss_probability = 0.1;
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -131,7 +131,8 @@
     // Where a task may start while a queue of its pool is confined.
     enum class placement_zone { any, inside_compartment, outside_compartment };
     available_endpoint* choose(std::vector<available_endpoint>& available,
-                               const queued_task& task) const;
+                               const queued_task& task,
+                               bool confined_waits) const;
     available_endpoint* choose_in(placement_zone zone,
                                   std::vector<available_endpoint>& available,
                                   const queued_task& task) const;
--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -54,8 +54,13 @@
     if (largest_free_cpu < queue_.smallest_cpu_request()) {
         return;
     }
+    const auto& waiting = queue_.tasks();
+    const bool confined_waits = std::any_of(
+        waiting.begin(), waiting.end(), [this](const queued_task& task) {
+            return task.queue == compartment_.queue();
+        });
     queue_.place_tasks(now, [&](const queued_task& task) {
-        auto* chosen = choose(available, task);
+        auto* chosen = choose(available, task, confined_waits);
         // The task may have come from another coordinator, or again after the
         // bound for the end of its last run.
         if (chosen == nullptr || has_run_of(task.run.task)) {
@@ -200,12 +205,13 @@
 
 endpoint_holder::available_endpoint*
 endpoint_holder::choose(std::vector<available_endpoint>& available,
-                        const queued_task& task) const {
+                        const queued_task& task, bool confined_waits) const {
     const auto zone = zone_of(task);
     auto* chosen = choose_in(zone, available, task);
-    const bool may_enter = zone == placement_zone::outside_compartment &&
-                           compartment_.tolerates(std::chrono::milliseconds(
-                               task.need.estimate_ms));
+    const bool may_enter =
+        zone == placement_zone::outside_compartment && !confined_waits &&
+        compartment_.tolerates(
+            std::chrono::milliseconds(task.need.estimate_ms));
     return chosen == nullptr && may_enter
                ? choose_in(placement_zone::inside_compartment, available, task)
                : chosen;
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -181,7 +181,7 @@
 }
 
 void job_coordinator::place(timestamp now, job_state& state) {
-    if (state.recalled) {
+    if (state.recalled && state.never_sent) {
         return;
     }
     const auto& submission = state.submission;
