--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -416,11 +416,12 @@
         }
     }
     for (const auto& [since, session] : refusing) {
-        const auto at_once = std::count_if(
-            refusing.begin(), refusing.end(), [since](const auto& other) {
-                return std::chrono::abs(other.first - since) <=
-                       common_cause_window;
-            });
+        const auto at_once =
+            std::count_if(refusing.begin(), refusing.end(),
+                          [began = since](const auto& other) {
+                              return std::chrono::abs(other.first - began) <=
+                                     common_cause_window;
+                          });
         if (now - since >= common_cause_window &&
             static_cast<std::size_t>(at_once) <= max_crashes_at_once) {
             session->report_suspected_crash();
