An endpoint is suspected of a crash only after it refused for a second

Cause: 100 ms of refusals were enough for a suspicion. A crashed endpoint is away for seconds, and a task is placed again only after about a second, so a suspicion before that is of little use.

Tests: endpoint_that_refuses_alone_is_suspected now has no report after 900 ms, and one after 1,050; endpoints_that_refuse_at_once_are_not_suspected refuses for 1,300 ms.

--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -11,6 +11,9 @@
 // Endpoints that begin to refuse connections within this time of each other
 // probably do so for the same cause.
 constexpr duration common_cause_window = 100ms;
+// Shorter refusals are more often cuts than crashes, after which the platform
+// needs seconds to start an endpoint again.
+constexpr duration min_refusal_time = 1s;
 // A task crashes one endpoint at a time, a cut or a lost rack takes more.
 constexpr std::size_t max_crashes_at_once = 2;
 
@@ -422,7 +425,7 @@
                               return std::chrono::abs(other.first - began) <=
                                      common_cause_window;
                           });
-        if (now - since >= common_cause_window &&
+        if (now - since >= min_refusal_time &&
             static_cast<std::size_t>(at_once) <= max_crashes_at_once) {
             session->report_suspected_crash();
         }
