Review case 3: a start carried out late on an unnoticed later life of a worker (TWICE)

A worker starts again under its id, leaves the first order unanswered and carries it out 2 s later; its holder has taken the run for lost after 1.18 s.

--- a/review/build.sh
+++ b/review/build.sh
@@ -24,5 +24,8 @@
     $libraries -o "$out/system_stand_in"
 g++ $flags testing/fault_proxy.cpp testing/fault_proxy_main.cpp \
     $libraries -o "$out/fault_proxy"
+g++ $flags testing/platform/leased_endpoint.cpp \
+    testing/platform/table_stand_in.cpp review/late_system.cpp \
+    $libraries -o "$out/late_system"
 wait $waiting
-echo "built $out/client, $out/system_stand_in, $out/fault_proxy"
+echo "built client, system_stand_in, fault_proxy and late_system in $out"
--- a/review/common.sh
+++ b/review/common.sh
@@ -107,15 +107,18 @@
     [ -x target/figridged ] && [ -x "$tools/system_stand_in" ] ||
         cannot_run "build the deploy file and review/build.sh first"
     choose_ports
+    [ "${system:-}" != late_system ] ||
+        system_flags="--gate_port $((base_port + 29))"
     for ((i = 0; i < hosts; i++)); do
         links+="${links:+,}$(front "$i")=$(host_callers "$i")"
     done
     "$tools/fault_proxy" --control "$(proxy_control)" --links "$links" \
         >"$work/proxy.log" 2>&1 &
     proxy_pid=$!
-    "$tools/system_stand_in" --store "$(store)" --control "$(control)" \
-        --first_endpoint_port $((base_port + 30)) --endpoints "$endpoints" \
-        --domains "$domains" >"$work/system.log" 2>&1 &
+    "$tools/${system:-system_stand_in}" --store "$(store)" \
+        --control "$(control)" --first_endpoint_port $((base_port + 30)) \
+        --endpoints "$endpoints" --domains "$domains" ${system_flags:-} \
+        >"$work/system.log" 2>&1 &
     system_pid=$!
     wait_for "$(control)" /report 10
     for ((i = 0; i < hosts; i++)); do
