--- a/review/client.cpp
+++ b/review/client.cpp
@@ -2,7 +2,7 @@
 //
 //     client --to 127.0.0.1:7001 --method POST --path /jobs/ID
 //         [--host NAME] [--header "Name: value"]... [--body TEXT]
-//         [--timeout_ms N] [--label TEXT]
+//         [--body_file PATH] [--timeout_ms N] [--label TEXT]
 //
 // Prints one line: time of sending and of the end (ms since 1970), label,
 // status (0: the channel broke, -1: no answer in time, -2: no connection) and
@@ -11,6 +11,8 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <fstream>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -88,10 +90,14 @@
     text += "\r\n" + wanted.body;
     const auto end = unix_ms() + wanted.timeout_ms;
     outcome result;
-    if (send(channel, text.data(), text.size(), MSG_NOSIGNAL) !=
-        static_cast<ssize_t>(text.size())) {
-        close(channel);
-        return {channel_broke, ""};
+    for (std::size_t sent = 0; sent < text.size();) {
+        const auto count =
+            send(channel, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
+        if (count <= 0) {
+            close(channel);
+            return {channel_broke, ""};
+        }
+        sent += static_cast<std::size_t>(count);
     }
     std::string answer;
     while (true) {
@@ -141,6 +147,9 @@
             wanted.headers.push_back(value);
         } else if (name == "--body") {
             wanted.body = value;
+        } else if (name == "--body_file") {
+            std::ifstream file(value);
+            wanted.body.assign(std::istreambuf_iterator<char>(file), {});
         } else if (name == "--timeout_ms") {
             wanted.timeout_ms = std::atoi(value.c_str());
         } else if (name == "--label") {
