Times that callers and the operator write are limited where they enter

A caller that waits for over 24 h sends a job to one host; after one reset channel another caller's tasks run twice at once.

The receiver ignored the envelope, its sender sent it again without end, and no later payload of that link was handled: the withdrawal of the first job among them, so its runs went on beside those of the job that came again. `peer_message_refused` names the field.

Now `max_wait` (24 h) is the one definition.

--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -124,8 +124,9 @@
         task.queue = assignment.queue;
         task.priority = assignment.priority;
         task.queued_at = now;
-        task.answer_by = now + duration(assignment.objective_us);
-        task.caller_deadline = now + duration(assignment.patience_us);
+        task.answer_by = now + limit_wait(duration(assignment.objective_us));
+        task.caller_deadline =
+            now + limit_wait(duration(assignment.patience_us));
         queue_.push(std::move(task));
     }
     if (sessions_.empty()) {
--- a/src/core/dispatch/holder_views.cpp
+++ b/src/core/dispatch/holder_views.cpp
@@ -134,7 +134,7 @@
         const auto& by_priority = ahead.queued_cpu_ms_by_priority;
         if (!by_priority.empty()) {
             const auto levels =
-                std::min<std::size_t>(by_priority.size(), priority + 1);
+                std::min(by_priority.size(), std::size_t{priority} + 1);
             ahead.queued_cpu_ms = std::accumulate(
                 by_priority.begin(),
                 by_priority.begin() + static_cast<std::ptrdiff_t>(levels),
@@ -142,8 +142,7 @@
         }
         least = std::min(least, wait_ms(ahead));
     }
-    return views_.empty() ? duration{0}
-                          : duration(static_cast<std::int64_t>(least * 1000));
+    return views_.empty() ? duration{0} : scale_wait(1ms, least);
 }
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -135,10 +135,9 @@
     auto& state = jobs_[id];
     state.token = token;
     state.arrived = now;
-    state.answer_by = now + submission.queue.latency_target +
-                      duration(static_cast<std::int64_t>(
-                          submission.queue.stretch *
-                          static_cast<double>(total_estimate.count())));
+    state.answer_by =
+        now + limit_wait(submission.queue.latency_target +
+                         scale_wait(total_estimate, submission.queue.stretch));
     state.caller_deadline = now + submission.caller_timeout;
     const auto former = former_runs_.find(id);
     state.never_sent = former == former_runs_.end();
--- a/src/core/dispatch/messages.cpp
+++ b/src/core/dispatch/messages.cpp
@@ -8,10 +8,9 @@
 namespace figridge::dispatch {
 namespace {
 
-// Clocks that count from boot and the waiting times of callers are far below
-// these limits, and sums of values within them do not overflow.
+// Clocks that count from boot are far below this limit, and sums of values
+// within it do not overflow.
 constexpr std::int64_t max_stamp_us = std::int64_t{1} << 60;
-constexpr std::int64_t max_time_us = 86'400'000'000;
 constexpr std::uint64_t max_stream = max_stamp_us;
 constexpr double max_cpu_share = 1024.0;
 
@@ -24,10 +23,6 @@
     return stamp_us >= 0 && stamp_us <= max_stamp_us;
 }
 
-bool is_valid_time(std::int64_t time_us) {
-    return time_us >= -max_time_us && time_us <= max_time_us;
-}
-
 bool is_known(update_kind kind) {
     return kind >= update_kind::started && kind <= update_kind::disowned;
 }
@@ -37,16 +32,6 @@
            evidence <= crash_evidence::ended;
 }
 
-absl::Status check_assignment(const task_assignment& assignment) {
-    if (!is_valid_time(assignment.objective_us)) {
-        return out_of_range("content.assignments.objective_us");
-    }
-    if (!is_valid_time(assignment.patience_us)) {
-        return out_of_range("content.assignments.patience_us");
-    }
-    return absl::OkStatus();
-}
-
 } // namespace
 
 absl::Status check_envelope(const envelope& message) {
@@ -78,11 +63,6 @@
     if (!std::isfinite(share) || share < 0.0 || share > max_cpu_share) {
         return out_of_range("about.cpu_share");
     }
-    for (const auto& assignment : message.content.assignments) {
-        if (auto status = check_assignment(assignment); !status.ok()) {
-            return status;
-        }
-    }
     for (const auto& update : message.content.updates) {
         if (!is_known(update.kind)) {
             return out_of_range("content.updates.kind");
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -41,7 +41,8 @@
                    queued_cpu_ms_by_priority);
 };
 
-// Assigns tasks of one job to a holder. Times are relative to the sending.
+// Assigns tasks of one job to a holder. Times are relative to the sending; the
+// holder limits them to `max_wait`, as older peers send longer ones.
 struct task_assignment {
     struct item {
         task_run run;
--- a/src/core/dispatch/types.hpp
+++ b/src/core/dispatch/types.hpp
@@ -6,6 +6,7 @@
 #ifndef FIGRIDGE_CORE_DISPATCH_TYPES_HPP
 #define FIGRIDGE_CORE_DISPATCH_TYPES_HPP
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -17,6 +18,33 @@
 
 namespace figridge::dispatch {
 
+// The longest time to wait. Longer times of callers, catalogues and peers mean
+// "as long as it takes" and are limited to it where they enter, so that sums of
+// times do not overflow.
+constexpr duration max_wait = 24h;
+
+// `time`, limited to -`max_wait` and `max_wait`. Thread-safe.
+constexpr duration limit_wait(duration time) {
+    return std::clamp(time, -max_wait, max_wait);
+}
+
+// A time in milliseconds of any length, limited to `max_wait`. Thread-safe.
+constexpr duration wait_from_ms(std::uint64_t time_ms) {
+    constexpr auto max_ms = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(max_wait)
+            .count());
+    return std::chrono::milliseconds(std::min(time_ms, max_ms));
+}
+
+// `time` times `factor`, limited to `max_wait`. Preconditions: both are at
+// least 0, and `factor` is a number. Thread-safe.
+constexpr duration scale_wait(duration time, double factor) {
+    const auto scaled = static_cast<double>(time.count()) * factor;
+    return scaled < static_cast<double>(max_wait.count())
+               ? duration(static_cast<std::int64_t>(scaled))
+               : max_wait;
+}
+
 // What a task occupies while it runs, and what an endpoint offers.
 struct resources {
     std::uint32_t cpu_millis = 0;
