A payload that its receiver can't accept no longer stops its link

The long wait was the occasion; the weakness behind it is that one refused payload stops all later ones of its link for as long as both processes live. A host of another version, in a rolling update, can send what this one can't accept.

Cause: `dispatcher::handle_envelope()` ignored the envelope before `peer_sessions` counted its payload, and a payload that can't be unpacked closed the connection each time it was sent again. Heartbeats went on, so both hosts took each other to be in contact, and nothing counted a link without progress.

Now the header and the payload are read and checked apart. A payload that can't be accepted is skipped; its receiver gives up all that the two hosts have with each other, as for dropped payloads, and begins a new stream. By that its sender learns of it, and no payload sent before counts any more, so that order and once-only delivery hold.

Logs and metrics: `peer_payloads_dropped` has a cause, `peer_messages_refused` counts, and the gauge `peer_links_stalled` shows links without progress.

The peer of `long_run_fixture` (tests) acknowledges what it receives now: it echoed for 5.5 s and acknowledged nothing, which is what is dropped.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -126,15 +126,27 @@
     sessions_.remove(address);
 }
 
-void dispatcher::handle_envelope(timestamp now, const envelope& message) {
+void dispatcher::handle_envelope(timestamp now, const envelope& message,
+                                 const absl::Status& content) {
     begin_input(now);
-    if (const auto status = check_envelope(message); !status.ok()) {
-        ports_.observer.log(log_level::warning, "peer_message_refused",
-                            {{"peer", message.from.address},
-                             {"error", std::string(status.message())}});
+    const auto header = check_header(message);
+    const auto accepted =
+        content.ok() ? check_content(message.content) : content;
+    for (const auto& status : {header, accepted}) {
+        if (!status.ok()) {
+            ports_.observer.log(log_level::warning, "peer_message_refused",
+                                {{"peer", message.from.address},
+                                 {"sequence", std::to_string(message.sequence)},
+                                 {"error", std::string(status.message())}});
+            ports_.observer.count("peer_messages_refused",
+                                  header.ok() ? "payload" : "envelope");
+            break;
+        }
+    }
+    if (!header.ok()) {
         return;
     }
-    sessions_.handle_envelope(now, message);
+    sessions_.handle_envelope(now, message, accepted);
     end_input(now);
 }
 
@@ -216,9 +228,10 @@
     coordinator_.handle_holder_recovered(peer);
 }
 
-void dispatcher::on_payloads_dropped(const process_id& peer) {
-    ports_.observer.log(log_level::error, "peer_payloads_dropped",
-                        {{"peer", peer.address}});
+void dispatcher::on_payloads_dropped(const process_id& peer, drop_cause cause) {
+    ports_.observer.log(
+        log_level::error, "peer_payloads_dropped",
+        {{"peer", peer.address}, {"cause", std::string(to_string(cause))}});
     ports_.observer.count("peer_payloads_dropped", "yes");
     holder_.abandon(now_, peer);
     coordinator_.handle_reports_lost(peer, runs_end_by(false));
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -42,7 +42,10 @@
     // --- membership and peers ---
     void add_member(timestamp now, const std::string& address);
     void remove_member(const std::string& address);
-    void handle_envelope(timestamp now, const envelope& message);
+    // `content`: why the payload can't be read, if it can't. Each refused
+    // envelope or payload is logged.
+    void handle_envelope(timestamp now, const envelope& message,
+                         const absl::Status& content = absl::OkStatus());
     void handle_link_refused(timestamp now, const std::string& address,
                              timestamp connect_started);
     void handle_link_restored(timestamp now, const std::string& address);
@@ -177,7 +180,7 @@
     void on_live(const process_id& peer) override;
     void on_out_of_contact(const process_id& peer) override;
     void on_in_contact(const process_id& peer) override;
-    void on_payloads_dropped(const process_id& peer) override;
+    void on_payloads_dropped(const process_id& peer, drop_cause cause) override;
     void on_removed(const process_id& peer) override;
     void on_forgotten(const std::string& address) override;
     advert make_advert() override;
--- a/src/core/dispatch/dispatcher_dump.cpp
+++ b/src/core/dispatch/dispatcher_dump.cpp
@@ -116,6 +116,7 @@
             {"endpoints_held", holder_.sessions().size()},
             {"endpoints_ejected", ejected},
             {"hosts_live", sessions_.live_count() + 1},
+            {"peer_links_stalled", sessions_.stalled_count(now)},
             {"tasks_with_crashes", crashes_.size()},
             {"catalogue_version", catalogue_version_}};
 }
--- a/src/core/dispatch/messages.cpp
+++ b/src/core/dispatch/messages.cpp
@@ -34,7 +34,35 @@
 
 } // namespace
 
-absl::Status check_envelope(const envelope& message) {
+received_envelope read_envelope(const msgpack::object& unpacked) {
+    // Of the fields in `MSGPACK_DEFINE` of an envelope.
+    constexpr std::size_t content_index = 9;
+    if (unpacked.type != msgpack::type::ARRAY ||
+        unpacked.via.array.size <= content_index) {
+        throw msgpack::type_error();
+    }
+    received_envelope received;
+    const auto* first = unpacked.via.array.ptr;
+    std::vector<msgpack::object> fields(first, first + unpacked.via.array.size);
+    auto& content = fields[content_index];
+    try {
+        received.message.content = content.as<payload>();
+    } catch (const std::bad_cast&) {
+        received.content = absl::InvalidArgumentError("content: unreadable");
+    }
+    content.type = msgpack::type::ARRAY;
+    content.via.array = {0, nullptr};
+    msgpack::object header;
+    header.type = msgpack::type::ARRAY;
+    header.via.array = {unpacked.via.array.size, fields.data()};
+    auto content_read = std::move(received.message.content);
+    header.convert(received.message);
+    received.message.content =
+        received.content.ok() ? std::move(content_read) : payload{};
+    return received;
+}
+
+absl::Status check_header(const envelope& message) {
     if (message.from.address.empty()) {
         return out_of_range("from.address");
     }
@@ -63,19 +91,23 @@
     if (!std::isfinite(share) || share < 0.0 || share > max_cpu_share) {
         return out_of_range("about.cpu_share");
     }
-    for (const auto& update : message.content.updates) {
+    return absl::OkStatus();
+}
+
+absl::Status check_content(const payload& content) {
+    for (const auto& update : content.updates) {
         if (!is_known(update.kind)) {
             return out_of_range("content.updates.kind");
         }
     }
-    for (const auto& adoption : message.content.adoptions) {
+    for (const auto& adoption : content.adoptions) {
         for (const auto& ended : adoption.ended) {
             if (!is_known(ended.kind)) {
                 return out_of_range("content.adoptions.ended.kind");
             }
         }
     }
-    for (const auto& report : message.content.crashes) {
+    for (const auto& report : content.crashes) {
         if (!is_known(report.evidence)) {
             return out_of_range("content.crashes.evidence");
         }
@@ -83,4 +115,9 @@
     return absl::OkStatus();
 }
 
+absl::Status check_envelope(const envelope& message) {
+    const auto header = check_header(message);
+    return header.ok() ? check_content(message.content) : header;
+}
+
 } // namespace figridge::dispatch
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -222,8 +222,25 @@
 std::string_view to_string(update_kind kind);
 std::string_view to_string(crash_evidence evidence);
 
-// Checks that all fields are in range; the error names the first that is not.
-// A peer of the same version sends only valid envelopes.
+// An envelope as it was read. If `content` is an error, the payload can't be
+// read and is empty.
+struct received_envelope {
+    envelope message;
+    absl::Status content;
+};
+
+// Reads an unpacked envelope. Throws `msgpack::type_error` if anything but its
+// payload can't be read. Thread-safe.
+received_envelope read_envelope(const msgpack::object& unpacked);
+
+// These check that fields are in range; the error names the first that is not.
+// A peer of the same version sends only valid envelopes. Thread-safe.
+//
+// All but the payload. An envelope with an error here counts for nothing.
+absl::Status check_header(const envelope& message);
+// The payload. One with an error is not handled, and its sender learns it.
+absl::Status check_content(const payload& content);
+// Both.
 absl::Status check_envelope(const envelope& message);
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/name_table.hpp"
+
 namespace figridge::dispatch {
 namespace {
 
@@ -12,8 +14,20 @@
 // `suspect_after`.
 constexpr duration lost_heartbeat_interval = 300ms;
 
+constexpr name_table<drop_cause, 5> drop_cause_names{{
+    {drop_cause::too_many, "too_many"},
+    {drop_cause::no_progress, "no_progress"},
+    {drop_cause::refused_here, "refused_here"},
+    {drop_cause::dropped_by_peer, "dropped_by_peer"},
+    {drop_cause::peer_forgot, "peer_forgot"},
+}};
+
 } // namespace
 
+std::string_view to_string(drop_cause cause) {
+    return find_name(drop_cause_names, cause);
+}
+
 peer_sessions::peer_sessions(const dispatch_settings& settings, peer_port& port,
                              peer_session_events& events)
     : settings_(settings), port_(port), events_(events) {}
@@ -96,13 +110,14 @@
         record_payload(now, to);
         if (to.unacknowledged.empty()) {
             to.resend_at = now + resend_interval;
+            to.progress_at = now;
         }
         to.unacknowledged.push_back(
             {sequence, to.peer_stamp_us, std::exchange(to.pending, {})});
         send(now, address, to, to.unacknowledged.back());
     }
     for (const auto& peer : dropped) {
-        events_.on_payloads_dropped(peer);
+        events_.on_payloads_dropped(peer, drop_cause::too_many);
     }
 }
 
@@ -116,7 +131,8 @@
 
 // --- receiving --------------------------------------------------------------
 
-void peer_sessions::handle_envelope(timestamp now, const envelope& message) {
+void peer_sessions::handle_envelope(timestamp now, const envelope& message,
+                                    const absl::Status& content) {
     if (message.from.address == settings_.self.address) {
         return;
     }
@@ -145,7 +161,9 @@
         handle_echo(now, from, message);
     }
     if (counts) {
-        from.hears_stream = true;
+        if (!std::exchange(from.hears_stream, true)) {
+            from.progress_at = now;
+        }
         handle_ack(now, from, message);
         detect_dropped_payloads(from, message);
     }
@@ -154,6 +172,9 @@
     }
     if (counts && message.sequence == from.received + 1) {
         from.received = message.sequence;
+        if (!content.ok()) {
+            return refuse_payload(now, from, message);
+        }
         record_payload(now, from);
         const bool fresh =
             now - timestamp(message.content_echo_us) < settings_.abandon_after;
@@ -161,6 +182,21 @@
     }
 }
 
+void peer_sessions::refuse_payload(timestamp now, peer& from,
+                                   const envelope& message) {
+    const auto sender = from.id;
+    from.unacknowledged.clear();
+    from.pending = {};
+    if (message.stream != 0) {
+        // The sender's later payloads do not count until it has heard this.
+        from.stream = next_stream(now);
+        from.hears_stream = false;
+        from.next_sequence = 1;
+    }
+    events_.on_payloads_dropped(sender, drop_cause::refused_here);
+    send(now, sender.address, from, {});
+}
+
 bool peer_sessions::is_of_successor(const peer& known,
                                     const envelope& message) const {
     if (known.id.incarnation == 0) {
@@ -213,7 +249,7 @@
     from.received = 0;
     from.unacknowledged.clear();
     from.pending = {};
-    events_.on_payloads_dropped(from.id);
+    events_.on_payloads_dropped(from.id, drop_cause::peer_forgot);
 }
 
 bool peer_sessions::is_of_present_streams(const peer& from,
@@ -228,6 +264,7 @@
     from.echoed_at = std::max(from.echoed_at, timestamp(message.echo_us));
     if (now - from.echoed_at <= settings_.abandon_after &&
         std::exchange(from.out_of_contact, false)) {
+        from.progress_at = now;
         events_.on_in_contact(from.id);
     }
 }
@@ -238,6 +275,7 @@
            from.unacknowledged.front().sequence <= message.ack) {
         from.unacknowledged.pop_front();
         from.resend_at = now + resend_interval;
+        from.progress_at = now;
     }
 }
 
@@ -245,8 +283,33 @@
                                             const envelope& message) {
     if (message.first_sequence > from.received + 1) {
         from.received = message.first_sequence - 1;
-        events_.on_payloads_dropped(from.id);
+        events_.on_payloads_dropped(from.id, drop_cause::dropped_by_peer);
+    }
+}
+
+duration peer_sessions::time_without_progress(timestamp now,
+                                              const peer& to) const {
+    const bool in_contact =
+        !to.out_of_contact && now - to.echoed_at <= settings_.abandon_after;
+    return to.unacknowledged.empty() || !in_contact ? duration{0}
+                                                    : now - to.progress_at;
+}
+
+void peer_sessions::drop_if_stalled(timestamp now, peer& to) {
+    if (time_without_progress(now, to) <= no_progress_limit) {
+        return;
     }
+    to.unacknowledged.clear();
+    to.pending = {};
+    events_.on_payloads_dropped(to.id, drop_cause::no_progress);
+}
+
+std::size_t peer_sessions::stalled_count(timestamp now) const {
+    return static_cast<std::size_t>(
+        std::count_if(peers_.begin(), peers_.end(), [&](const auto& item) {
+            return time_without_progress(now, item.second) >
+                   no_progress_limit / 2;
+        }));
 }
 
 void peer_sessions::mark_lost(peer& other, bool restarted) {
@@ -320,6 +383,7 @@
 void peer_sessions::tick(timestamp now) {
     for (auto& [address, peer] : peers_) {
         check_contact(now, peer);
+        drop_if_stalled(now, peer);
         if (!peer.unacknowledged.empty() && now >= peer.resend_at) {
             resend(now, address, peer);
         }
--- a/src/core/dispatch/peer_sessions.hpp
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -5,9 +5,11 @@
 // domains without shared work. Payloads are numbered, kept until acknowledged,
 // and resent after a time-out or when a connection is restored; each is
 // delivered once and in order. A payload is fresh only if its sender had
-// recently heard this process, so that delayed messages start no tasks. If too
-// many payloads stay unacknowledged they are dropped, and both sides are
-// notified through `on_payloads_dropped()`.
+// recently heard this process, so that delayed messages start no tasks.
+// Payloads are dropped, and both sides notified through
+// `on_payloads_dropped()`, if too many stay unacknowledged, if the receiver
+// can't accept one of them, or if a receiver that hears this host acknowledges
+// none.
 //
 // A host that forgets a peer forgets what it has received from it, while the
 // peer's process may live on. Each numbering of payloads is therefore a stream
@@ -22,12 +24,26 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
+
+#include <absl/status/status.h>
 
 #include "core/dispatch/ports.hpp"
 #include "core/dispatch/settings.hpp"
 
 namespace figridge::dispatch {
 
+// Why payloads to or from a peer were dropped.
+enum class drop_cause {
+    too_many,        // were unacknowledged
+    no_progress,     // the peer hears this host but acknowledges none
+    refused_here,    // this host can't accept a payload of the peer
+    dropped_by_peer, // which has sent later ones
+    peer_forgot,     // has begun a new stream: it forgot, or refused, payloads
+};
+
+std::string_view to_string(drop_cause cause);
+
 class peer_session_events {
 public:
     virtual ~peer_session_events() = default;
@@ -50,7 +66,8 @@
     virtual void on_in_contact(const process_id& peer) = 0;
     // Payloads to or from the peer were dropped, so neither side may rely on
     // the state reported earlier.
-    virtual void on_payloads_dropped(const process_id& peer) = 0;
+    virtual void on_payloads_dropped(const process_id& peer,
+                                     drop_cause cause) = 0;
     // A lost peer was removed, with the payloads to and from it that were not
     // handled yet. Its process may live on, and may count this host as lost
     // only later.
@@ -65,6 +82,10 @@
 // contact after `abandon_after`.
 constexpr std::size_t max_unacknowledged_payloads = 4096;
 
+// Payloads to a peer in contact are dropped if it acknowledges none for this
+// long: they were sent again several times, so the peer can't accept one.
+constexpr duration no_progress_limit = 2s;
+
 // Owned by a `dispatcher`. Not thread-safe.
 class peer_sessions {
 public:
@@ -98,6 +119,8 @@
         std::uint64_t next_sequence = 1;
         std::deque<sent_payload> unacknowledged;
         timestamp resend_at{0};
+        // Since when the peer could have acknowledged the oldest payload.
+        timestamp progress_at{0};
         payload pending;
         std::set<std::uint64_t> former_incarnations;
     };
@@ -111,7 +134,10 @@
     // Removes a peer if it is lost.
     void remove(const std::string& address);
 
-    void handle_envelope(timestamp now, const envelope& message);
+    // `content`: why the payload can't be accepted, if it can't. It is dropped
+    // then, with all others between the two hosts.
+    void handle_envelope(timestamp now, const envelope& message,
+                         const absl::Status& content = absl::OkStatus());
     void handle_link_refused(timestamp now, const std::string& address,
                              timestamp connect_started);
     void handle_link_restored(timestamp now, const std::string& address);
@@ -135,6 +161,9 @@
         return peers_;
     }
     [[nodiscard]] std::size_t live_count() const;
+    // The peers that hear this host and have acknowledged no payload for half
+    // of `no_progress_limit` although some wait for it.
+    [[nodiscard]] std::size_t stalled_count(timestamp now) const;
 
 private:
     void send(timestamp now, const std::string& address, peer& to,
@@ -162,6 +191,14 @@
     static void handle_ack(timestamp now, peer& from, const envelope& message);
     // Skips payloads that the sender dropped before they arrived here.
     void detect_dropped_payloads(peer& from, const envelope& message);
+    // Begins a new stream to a peer whose payload can't be accepted, by which
+    // it learns that its payloads were dropped.
+    void refuse_payload(timestamp now, peer& from, const envelope& message);
+    // For how long the peer, which is in contact, has acknowledged none of the
+    // payloads that wait for it; 0 if none does.
+    [[nodiscard]] duration time_without_progress(timestamp now,
+                                                 const peer& to) const;
+    void drop_if_stalled(timestamp now, peer& to);
     void resend(timestamp now, const std::string& address, peer& to);
     void mark_lost(peer& other, bool restarted);
     void erase(const std::string& address);
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -43,9 +43,9 @@
     }
 
     // Delivers an envelope of a peer that has just heard this host, with
-    // `content` as its first payload.
+    // `content` as its first payload. The peer has handled `ack` payloads.
     void receive_from_peer(const char* failure_domain = "domain-1",
-                           const payload& content = {}) {
+                           const payload& content = {}, std::uint64_t ack = 0) {
         envelope message;
         message.from = {"10.1.0.2:1", 12};
         message.failure_domain = failure_domain;
@@ -54,6 +54,7 @@
         message.echo_us = now.count();
         message.content_echo_us = now.count();
         message.sequence = content.empty() ? 0 : 1;
+        message.ack = ack;
         message.content = content;
         core.handle_envelope(now, message);
     }
@@ -370,6 +371,54 @@
     BOOST_TEST(endpoints.starts.size() == 2U);
 }
 
+// Guards against a link that stops: a payload that could not be read closed the
+// connection each time it was sent again, and no later payload arrived.
+BOOST_AUTO_TEST_CASE(payload_that_can_not_be_read_is_refused_alone) {
+    const auto sent = make_full_envelope();
+    msgpack::sbuffer packed;
+    msgpack::pack(packed, sent);
+    const auto handle = msgpack::unpack(packed.data(), packed.size());
+    const auto whole = read_envelope(handle.get());
+    BOOST_TEST(whole.content.ok());
+    BOOST_TEST(whole.message.stream == sent.stream);
+    BOOST_TEST(whole.message.content.updates.size() == 1U);
+    constexpr std::size_t content_index = 9;
+    handle.get().via.array.ptr[content_index] = msgpack::object(7);
+    const auto odd = read_envelope(handle.get());
+    BOOST_TEST(odd.content.message() == "content: unreadable");
+    BOOST_TEST(odd.message.from.address == sent.from.address);
+    BOOST_TEST(odd.message.sequence == sent.sequence);
+    BOOST_TEST(odd.message.ack_stream == sent.ack_stream);
+    BOOST_TEST(odd.message.content.empty());
+    handle.get().via.array.ptr[0] = msgpack::object(7);
+    BOOST_CHECK_THROW(read_envelope(handle.get()), msgpack::type_error);
+}
+
+// Guards against a sender that never learns that its payload was refused, and
+// against a refusal that nothing counts.
+BOOST_AUTO_TEST_CASE(sender_of_a_refused_payload_is_told_at_once) {
+    core.add_member(now, "10.1.0.2:1");
+    const auto ours = [this] { return peers.sent.back().second; };
+    const auto receive = [this](const envelope& message) {
+        core.handle_envelope(now, message);
+    };
+    advance(500ms);
+    auto message = make_full_envelope();
+    message.stamp_us = now.count();
+    message.echo_us = now.count();
+    message.content_echo_us = now.count();
+    message.ack_stream = ours().stream;
+    message.content.updates[0].kind = static_cast<update_kind>(77);
+    const auto former = ours().stream;
+    receive(message);
+    BOOST_TEST(ours().stream > former);
+    BOOST_TEST(ours().ack_stream == message.stream);
+    BOOST_TEST(observer.counted("peer_messages_refused") == 1U);
+    BOOST_TEST(observer.counted("peer_payloads_dropped") == 1U);
+    receive(message); // sent again before the peer knew
+    BOOST_TEST(observer.counted("peer_payloads_dropped") == 1U);
+}
+
 // The fields of an envelope before it had streams.
 struct older_envelope : envelope {
     MSGPACK_DEFINE(from, failure_domain, to_incarnation, sequence, ack,
@@ -730,7 +779,7 @@
 // A coordinator in another domain with one long-running task on this host.
 struct long_run_fixture : holding_dispatcher {
     void receive(const payload& content = {}) {
-        receive_from_peer("domain-2", content);
+        receive_from_peer("domain-2", content, last_sequence());
     }
     void begin_run() {
         complete_takeover();
--- a/tests/dispatch/peer_sessions_test.cpp
+++ b/tests/dispatch/peer_sessions_test.cpp
@@ -36,7 +36,11 @@
         ++out_of_contact;
     }
     void on_in_contact(const process_id& /*peer*/) override { ++in_contact; }
-    void on_payloads_dropped(const process_id& /*peer*/) override { ++dropped; }
+    void on_payloads_dropped(const process_id& /*peer*/,
+                             drop_cause cause) override {
+        ++dropped;
+        drop_causes.emplace_back(to_string(cause));
+    }
     void on_removed(const process_id& /*peer*/) override {}
     void on_forgotten(const std::string& address) override {
         forgotten.push_back(address);
@@ -53,6 +57,7 @@
     int out_of_contact = 0;
     int in_contact = 0;
     int dropped = 0;
+    std::vector<std::string> drop_causes;
     peer_sessions sessions;
 };
 
@@ -63,12 +68,27 @@
         run_for(500ms);
     }
 
+    // Whether a payload has a withdrawal of this job.
+    static bool withdraws(const envelope& message, const std::string& job) {
+        const auto& withdrawals = message.content.withdrawals;
+        return std::any_of(
+            withdrawals.begin(), withdrawals.end(),
+            [&job](const job_withdrawal& item) { return item.job == job; });
+    }
+
     // Delivers what one side has sent, or drops it if the direction is cut.
+    // "refused" is a job that can't be accepted, "ignored" one whose envelopes
+    // are ignored, as an older version does.
     void deliver(side& from, side& to, bool cut) {
         for (const auto& message : std::exchange(from.sent, {})) {
-            if (!cut) {
-                to.sessions.handle_envelope(now, message);
+            if (cut || withdraws(message, "ignored")) {
+                continue;
             }
+            to.sessions.handle_envelope(
+                now, message,
+                withdraws(message, "refused")
+                    ? absl::InvalidArgumentError("content: out of range")
+                    : absl::OkStatus());
         }
     }
 
@@ -101,6 +121,88 @@
     BOOST_TEST(b.received[0].second);
 }
 
+// Guards against a link that stops: a payload that its receiver refused was
+// sent again without end, and no later one was handled.
+BOOST_AUTO_TEST_CASE(payloads_after_a_refused_one_arrive) {
+    send_to_b("refused");
+    run_for(25ms);
+    send_to_b("job-1");
+    run_for(200ms);
+    BOOST_TEST(b.drop_causes == std::vector<std::string>{"refused_here"},
+               boost::test_tools::per_element());
+    BOOST_TEST(a.drop_causes == std::vector<std::string>{"peer_forgot"},
+               boost::test_tools::per_element());
+    BOOST_TEST(!a.sessions.has_undelivered({"b:1", 2}));
+    send_to_b("job-2");
+    run_for(100ms);
+    BOOST_REQUIRE(!b.received.empty());
+    BOOST_TEST(b.received.back().first == "job-2");
+    BOOST_TEST(b.received.back().second);
+    BOOST_TEST(std::count_if(b.received.begin(), b.received.end(),
+                             [](const auto& item) {
+                                 return item.first == "job-2";
+                             }) == 1);
+}
+
+// Guards against payloads that are handled out of order or twice: those sent
+// together with a refused one, before its sender knows, are not handled.
+BOOST_AUTO_TEST_CASE(payloads_sent_along_with_a_refused_one_are_dropped) {
+    send_to_b("refused");
+    a.sessions.flush(now);
+    send_to_b("job-1");
+    a.sessions.flush(now);
+    run_for(2s);
+    BOOST_TEST(b.received.empty());
+    BOOST_TEST(a.dropped == 1);
+}
+
+// Guards against a host that works on what the other one has given up: a
+// payload that waits for the host that refuses one is dropped as well.
+BOOST_AUTO_TEST_CASE(payloads_to_the_sender_of_a_refused_one_are_dropped) {
+    b.sessions.pending_for({"a:1", 1})->withdrawals.push_back({"job-1"});
+    b.sessions.flush(now);
+    b.sent.clear();
+    send_to_b("refused");
+    run_for(2s);
+    BOOST_TEST(a.received.empty());
+    BOOST_TEST(a.dropped == 1);
+    BOOST_TEST(!b.sessions.has_undelivered({"a:1", 1}));
+    b.sessions.pending_for({"a:1", 1})->withdrawals.push_back({"job-2"});
+    run_for(100ms);
+    BOOST_REQUIRE_EQUAL(a.received.size(), 1U);
+    BOOST_TEST(a.received[0].first == "job-2");
+}
+
+// Guards against a link that stops beside a host of another version, which
+// ignores a payload that it can't accept, and against such a link that is not
+// noticed.
+BOOST_AUTO_TEST_CASE(payloads_that_a_peer_in_contact_ignores_are_dropped) {
+    send_to_b("ignored");
+    run_for(1500ms);
+    BOOST_TEST(a.sessions.stalled_count(now) == 1U);
+    BOOST_TEST(a.dropped == 0);
+    run_for(1s);
+    BOOST_TEST(a.sessions.stalled_count(now) == 0U);
+    BOOST_TEST(a.drop_causes == std::vector<std::string>{"no_progress"},
+               boost::test_tools::per_element());
+    send_to_b("job-1");
+    run_for(100ms);
+    BOOST_TEST(b.drop_causes == std::vector<std::string>{"dropped_by_peer"},
+               boost::test_tools::per_element());
+    BOOST_REQUIRE_EQUAL(b.received.size(), 1U);
+    BOOST_TEST(b.received[0].first == "job-1");
+}
+
+// A cut link makes no progress either, but nothing was refused.
+BOOST_AUTO_TEST_CASE(payloads_are_kept_while_the_peer_is_out_of_contact) {
+    send_to_b("job-1");
+    run_for(4s, true, true);
+    BOOST_TEST(a.sessions.stalled_count(now) == 0U);
+    run_for(1s);
+    BOOST_TEST(a.dropped == 0);
+    BOOST_REQUIRE_EQUAL(b.received.size(), 1U);
+}
+
 // 140 hosts are replaced per day; their addresses must not accumulate.
 BOOST_AUTO_TEST_CASE(host_not_heard_for_long_is_forgotten_and_may_come_back) {
     run_for(1s);
--- a/tests/dispatch/recording_observer.hpp
+++ b/tests/dispatch/recording_observer.hpp
@@ -25,11 +25,19 @@
     void record(latency_metric what, duration value) override {
         latencies[what].push_back(value);
     }
-    void count(std::string_view /*counter*/,
-               std::string_view /*label*/) override {}
+    void count(std::string_view counter, std::string_view /*label*/) override {
+        ++counts[std::string(counter)];
+    }
+
+    // How often this was counted, under any label.
+    [[nodiscard]] std::size_t counted(const std::string& counter) const {
+        const auto found = counts.find(counter);
+        return found == counts.end() ? 0 : found->second;
+    }
 
     std::map<std::string, std::vector<line>> lines; // by event
     std::map<latency_metric, std::vector<duration>> latencies;
+    std::map<std::string, std::size_t> counts; // by counter
 };
 
 } // namespace figridge::dispatch
--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -307,7 +307,7 @@
             const auto handle =
                 msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr,
                                 envelope_limits());
-            const auto message = handle.get().as<dispatch::envelope>();
+            const auto read = dispatch::read_envelope(handle.get());
             host.now += 1ms;
             host.core.handle_envelope(host.now, message);
             ++handled;
