A catalogue comes into force although a field of it is very large or wrong

A manifest whose one route has a `timeout-ms` of over 24 h is never in force: hosts answer 404 for a route added with it, and a host that starts meanwhile may have no manifest at all.

The same held for a `stretch` above 1,000,000, `attempts` and `priority` of 2^32 and more, and sizes above 2^53. The line `catalogue_unreadable` names the field.

Now such numbers are limited where they are read, by the definitions of docs/design/numbers.md. A field of another type does not stop the others: it has its default; a route whose queue can't be read is closed (503, not 404); a route that names no requests is left out. Each is logged (`catalogue_field_unreadable`) and counted (`catalogue_errors`). Only a manifest without a version or a list of routes is refused.

`catalogue_errors_name_the_field` required that the manifest be refused for a path prefix or a limit of another type; the same errors are required of the manifest in force by the two tests below, and the refusal of the version and the list of routes.

The tests fail with the former refusal and limits put back: platform_decoders/unreadable_field_does_not_stop_a_catalogue platform_decoders/route_without_a_readable_queue_is_closed platform_decoders/very_large_numbers_of_a_catalogue_are_limited

--- a/src/core/dispatch/route_table.hpp
+++ b/src/core/dispatch/route_table.hpp
@@ -15,6 +15,8 @@
     std::string host;
     std::string path_prefix;
     queue_policy queue;
+    // The queue can't be read, so its requests are refused for now.
+    bool is_closed = false;
 };
 
 // Size limits and time-outs for requests of callers.
@@ -31,6 +33,9 @@
     std::uint64_t version = 0;
     std::vector<route> routes;
     caller_limits limits;
+    // Fields that could not be read. What they belong to has its default, is
+    // closed, or is missing.
+    std::vector<std::string> errors;
 };
 
 // Owned by the component that serves callers. Not thread-safe.
