No time ends a start that its endpoint left unanswered

An endpoint starts again under its id, leaves a start unanswered and carries it out 2 s later; its holder, which had not noticed the restart, gave the run up after 1.18 s, and a second run was placed elsewhere.

Cause: `check_lease_expiry()` took an unanswered start that no list had shown for over once 1,170 ms had passed. The deadline of a start keeps it from being carried out late, but only by the instance whose clock it names; a later instance's clock began anew, far behind it. So what a start may still become can't be told by the sender's time.

Now a start without an answer ends by an answered stop and a list asked for after it, by a list whose clock is past its deadline, or when the platform does not list the endpoint any more and it refuses connections, or stays silent for 15 s (`gone_limit`; an endpoint lost without a trace kept the run for good where a restart had been noticed). The same holds for an answered run that no list has shown, while an unanswered start or renewal could extend its lease: an instance that has not been noticed counts a whole lease from the arrival of any of them.

`job_that_comes_again_right_after_a_pause_is_started` filled the endpoint with starts that are never answered; they are answered now.

The order search finds the fault at depth 1: the scenario `late_start_on_an_unlisted_instance` has an instance that the platform does not list, and holding up the start is the only choice left.

--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -88,7 +88,7 @@
 void endpoint_holder::mark_gone(timestamp now, const std::string& endpoint) {
     now_ = now;
     if (const auto found = sessions_.find(endpoint); found != sessions_.end()) {
-        found->second->mark_gone();
+        found->second->mark_gone(now);
     }
 }
 
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -62,6 +62,11 @@
            clock_ms >= known.lower_bound(sent_at);
 }
 
+bool is_unanswered(const run_entry& entry) {
+    return entry.state == run_state::starting ||
+           entry.state == run_state::uncertain;
+}
+
 update_kind to_update(end_kind kind) {
     switch (kind) {
     case end_kind::done:
@@ -127,7 +132,10 @@
     }
 }
 
-void endpoint_session::mark_gone() {
+void endpoint_session::mark_gone(timestamp now) {
+    if (!gone_) {
+        gone_since_ = now;
+    }
     gone_ = true;
     if (refusing_since_) {
         confirm_crash();
@@ -243,6 +251,9 @@
     acknowledged_sent_ = std::max(acknowledged_sent_, call.acknowledged);
     call.number = ++calls_sent_;
     poll_call_ = call.number;
+    if (call.lease_deadline_ms) {
+        last_renewal_ = call.number;
+    }
     port_.hold(call);
 }
 
@@ -339,6 +350,10 @@
         return;
     }
     if (reply.call.status != call_status::ok) {
+        if (reply.call.status == call_status::unanswered &&
+            reply.number == last_renewal_) {
+            unanswered_renewal_ = last_renewal_;
+        }
         process_call_reply(now, reply.call, is_of_instance(reply.number));
         if (is_list_call) {
             return;
@@ -356,6 +371,9 @@
         next_poll_ = now;
         return poll(now);
     }
+    if (reply.number > unanswered_renewal_) {
+        unanswered_renewal_ = 0;
+    }
     answered_at_address_ |= is_of_instance(reply.number);
     if (later_instance && (suspended_at_call_ || isolated_at_call_)) {
         return fence();
@@ -769,9 +787,8 @@
 
 // --- time -----------------------------------------------------------------
 
-// Time from the sending of a start, or from the detection of a new instance
-// while it was in flight, until its run on a new instance has ended. Starts
-// that may be carried out even later are not covered; they are stopped.
+// Time from the sending of an answered start, or from the detection of a new
+// instance while it was in flight, until its run on a new instance has ended.
 duration endpoint_session::silent_instance_limit() const {
     const auto drift_allowance = std::chrono::duration_cast<duration>(
         settings_.lease_limit * settings_.clock_drift);
@@ -794,20 +811,25 @@
         clock_.has_passed(now, latest_deadline_ms_ + expiry_margin_ms +
                                    to_ms(settings_.call_timeout));
     timestamp newest_start{0};
+    // An unanswered call may be carried out seconds later, by an instance that
+    // its deadline's clock is not of, and then extends the lease of all runs
+    // there. So no time ends an unanswered start or a run beside it.
+    bool may_extend_unlisted = unanswered_renewal_ != 0;
+    bool may_extend_listed = false;
     for (const auto& [run, entry] : ledger_.entries()) {
         newest_start = std::max(newest_start, entry.entered_at);
+        may_extend_unlisted |= is_unanswered(entry);
+        may_extend_listed |=
+            is_unanswered(entry) && entry.lease_deadline_ms == unknown_deadline;
     }
     const bool starts_over = now - newest_start > silent_instance_limit();
     auto entries = ledger_.entries();
     for (const auto& [run, entry] : entries) {
-        const bool unanswered = entry.state == run_state::uncertain ||
-                                entry.state == run_state::starting;
-        const bool may_still_start =
-            unanswered && entry.lease_deadline_ms == unknown_deadline;
         // Until it is listed, the run may be on a next instance.
-        const bool may_run_on_next_instance =
-            !entry.listed && !(renewals_over && starts_over);
-        if (!may_still_start && !may_run_on_next_instance) {
+        const bool may_run = entry.listed ? may_extend_listed
+                                          : may_extend_unlisted ||
+                                                !renewals_over || !starts_over;
+        if (!is_unanswered(entry) && !may_run) {
             record_lost_run(entry);
             lost_under_suspect_ |= entry.crashes > 0;
             over(entry, update_kind::lost);
@@ -815,12 +837,15 @@
     }
 }
 
-// No process is at the address of an endpoint that has left, and no entry says
-// that another one may come, so no stop will be answered.
+// An endpoint that the platform does not list is to be treated as gone, so no
+// stop will be answered. If it refuses connections, no process is at its
+// address; a silent one may only be cut off, and its late calls are waited for.
 void endpoint_session::check_departure(timestamp now) {
-    const bool departed = gone_ && last_call_refused_ && refusing_since_ &&
-                          now - *refusing_since_ > silent_instance_limit();
-    if (ledger_.empty() || !departed) {
+    const bool refuses = last_call_refused_ && refusing_since_ &&
+                         now - *refusing_since_ > silent_instance_limit();
+    const bool silent =
+        failed_calls_ > 0 && now - gone_since_ > settings_.gone_limit;
+    if (ledger_.empty() || !gone_ || !(refuses || silent)) {
         return;
     }
     const auto entries = ledger_.entries();
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -92,7 +92,7 @@
     void claim(timestamp now, const process_id& coordinator,
                const adoption_claim& claim);
     // The platform no longer lists the endpoint.
-    void mark_gone();
+    void mark_gone(timestamp now);
     // This process was paused, so another may have taken the endpoint over.
     // The endpoint gets tasks again only after the known instance has
     // answered. A later instance knows no tokens, so it counts as taken over.
@@ -221,7 +221,12 @@
     // Delay before the next failed poll is repeated; 0 if the last one was
     // answered, or any call since.
     duration poll_delay_{0};
+    // The last poll that renewed the lease, and that poll if it got no answer
+    // and no later one did; 0: none. It may still be carried out.
+    std::uint64_t last_renewal_ = 0;
+    std::uint64_t unanswered_renewal_ = 0;
     bool gone_ = false;
+    timestamp gone_since_{0};
     std::optional<timestamp> refusing_since_;
     bool last_call_refused_ = false;
     bool crash_suspected_ = false; // and reported
--- a/src/core/dispatch/settings.hpp
+++ b/src/core/dispatch/settings.hpp
@@ -47,6 +47,10 @@
     // An endpoint refuses a start that it would carry out later than this, so a
     // task can be placed elsewhere soon after an unanswered start.
     duration start_window = 300ms;
+    // The platform lists no endpoint that is there for this long, and calls
+    // without an answer are carried out within seconds: the end of unanswered
+    // starts on an endpoint that is gone and silent.
+    duration gone_limit = 15s;
     // Factor by which a task runs longer away from its data (the platform's
     // bound).
     double far_factor = 3.0;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -1013,11 +1013,14 @@
 BOOST_AUTO_TEST_CASE(job_that_comes_again_right_after_a_pause_is_started) {
     complete_takeover();
     core.submit(now, 1, make_job("0123456789abcde0", 2)); // fills the endpoint
+    answer_start(0);
+    answer_start(1);
     const auto job = make_job("0123456789abcdef");
     core.submit(now, 2, job); // queued
     const auto before = endpoints.starts.size();
     now += 1400ms;
     core.submit(now, 3, job);
+    answer_hold(); // to the poll sent before the pause
     answer_hold();
     advance(100ms);
     const auto starts = std::count_if(
--- a/tests/dispatch/orders/order_model.hpp
+++ b/tests/dispatch/orders/order_model.hpp
@@ -58,6 +58,7 @@
     cut_store, // the host from the store
     slow,      // the host handles its inputs every 250 ms, its timers first
     crash,     // the endpoint `target` starts again under its id
+    crash_unlisted, // the same; the platform does not list the instance
 };
 
 struct scenario_step {
--- a/tests/dispatch/orders/order_scenarios.cpp
+++ b/tests/dispatch/orders/order_scenarios.cpp
@@ -455,6 +455,18 @@
              false,
              {{100ms, crash, 0}, {106ms, submit, 0}, {110ms, cut_endpoint, 1}},
              5s});
+        // The same with no entry of the instance, so that one start that is
+        // carried out late shows what ends an unanswered start.
+        add({"late_start_on_an_unlisted_instance",
+             3,
+             {1, 1},
+             2500,
+             1,
+             false,
+             {{100ms, crash_unlisted, 0},
+              {106ms, submit, 0},
+              {110ms, cut_endpoint, 1}},
+             5s});
         add({"slow_holder",
              3,
              {1, 1},
