A disowned start without an answer waits for the endpoint's next holder

A holder that loses an endpoint with a start in flight reports it as disowned, and the coordinator placed the task again 1,300 ms later, although a later instance of the endpoint may carry the start out seconds later if it has not answered the next holder by then.

Now the task waits for an adoption under a higher token: the endpoint refuses the start from that answer on, or lists its run. An answered start still ends with its lease, and so does one that is disowned after the adoption. If the platform stops listing the endpoint, the wait ends 15 s later.

The tests fail with the former bound put back: job_coordinator_test/disowned_run_without_an_answer_waits_for_an_adoption job_coordinator_test/disowned_run_of_a_gone_endpoint_is_placed_again

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -455,6 +455,7 @@
     directory_.remove_endpoint(endpoint);
     crashes_.handle_removed(endpoint);
     holder_.mark_gone(now, endpoint);
+    coordinator_.handle_endpoint_gone(now, endpoint);
     end_input(now);
 }
 
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -369,11 +369,16 @@
                    "reported");
         break;
     case update_kind::disowned: {
+        // A later instance of the endpoint may carry out an unanswered start
+        // seconds later, until it has answered a call under a higher token.
+        const bool answered =
+            task.endpoint == update.endpoint && task.token == update.token;
+        const bool ends = answered || is_adopted_since(update);
         task.endpoint = update.endpoint;
         task.token = update.token;
         task.holder_lost = true;
         task.report_lost = true; // the former holder sends no more reports
-        task.runs_end_by = now + disowned_run_limit;
+        task.runs_end_by = ends ? now + disowned_run_limit : timestamp::max();
         apply_kept_adoption(now, state, task, update);
         break;
     }
@@ -389,6 +394,12 @@
     }
 }
 
+bool job_coordinator::is_adopted_since(const task_update& update) const {
+    const auto newest = adoption_tokens_.find(update.endpoint);
+    return newest != adoption_tokens_.end() &&
+           newest->second.first > update.token;
+}
+
 void job_coordinator::apply_kept_adoption(timestamp now, job_state& state,
                                           task_state& task,
                                           const task_update& update) {
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -76,6 +76,8 @@
     // Assignments to the holder, or its reports, were dropped in transit. Runs
     // whose end is not reported by `runs_end_by` have ended by then.
     void handle_reports_lost(const process_id& holder, timestamp runs_end_by);
+    // The platform does not list the endpoint any more. Not thread-safe.
+    void handle_endpoint_gone(timestamp now, const std::string& endpoint);
     void tick(timestamp now);
     // Gives up all jobs. Needed after this process was suspended for so long
     // that others may have run them again.
@@ -183,6 +185,9 @@
     // Report of the holder of `task.found`.
     void apply_found_update(timestamp now, job_state& state, task_state& task,
                             const task_update& update);
+    // Whether the endpoint has answered a call under a higher token than that
+    // of the update.
+    [[nodiscard]] bool is_adopted_since(const task_update& update) const;
     // Applies the retained adoption of the task's endpoint to a task that was
     // reported on it after the adoption had arrived.
     void apply_kept_adoption(timestamp now, job_state& state, task_state& task,
--- a/src/core/dispatch/job_coordinator_holders.cpp
+++ b/src/core/dispatch/job_coordinator_holders.cpp
@@ -69,9 +69,13 @@
         for (auto& step : state.steps) {
             for (auto& task : step.tasks) {
                 if (task.phase == task_phase::placed && task.holder == holder) {
+                    // Not earlier than that of a run disowned before.
+                    task.runs_end_by =
+                        task.report_lost
+                            ? std::max(task.runs_end_by, runs_end_by)
+                            : runs_end_by;
                     task.holder_lost = true;
                     task.report_lost = true;
-                    task.runs_end_by = runs_end_by;
                 }
                 if (task.found && task.found->holder == holder) {
                     task.found->report_lost = true;
@@ -82,6 +86,21 @@
     }
 }
 
+void job_coordinator::handle_endpoint_gone(timestamp now,
+                                           const std::string& endpoint) {
+    for (auto& [id, state] : jobs_) {
+        for (auto& step : state.steps) {
+            for (auto& task : step.tasks) {
+                if (task.phase == task_phase::placed &&
+                    task.endpoint == endpoint && task.holder_lost) {
+                    task.runs_end_by =
+                        std::min(task.runs_end_by, now + settings_.gone_limit);
+                }
+            }
+        }
+    }
+}
+
 void job_coordinator::handle_adoption(timestamp now, const process_id& holder,
                                       const endpoint_adoption& adoption) {
     // Messages of two holders may arrive out of order.
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -652,6 +652,48 @@
     BOOST_TEST(placements() == 2U);
 }
 
+// Guards against duplicate runs: a start that was not answered before its
+// holder lost the endpoint is carried out seconds later, by an instance that
+// knows neither the deadline's clock nor the token.
+BOOST_AUTO_TEST_CASE(disowned_run_without_an_answer_waits_for_an_adoption) {
+    submit(1, 3, 60s);
+    update(holder_a, 0, update_kind::disowned);
+    add_holder_b();
+    coordinator.handle_reports_lost(holder_a, now + 1800ms);
+    advance(20s);
+    BOOST_TEST(placements() == 1U);
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {}, {}});
+    BOOST_TEST(placements() == 2U);
+}
+
+// The same where the report comes long after the adoption.
+BOOST_AUTO_TEST_CASE(run_disowned_after_an_adoption_waits_for_its_lease) {
+    submit(1, 3, 60s);
+    add_holder_b();
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", process_id{}, 8, {}, {}});
+    advance(4s); // the adoption is not retained any more
+    update(holder_a, 0, update_kind::disowned);
+    advance(1300ms);
+    BOOST_TEST(placements() == 1U);
+    advance(50ms);
+    BOOST_TEST(placements() == 2U);
+}
+
+// Guards against tasks that wait forever for an adoption.
+BOOST_AUTO_TEST_CASE(disowned_run_of_a_gone_endpoint_is_placed_again) {
+    submit(1, 3, 60s);
+    update(holder_a, 0, update_kind::disowned);
+    add_holder_b();
+    advance(5s);
+    coordinator.handle_endpoint_gone(now, "endpoint-1");
+    advance(14s);
+    BOOST_TEST(placements() == 1U);
+    advance(2s);
+    BOOST_TEST(placements() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(job_ends_when_its_caller_leaves) {
     submit(2);
     coordinator.drop_caller(now, 1);
