--- a/tests/dispatch/orders/order_scenarios.cpp
+++ b/tests/dispatch/orders/order_scenarios.cpp
@@ -467,6 +467,23 @@
               {106ms, submit, 0},
               {110ms, cut_endpoint, 1}},
              5s});
+        // No other host reaches the endpoint, so that its late start and the
+        // end of the cut come together.
+        add({"late_start_at_the_end_of_a_cut",
+             4,
+             {1, 2},
+             2500,
+             1,
+             false,
+             {{100ms, crash_unlisted, 0},
+              {106ms, submit, 0},
+              {110ms, cut, 1},
+              {110ms, cut_endpoint, 0},
+              {110ms, cut_endpoint, 1},
+              {110ms, cut_endpoint, 2},
+              {110ms, cut_endpoint, 3},
+              {2090ms, heal}},
+             5s});
         add({"slow_holder",
              3,
              {1, 1},
