A later instance that is listed after a pause is fenced

Cause: a host that was paused must not use a later instance of an endpoint: another host may have taken it over, and the new instance knows no tokens. The session checked this only where a poll's answer tells of the instance. If the platform's list told of it first, update() made the later instance the known one, and the answer that followed ended the suspicion.

Change: update() fences a paused or isolated session as handle_hold() does. Both ask rejects_later_instances().

Tests: instance_listed_after_a_process_pause_is_fenced and instance_listed_while_isolated_is_fenced; before the change both fail ("events.fenced == 1 has failed [0 != 1]").

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -107,9 +107,12 @@
 }
 
 void endpoint_session::update(timestamp now, const endpoint_record& endpoint) {
-    const bool restarted =
-        endpoint.instance_started_ms > endpoint_.instance_started_ms &&
-        endpoint_.instance_started_ms != 0;
+    const bool later_instance =
+        endpoint.instance_started_ms > endpoint_.instance_started_ms;
+    const bool restarted = later_instance && endpoint_.instance_started_ms != 0;
+    if (later_instance && rejects_later_instances()) {
+        fence();
+    }
     // The platform's list may still show an earlier instance.
     const auto instance_started_ms =
         std::max(endpoint.instance_started_ms, endpoint_.instance_started_ms);
@@ -148,6 +151,10 @@
     poll(now);
 }
 
+bool endpoint_session::rejects_later_instances() const {
+    return suspended_at_call_ || isolated_at_call_;
+}
+
 bool endpoint_session::accepts_tasks() const {
     return phase_ == session_phase::active && !gone_ && failed_calls_ == 0 &&
            !suspended_at_call_ && clock_.is_known() &&
@@ -375,7 +382,7 @@
         unanswered_renewal_ = 0;
     }
     answered_at_address_ |= is_of_instance(reply.number);
-    if (later_instance && (suspended_at_call_ || isolated_at_call_)) {
+    if (later_instance && rejects_later_instances()) {
         return fence();
     }
     if (isolated_at_call_ && reply.number > *isolated_at_call_) {
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -170,6 +170,9 @@
     void record_lost_run(const run_entry& entry);
     // The instance has answered a call sent after its runs may have been lost.
     void withdraw_suspected_crash();
+    // Whether another process may have taken the endpoint over since the known
+    // instance answered. A later instance does not know that one's token.
+    [[nodiscard]] bool rejects_later_instances() const;
     // Call while `endpoint_` still names the former instance.
     void note_later_instance();
     // The instance has ended, and the runs that it had with it.
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -710,6 +710,29 @@
     BOOST_TEST(events.fenced == 1);
 }
 
+// Guards against a start over the capacity (LIMIT) and against duplicate runs:
+// the platform's list shows the later instance before that answers, and its
+// answer then counts as one of the known instance.
+BOOST_AUTO_TEST_CASE(instance_listed_after_a_process_pause_is_fenced) {
+    answer_hold({});
+    session->suspend(now);
+    endpoint.instance_started_ms = 2000;
+    session->update(now, endpoint);
+    answer_hold({}, {}, 2000);
+    BOOST_TEST(events.fenced == 1);
+    BOOST_TEST(!session->accepts_tasks());
+}
+
+BOOST_AUTO_TEST_CASE(instance_listed_while_isolated_is_fenced) {
+    answer_hold({});
+    session->reject_later_instances();
+    endpoint.instance_started_ms = 2000;
+    session->update(now, endpoint);
+    answer_hold({}, {}, 2000);
+    BOOST_TEST(events.fenced == 1);
+    BOOST_TEST(!session->accepts_tasks());
+}
+
 // Guards against duplicate runs: renewals for other runs kept the lease of a
 // run whose stop got no answer, past the bound after which its task is placed
 // again.
