No request is sent after its time limit

Cause: libcurl counts the time limit of a transfer from when it first handles it.

Change: before libcurl sends a request, the client compares the time since send(), pauses included, with the time limit, and ends the transfer as lost. The callers of the client had counted it as unanswered by then anyway.

Tests: request_is_not_sent_after_its_time_limit and request_on_a_kept_connection_is_not_sent_after_its_time_limit; before the change both fail (1 request instead of 0, 2 instead of 1).

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -55,6 +55,8 @@
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                      static_cast<long>(to_ms(sent.timeout)));
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &check_time_limit);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, open.get());
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_response_data);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, open.get());
     curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, open->error.data());
@@ -82,6 +84,17 @@
     curl_multi_add_handle(multi_, easy);
 }
 
+// libcurl counts the time limit from when it first handles the transfer, which
+// in a process that was paused is after the pause.
+int http_client::check_time_limit(void* checked, char* /*remote_address*/,
+                                  char* /*local_address*/, int /*remote_port*/,
+                                  int /*local_port*/) {
+    const auto& open = *static_cast<transfer*>(checked);
+    return event_loop::now() - open.sent_at < open.call.timeout
+               ? CURL_PREREQFUNC_OK
+               : CURL_PREREQFUNC_ABORT;
+}
+
 std::size_t http_client::on_response_data(char* data, std::size_t size,
                                           std::size_t count, void* target) {
     static_cast<transfer*>(target)->response_body.append(data, size * count);
--- a/src/adapters/http_client.hpp
+++ b/src/adapters/http_client.hpp
@@ -2,7 +2,7 @@
 //
 // A request with a body that may have reached the server is never sent again.
 // One without a body may be: libcurl repeats it when a reused connection
-// breaks.
+// breaks. No request is sent after its time limit.
 #ifndef FIGRIDGE_ADAPTERS_HTTP_CLIENT_HPP
 #define FIGRIDGE_ADAPTERS_HTTP_CLIENT_HPP
 
@@ -62,6 +62,8 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
+    // The time limit of a call counts from here, also while the process is
+    // paused.
     void send(http_call call, handler done);
 
     [[nodiscard]] std::size_t open_calls() const { return open_.size(); }
@@ -80,6 +82,10 @@
     static int on_socket(CURL* easy, curl_socket_t socket, int what, void* self,
                          void* socket_data);
     static int on_timer(CURLM* multi, long timeout_ms, void* self);
+    // Called by libcurl once there is a connection, before it sends a request.
+    static int check_time_limit(void* checked, char* remote_address,
+                                char* local_address, int remote_port,
+                                int local_port);
     static std::size_t on_response_data(char* data, std::size_t size,
                                         std::size_t count, void* target);
     static std::size_t read_request_body(char* data, std::size_t size,
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -161,6 +161,50 @@
     BOOST_TEST(to_ms(results[0].failure.elapsed) >= 120);
 }
 
+// Guards against a start over the capacity (LIMIT) and against duplicate runs:
+// a process that was paused sends a start that it decided on before, and the
+// endpoint has another holder by then, or has restarted.
+BOOST_AUTO_TEST_CASE(request_is_not_sent_after_its_time_limit) {
+    constexpr auto address = "127.0.0.1:24913";
+    event_loop loop;
+    resetting_server server(loop, address, after_reset::accept);
+    http_client client(loop);
+    std::vector<http_result> results;
+    const auto keep = [&results](const http_result& result) {
+        results.push_back(result);
+    };
+    client.send(make_call(address, 50ms), keep);
+    std::this_thread::sleep_for(120ms); // the process is paused
+    run_until(loop, [&results] { return !results.empty(); });
+    loop.run_for(50ms); // a request would arrive
+    BOOST_REQUIRE_EQUAL(results.size(), 1U);
+    BOOST_TEST((results[0].outcome == http_outcome::lost),
+               "not lost: " << results[0].failure.error);
+    BOOST_TEST(server.requests == 0);
+}
+
+BOOST_AUTO_TEST_CASE(
+    request_on_a_kept_connection_is_not_sent_after_its_time_limit) {
+    constexpr auto address = "127.0.0.1:24914";
+    event_loop loop;
+    resetting_server server(loop, address, after_reset::accept);
+    http_client client(loop);
+    std::vector<http_result> results;
+    const auto keep = [&results](const http_result& result) {
+        results.push_back(result);
+    };
+    client.send(make_call(address, 5s), keep);
+    run_until(loop, [&results] { return results.size() == 1; });
+    client.send(make_call(address, 50ms), keep);
+    std::this_thread::sleep_for(120ms); // the process is paused
+    run_until(loop, [&results] { return results.size() == 2; });
+    loop.run_for(50ms); // a request would arrive
+    BOOST_REQUIRE_EQUAL(results.size(), 2U);
+    BOOST_TEST((results[1].outcome == http_outcome::lost),
+               "not lost: " << results[1].failure.error);
+    BOOST_TEST(server.requests == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge
