A takeover that is being written when the process is paused is repeated

Change: after a pause the tokens of takeovers that are still being written count as refused by the endpoint. So they are not used, and after 1 s a probe and a new takeover follow, which fails if another process holds the endpoint. Granted rows are written by a session that exists and are left alone.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -73,6 +73,7 @@
     }
     sessions_.tick(now);
     holder_.handle_process_pause(now);
+    refuse_pending_takeovers(now);
 }
 
 void dispatcher::end_input(timestamp now) {
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -141,6 +141,8 @@
     // Result of `holder_directory::endpoints_to_take()`, computed again only
     // when hosts or rows have changed or a short interval has passed.
     const std::vector<std::string>& cached_endpoints_to_take(timestamp now);
+    // After a pause: tokens written before it and not in use yet are not used.
+    void refuse_pending_takeovers(timestamp now);
     // Starts holding the endpoints whose rows name this process.
     void hold_own_rows(timestamp now);
     // Endpoints whose rows name this process with a token that the endpoint has
--- a/src/core/dispatch/dispatcher_holding.cpp
+++ b/src/core/dispatch/dispatcher_holding.cpp
@@ -220,6 +220,18 @@
     }
 }
 
+// During the pause another process may have taken the endpoint over, and a
+// later instance of it does not know that one's token.
+void dispatcher::refuse_pending_takeovers(timestamp now) {
+    for (const auto& [request, batch] : pending_writes_) {
+        for (const auto& row : batch) {
+            if (holder_.token_of(row.endpoint) < row.token) {
+                refused_tokens_[row.endpoint] = {row.token, now};
+            }
+        }
+    }
+}
+
 void dispatcher::handle_write_result(timestamp now, std::uint64_t request,
                                      store_status status) {
     begin_input(now);
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -156,6 +156,30 @@
     BOOST_TEST(endpoints.holds.back().target.token == stored_token_stride);
 }
 
+// Guards against a start over the capacity (LIMIT) and against duplicate runs:
+// the takeover is stored, another process takes over while this one is paused,
+// and the endpoint restarts, so it accepts the lower token again.
+BOOST_AUTO_TEST_CASE(takeover_begun_before_a_process_pause_is_repeated) {
+    BOOST_REQUIRE(store.writes.size() == 1U);
+    now += 1s;
+    core.tick(now);
+    core.handle_write_result(now, store.writes.back().first, store_status::ok);
+    store_row();
+    advance(800ms);
+    BOOST_TEST(endpoints.holds.empty());
+    BOOST_TEST(store.writes.size() == 1U);
+    advance(400ms);
+    BOOST_REQUIRE(!endpoints.holds.empty());
+    for (const auto& probe : endpoints.holds) {
+        BOOST_TEST(probe.number == 0U, "not a probe");
+    }
+    answer_hold();
+    advance(100ms);
+    BOOST_REQUIRE(store.writes.size() == 2U);
+    core.handle_write_result(now, store.writes.back().first, store_status::ok);
+    BOOST_TEST(endpoints.holds.back().target.token == 2 * stored_token_stride);
+}
+
 BOOST_AUTO_TEST_CASE(failed_takeover_is_retried) {
     core.handle_write_result(now, store.writes.back().first,
                              store_status::unavailable);
