--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -18,6 +18,9 @@
 // endpoints.
 constexpr duration successor_window = 3s;
 constexpr duration catalogue_request_interval = 300ms;
+// A holder in contact for this long has told which of its starts may still be
+// carried out.
+constexpr duration doubt_settle_time = 500ms;
 // Longest time that a draining host waits for others to take over its
 // endpoints. It sends grants after a third of this time.
 constexpr duration handover_limit = 1500ms;
@@ -94,6 +97,7 @@
     holder_.tick(now);
     coordinator_.tick(now);
     crashes_.tick(now);
+    tenures_.tick(now);
     if (now >= next_check_) {
         next_check_ = now + holder_check_interval;
         check_holders(now);
@@ -351,6 +355,8 @@
     }
     for (const auto& adoption : content.adoptions) {
         record_announced_holder(now_, from, adoption);
+        // The coordinator claims or awaits the runs that it lists.
+        tenures_.fence(adoption.endpoint, adoption.token, now_);
         crashes_.handle_adoption(adoption);
         coordinator_.handle_adoption(now_, from, adoption);
     }
@@ -433,6 +439,16 @@
     }
 }
 
+bool dispatcher::may_start_late(const process_id& holder,
+                                const std::string& pool,
+                                const std::string& label) const {
+    const auto peer = sessions_.peers().find(holder.address);
+    const bool tells_doubts =
+        sessions_.is_live(holder) && !peer->second.out_of_contact &&
+        now_ - peer->second.contact_since >= doubt_settle_time;
+    return !tells_doubts && tenures_.may_start(holder, pool, label);
+}
+
 // --- the platform's list -----------------------------------------------------
 
 void dispatcher::set_endpoint(timestamp now, const endpoint_record& endpoint) {
@@ -445,6 +461,7 @@
     has_endpoints_ = true;
     for (const auto& endpoint : listed) {
         directory_.set_endpoint(endpoint);
+        tenures_.set_endpoint(endpoint);
         crashes_.handle_listed(endpoint.id, endpoint.instance_started_ms);
         holder_.update_endpoint(now, endpoint);
     }
@@ -454,6 +471,7 @@
 void dispatcher::remove_endpoint(timestamp now, const std::string& endpoint) {
     begin_input(now);
     directory_.remove_endpoint(endpoint);
+    tenures_.remove_endpoint(endpoint, now + settings_.gone_limit);
     crashes_.handle_removed(endpoint);
     holder_.mark_gone(now, endpoint);
     coordinator_.handle_endpoint_gone(now, endpoint);
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -24,6 +24,7 @@
 #include "core/dispatch/holder_directory.hpp"
 #include "core/dispatch/job_coordinator.hpp"
 #include "core/dispatch/peer_sessions.hpp"
+#include "core/dispatch/tenure_ledger.hpp"
 
 namespace figridge::dispatch {
 
@@ -114,6 +115,7 @@
     // pending payloads.
     void end_input(timestamp now);
     void check_holders(timestamp now);
+    void record_holder(timestamp now, const holder_record& record);
     // Keeps peers active, so that heartbeats stay frequent, while a task of
     // theirs is here or one of this host is there, however long it runs.
     void refresh_shared_work(timestamp now);
@@ -174,6 +176,9 @@
                      const job_recall& recall) override;
     void send_claim(const process_id& holder,
                     const adoption_claim& claim) override;
+    [[nodiscard]] bool may_start_late(const process_id& holder,
+                                      const std::string& pool,
+                                      const std::string& label) const override;
     void on_payload(const process_id& from, const payload& content,
                     bool fresh) override;
     void on_advert(const process_id& from, const std::string& failure_domain,
@@ -191,6 +196,7 @@
     dispatch_ports ports_;
     holder_views views_;
     holder_directory directory_;
+    tenure_ledger tenures_;
     crash_ledger crashes_;
     endpoint_holder holder_;
     job_coordinator coordinator_;
--- a/src/core/dispatch/dispatcher_holding.cpp
+++ b/src/core/dispatch/dispatcher_holding.cpp
@@ -43,6 +43,11 @@
 
 } // namespace
 
+void dispatcher::record_holder(timestamp now, const holder_record& record) {
+    directory_.set_holder(now, record);
+    tenures_.set_holder(record);
+}
+
 void dispatcher::check_holders(timestamp now) {
     for (const auto& [endpoint, token] : holder_.take_fenced()) {
         refused_tokens_[endpoint] = {token, now};
@@ -250,7 +255,7 @@
     for (const auto& row : batch) {
         rows_in_flight_.erase(row.endpoint);
         if (status == store_status::ok) {
-            directory_.set_holder(now, row);
+            record_holder(now, row);
             unstored_grants_.erase(row.endpoint);
         }
     }
@@ -266,7 +271,7 @@
         directory_.set_version(record.endpoint, record.version);
         return;
     }
-    directory_.set_holder(now, record);
+    record_holder(now, record);
     unstored_grants_.erase(record.endpoint);
     const bool ours = record.holder == settings_.self;
     if (!ours && holder_.token_of(record.endpoint) < record.token) {
@@ -323,7 +328,7 @@
                             {{"endpoint", row.endpoint},
                              {"to", row.holder.address},
                              {"token", std::to_string(row.token)}});
-        directory_.set_holder(now, row);
+        record_holder(now, row);
         holder_.release(now, row.endpoint);
     }
 }
@@ -340,8 +345,8 @@
                         {{"endpoint", grant.endpoint},
                          {"from", from.address},
                          {"token", std::to_string(grant.token)}});
-    directory_.set_holder(now, {grant.endpoint, endpoint->second.failure_domain,
-                                settings_.self, grant.token, grant.version});
+    record_holder(now, {grant.endpoint, endpoint->second.failure_domain,
+                        settings_.self, grant.token, grant.version});
     unstored_grants_[grant.endpoint] = now;
     hold_own_rows(now);
 }
@@ -357,7 +362,7 @@
     auto row = *known;
     row.holder = holder;
     row.token = adoption.token;
-    directory_.set_holder(now, row);
+    record_holder(now, row);
     if (holder_.holds(adoption.endpoint)) {
         holder_.release(now, adoption.endpoint);
     }
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -29,6 +29,12 @@
                             const adoption_claim& claim) = 0;
     virtual void send_recall(const process_id& holder,
                              const job_recall& recall) = 0;
+    // Whether a start that the holder sent before it was lost may still be
+    // carried out at an endpoint of the pool with the label (any if it is
+    // empty), and the holder can't tell. Not thread-safe.
+    [[nodiscard]] virtual bool
+    may_start_late(const process_id& holder, const std::string& pool,
+                   const std::string& label) const = 0;
 };
 
 struct job_submission {
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -153,6 +153,32 @@
     MSGPACK_DEFINE(run, queue, endpoint, instance_started_ms, evidence);
 };
 
+// A start that may still be carried out, or whose run may still go on, although
+// its coordinator may not know. Sent to all hosts; `over` ends an earlier one
+// of the same run and endpoint. `holder` has sent the start to `endpoint` under
+// `token`. If `endpoint` is empty, `holder` is lost and may have sent it to any
+// endpoint that it held.
+struct start_doubt {
+    task_run run;
+    process_id holder;
+    std::string endpoint;
+    std::uint64_t token = 0;
+    bool over = false;
+    // What an endpoint needs for the task; only set if `endpoint` is empty.
+    std::string pool;
+    std::string required_label;
+    MSGPACK_DEFINE(run, holder, endpoint, token, over, pool, required_label);
+};
+
+// The endpoint has answered the sender under `token`, so it refuses calls under
+// any lower one. Sent when two hosts are in contact again, since announced
+// adoptions may have been missed meanwhile.
+struct endpoint_fence {
+    std::string endpoint;
+    std::uint64_t token = 0;
+    MSGPACK_DEFINE(endpoint, token);
+};
+
 struct catalogue_query {
     std::uint64_t known_version = 0;
     MSGPACK_DEFINE(known_version);
@@ -176,15 +202,19 @@
     std::vector<endpoint_grant> grants;
     std::vector<crash_report> crashes;
     std::vector<job_recall> recalls;
+    std::vector<start_doubt> doubts;
+    std::vector<endpoint_fence> fences;
 
     [[nodiscard]] bool empty() const {
         return catalogue_queries.empty() && catalogues.empty() &&
                assignments.empty() && withdrawals.empty() &&
                adoptions.empty() && claims.empty() && updates.empty() &&
-               grants.empty() && crashes.empty() && recalls.empty();
+               grants.empty() && crashes.empty() && recalls.empty() &&
+               doubts.empty() && fences.empty();
     }
     MSGPACK_DEFINE(catalogue_queries, catalogues, assignments, withdrawals,
-                   adoptions, claims, updates, grants, crashes, recalls);
+                   adoptions, claims, updates, grants, crashes, recalls, doubts,
+                   fences);
 };
 
 // `sequence` numbers the payload, 0 if there is none; payloads before
--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -265,6 +265,7 @@
     if (now - from.echoed_at <= settings_.abandon_after &&
         std::exchange(from.out_of_contact, false)) {
         from.progress_at = now;
+        from.contact_since = now;
         events_.on_in_contact(from.id);
     }
 }
--- a/src/core/dispatch/peer_sessions.hpp
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -110,6 +110,7 @@
         std::optional<timestamp> active_since;
         bool lost = true;
         bool out_of_contact = true;
+        timestamp contact_since{0}; // when it was last restored
         // The peer has heard the present stream. Before that, payloads may have
         // been dropped unnoticed.
         bool hears_stream = false;
--- /dev/null
+++ b/src/core/dispatch/tenure_ledger.cpp
@@ -0,0 +1,84 @@
+#include "core/dispatch/tenure_ledger.hpp"
+
+#include <algorithm>
+
+namespace figridge::dispatch {
+
+void tenure_ledger::set_holder(const holder_record& record) {
+    auto& tenures = endpoints_[record.endpoint].tenures;
+    const bool outdated =
+        !tenures.empty() && tenures.back().token >= record.token;
+    if (!outdated && !record.holder.address.empty()) {
+        tenures.push_back({record.holder, record.token, std::nullopt});
+    }
+}
+
+void tenure_ledger::fence(const std::string& endpoint, std::uint64_t token,
+                          timestamp runs_end_by) {
+    const auto found = endpoints_.find(endpoint);
+    if (found == endpoints_.end()) {
+        return;
+    }
+    for (auto& tenure : found->second.tenures) {
+        if (tenure.token < token) {
+            tenure.ends_by =
+                std::min(tenure.ends_by.value_or(runs_end_by), runs_end_by);
+        }
+    }
+}
+
+void tenure_ledger::set_endpoint(const endpoint_record& endpoint) {
+    auto& known = endpoints_[endpoint.id];
+    known.pool = endpoint.pool;
+    known.labels = endpoint.labels;
+    known.gone_by.reset();
+}
+
+void tenure_ledger::remove_endpoint(const std::string& endpoint,
+                                    timestamp runs_end_by) {
+    const auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end() && !found->second.gone_by) {
+        found->second.gone_by = runs_end_by;
+    }
+}
+
+void tenure_ledger::tick(timestamp now) {
+    std::erase_if(endpoints_, [now](const auto& item) {
+        return item.second.gone_by && now > *item.second.gone_by;
+    });
+    for (auto& [id, known] : endpoints_) {
+        std::erase_if(known.tenures, [now](const tenure& ended) {
+            return ended.ends_by && now >= *ended.ends_by;
+        });
+    }
+}
+
+bool tenure_ledger::may_start(const process_id& process,
+                              const std::string& pool,
+                              const std::string& label) const {
+    return std::any_of(
+        endpoints_.begin(), endpoints_.end(), [&](const auto& item) {
+            const auto& known = item.second;
+            const bool suits =
+                known.pool == pool &&
+                (label.empty() ||
+                 std::find(known.labels.begin(), known.labels.end(), label) !=
+                     known.labels.end());
+            return suits &&
+                   std::any_of(known.tenures.begin(), known.tenures.end(),
+                               [&process](const tenure& open) {
+                                   return open.holder == process;
+                               });
+        });
+}
+
+bool tenure_ledger::may_start_at(const std::string& endpoint,
+                                 std::uint64_t token) const {
+    const auto found = endpoints_.find(endpoint);
+    return found != endpoints_.end() &&
+           std::any_of(
+               found->second.tenures.begin(), found->second.tenures.end(),
+               [token](const tenure& open) { return open.token == token; });
+}
+
+} // namespace figridge::dispatch
--- /dev/null
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -0,0 +1,72 @@
+// The processes whose starts may still be carried out at each endpoint.
+//
+// A tenure is the time in which a process holds an endpoint under one token. A
+// start that got no answer may be carried out at any time until the endpoint
+// has answered a call under a higher token: that fences the earlier tenures.
+//
+//     tenures.set_holder(row);                 // each known holder
+//     tenures.fence(endpoint, token, now);     // an adoption was announced
+//     tenures.may_start(lost_holder, pool, label);
+#ifndef FIGRIDGE_CORE_DISPATCH_TENURE_LEDGER_HPP
+#define FIGRIDGE_CORE_DISPATCH_TENURE_LEDGER_HPP
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/dispatch/types.hpp"
+
+namespace figridge::dispatch {
+
+// Owned by a `dispatcher`. Not thread-safe.
+class tenure_ledger {
+public:
+    // The process holds the endpoint under this token. Rows with a lower token
+    // than the highest known one are ignored. Not thread-safe.
+    void set_holder(const holder_record& record);
+    // The endpoint has answered a call under `token`. Runs of earlier tenures
+    // that it may have listed then have ended by `runs_end_by`. Not
+    // thread-safe.
+    void fence(const std::string& endpoint, std::uint64_t token,
+               timestamp runs_end_by);
+    // The platform lists the endpoint (again). Not thread-safe.
+    void set_endpoint(const endpoint_record& endpoint);
+    // The platform does not list the endpoint any more: what was sent to it
+    // has ended by `runs_end_by`, unless it is listed again before. Not
+    // thread-safe.
+    void remove_endpoint(const std::string& endpoint, timestamp runs_end_by);
+    // Forgets the tenures that have ended. Not thread-safe.
+    void tick(timestamp now);
+
+    // Whether a start that the process sent may still be carried out, or its
+    // run go on, at an endpoint of the pool that has the label (any endpoint
+    // if the label is empty). Not thread-safe.
+    [[nodiscard]] bool may_start(const process_id& process,
+                                 const std::string& pool,
+                                 const std::string& label) const;
+    // The same at one endpoint, for a start under this token. False if nothing
+    // is known of the endpoint. Not thread-safe.
+    [[nodiscard]] bool may_start_at(const std::string& endpoint,
+                                    std::uint64_t token) const;
+
+private:
+    struct tenure {
+        process_id holder;
+        std::uint64_t token = 0;
+        // When its last run has ended; empty until it is fenced.
+        std::optional<timestamp> ends_by;
+    };
+    struct endpoint_state_row {
+        std::string pool;
+        std::vector<std::string> labels;
+        std::vector<tenure> tenures; // by token
+        std::optional<timestamp> gone_by;
+    };
+
+    std::map<std::string, endpoint_state_row> endpoints_;
+};
+
+} // namespace figridge::dispatch
+
+#endif
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -48,6 +48,11 @@
                      const job_recall& recall) override {
         recalls.emplace_back(holder, recall);
     }
+    [[nodiscard]] bool
+    may_start_late(const process_id& holder, const std::string& /*pool*/,
+                   const std::string& /*label*/) const override {
+        return starts_open_of.contains(holder);
+    }
     void answer(caller_token /*token*/, const job_answer& answer) override {
         answers.push_back(answer);
     }
@@ -121,6 +126,7 @@
     std::vector<process_id> withdrawals;
     std::vector<std::pair<process_id, adoption_claim>> claims;
     std::vector<std::pair<process_id, job_recall>> recalls;
+    std::set<process_id> starts_open_of; // holders
     std::vector<job_answer> answers;
     job_coordinator coordinator;
 };
