Order search meets late starts on instances nobody knows (red)

Eight scenarios have the restart, the endpoint's cut and one more disruption in their steps: the holder cut off (instance unlisted and listed), killed or frozen, the coordinator cut off or killed, the job sent again, and a killed host that both coordinated and held.

--- a/tests/dispatch/orders/order_model.hpp
+++ b/tests/dispatch/orders/order_model.hpp
@@ -90,6 +90,12 @@
 
 const std::vector<scenario>& all_scenarios();
 
+// The same scenario with an instance of endpoint 0 that no host knows: the
+// endpoint starts again under its id right before the job, and the platform
+// does not list the instance. Right after the job, no host reaches the endpoint
+// any more, up to the scenario's `heal`. Thread-safe.
+scenario with_late_instance(scenario plan);
+
 struct order_result {
     std::vector<std::string> violations;
     std::vector<decision_point> points;
--- a/tests/dispatch/orders/order_scenarios.cpp
+++ b/tests/dispatch/orders/order_scenarios.cpp
@@ -1,4 +1,6 @@
 // The disruptions that the searched runs have in common.
+#include <algorithm>
+
 #include "order_model.hpp"
 
 namespace figridge::dispatch::orders {
@@ -484,6 +486,166 @@
               {110ms, cut_endpoint, 3},
               {2090ms, heal}},
              5s});
+        // Guards against a coordinator that places the task again after the
+        // bound, while the start that its holder sent may still be carried out.
+        add({"late_start_of_a_cut_off_holder",
+             4,
+             {1, 2},
+             2500,
+             1,
+             false,
+             {{100ms, crash_unlisted, 0},
+              {106ms, submit, 0},
+              {110ms, cut_endpoint, 0},
+              {110ms, cut_endpoint, 1},
+              {110ms, cut_endpoint, 2},
+              {110ms, cut_endpoint, 3},
+              {110ms, cut, 1}},
+             6s});
+        // The same failure where the platform lists the instance: an entry is
+        // no proof that the start is over.
+        add({"late_start_of_a_cut_off_holder_on_a_listed_instance",
+             4,
+             {1, 2},
+             2500,
+             1,
+             false,
+             {{100ms, crash, 0},
+              {106ms, submit, 0},
+              {110ms, cut_endpoint, 0},
+              {110ms, cut_endpoint, 1},
+              {110ms, cut_endpoint, 2},
+              {110ms, cut_endpoint, 3},
+              {110ms, cut, 1}},
+             6s});
+        // Guards against the same failure where the holder's process has ended,
+        // so that no host knows the start.
+        add({"late_start_of_a_killed_holder",
+             4,
+             {1, 2},
+             2500,
+             1,
+             false,
+             {{100ms, crash_unlisted, 0},
+              {106ms, submit, 0},
+              {110ms, cut_endpoint, 0},
+              {110ms, cut_endpoint, 1},
+              {110ms, cut_endpoint, 2},
+              {110ms, cut_endpoint, 3},
+              {110ms, kill, 1}},
+             6s});
+        // Guards against the same failure where the holder is paused and knows
+        // the start again when it resumes.
+        add({"late_start_of_a_frozen_holder",
+             4,
+             {1, 2},
+             2500,
+             1,
+             false,
+             {{100ms, crash_unlisted, 0},
+              {106ms, submit, 0},
+              {110ms, cut_endpoint, 0},
+              {110ms, cut_endpoint, 1},
+              {110ms, cut_endpoint, 2},
+              {110ms, cut_endpoint, 3},
+              {112ms, freeze, 1},
+              {3000ms, thaw, 1}},
+             6s});
+        // Guards against a holder that keeps an unanswered start to itself when
+        // it has lost the coordinator and the caller sends the job again.
+        add({"late_start_of_a_cut_off_coordinator",
+             4,
+             {1, 2},
+             2500,
+             1,
+             false,
+             {{100ms, crash_unlisted, 0},
+              {106ms, submit, 0},
+              {110ms, cut_endpoint, 0},
+              {110ms, cut_endpoint, 1},
+              {110ms, cut_endpoint, 2},
+              {110ms, cut_endpoint, 3},
+              {112ms, cut, 0}},
+             6s});
+        // The same failure where the coordinator's process has ended.
+        add({"late_start_of_a_killed_coordinator",
+             4,
+             {1, 2},
+             2500,
+             1,
+             false,
+             {{100ms, crash_unlisted, 0},
+              {106ms, submit, 0},
+              {110ms, cut_endpoint, 0},
+              {110ms, cut_endpoint, 1},
+              {110ms, cut_endpoint, 2},
+              {110ms, cut_endpoint, 3},
+              {115ms, kill, 0}},
+             6s});
+        // The same failure without a lost host: the job is withdrawn, and its
+        // caller sends it to a host that does not know the start.
+        add({"late_start_of_a_job_sent_again",
+             4,
+             {1, 2},
+             2500,
+             1,
+             false,
+             {{100ms, crash_unlisted, 0},
+              {106ms, submit, 0},
+              {110ms, cut_endpoint, 0},
+              {110ms, cut_endpoint, 1},
+              {110ms, cut_endpoint, 2},
+              {110ms, cut_endpoint, 3},
+              {120ms, leave}},
+             6s});
+        // Guards against two runs where the one host that knew of the start has
+        // ended, so that no host waits for it when the job comes again.
+        add({"late_start_of_a_killed_coordinator_that_holds",
+             4,
+             {1, 2},
+             2500,
+             1,
+             false,
+             {{100ms, crash_unlisted, 0},
+              {106ms, submit, 1},
+              {110ms, cut_endpoint, 0},
+              {110ms, cut_endpoint, 1},
+              {110ms, cut_endpoint, 2},
+              {110ms, cut_endpoint, 3},
+              {112ms, kill, 1}},
+             6s});
+        // Guards against a planned stop that hands the endpoint or the task
+        // over without the start that is still open.
+        add({"late_start_of_a_stopping_holder",
+             4,
+             {1, 2},
+             2500,
+             1,
+             false,
+             {{100ms, crash_unlisted, 0},
+              {106ms, submit, 0},
+              {110ms, cut_endpoint, 0},
+              {110ms, cut_endpoint, 1},
+              {110ms, cut_endpoint, 2},
+              {110ms, cut_endpoint, 3},
+              {112ms, stop, 1}},
+             6s});
+        // Guards against a planned stop of the coordinator that ends the job as
+        // if the open start were over.
+        add({"late_start_of_a_stopping_coordinator",
+             4,
+             {1, 2},
+             2500,
+             1,
+             false,
+             {{100ms, crash_unlisted, 0},
+              {106ms, submit, 0},
+              {110ms, cut_endpoint, 0},
+              {110ms, cut_endpoint, 1},
+              {110ms, cut_endpoint, 2},
+              {110ms, cut_endpoint, 3},
+              {112ms, stop, 0}},
+             6s});
         add({"slow_holder",
              3,
              {1, 1},
@@ -505,4 +667,24 @@
     return scenarios;
 }
 
+scenario with_late_instance(scenario plan) {
+    using enum action_kind;
+    const auto job =
+        std::find_if(plan.steps.begin(), plan.steps.end(),
+                     [](const auto& step) { return step.kind == submit; });
+    if (job == plan.steps.end()) {
+        return plan;
+    }
+    const auto submitted_at = job->at;
+    plan.steps.insert(job, {submitted_at - 6ms, crash_unlisted, 0});
+    for (std::size_t host = 0; host < plan.hosts; ++host) {
+        plan.steps.push_back({submitted_at + 4ms, cut_endpoint, host, 0});
+    }
+    // The late start counts as one of the deviations.
+    if (plan.max_depth != std::numeric_limits<std::size_t>::max()) {
+        plan.max_depth -= std::min<std::size_t>(plan.max_depth, 1);
+    }
+    return plan;
+}
+
 } // namespace figridge::dispatch::orders
--- a/tests/dispatch/orders/order_search.cpp
+++ b/tests/dispatch/orders/order_search.cpp
@@ -11,6 +11,7 @@
 //     order_search --depth 2 --disturbances 0   # some minutes
 //     order_search --depth 2                    # hours
 //     order_search --random 100000 --random_depth 4 --seed 7
+//     order_search --late_instance              # on an endpoint that restarted
 //     order_search --play cut_short:17.2,40.1   # plays it again, with a log
 //
 // Exit code 1 if a schedule was found, 2 for a schedule that can't be read or
@@ -42,6 +43,9 @@
 DEFINE_bool(remove_rows, false, "Rows of live hosts may be removed.");
 DEFINE_bool(keep_rows, false, "Hosts that stop stay in the table of hosts.");
 DEFINE_bool(slow_clocks, false, "The endpoints' clocks are 2% slow.");
+DEFINE_bool(late_instance, false,
+            "In each scenario, endpoint 0 starts again unlisted right before "
+            "the job, and no host reaches it right after the job.");
 DEFINE_uint64(random, 0, "Random schedules of each scenario after that.");
 DEFINE_uint64(random_depth, 3, "Deviations of a random schedule.");
 DEFINE_uint64(seed, 1, "Seed of the random schedules.");
@@ -88,13 +92,21 @@
     return std::pair(plan, chosen);
 }
 
+// The scenario as the flags change it.
+scenario with_flags(scenario plan) {
+    plan.keep_rows = FLAGS_keep_rows;
+    plan.clock_rate = FLAGS_slow_clocks ? 0.98 : plan.clock_rate;
+    return FLAGS_late_instance ? with_late_instance(std::move(plan)) : plan;
+}
+
 int play(const std::string& text) {
     const auto read = read_schedule(text);
     if (!read) {
         std::cerr << "not a schedule: " << text << "\n";
         return 2;
     }
-    const auto result = execute(*read->first, read->second, true);
+    const auto plan = with_flags(*read->first);
+    const auto result = execute(plan, read->second, true);
     std::cout << result.log;
     for (const auto& violation : result.violations) {
         std::cout << "BROKEN " << text << " " << violation << "\n";
@@ -261,9 +273,8 @@
 
 int search_all() {
     search_counts total;
-    for (auto plan : all_scenarios()) {
-        plan.keep_rows = FLAGS_keep_rows;
-        plan.clock_rate = FLAGS_slow_clocks ? 0.98 : plan.clock_rate;
+    for (const auto& known : all_scenarios()) {
+        const auto plan = with_flags(known);
         const bool wanted =
             FLAGS_only.empty() || is_listed(FLAGS_only, plan.name);
         if (!wanted || is_listed(FLAGS_leave_out, plan.name)) {
