Virtual fleet: endpoints that restart unlisted and carry out starts late (red)

None of the fleet's faults carried a start out late on an instance that no host knew: `late_orders` drops a call when its endpoint restarts, and `crash` publishes the instance within 700 ms. The fault `late_instances` restarts a third of the endpoints, or all, under their ids: until its end they are not listed and answer nothing, and carry the starts that they get out 2 to 6 s later.

--- a/tests/dispatch/fleet/fleet_matrix.cpp
+++ b/tests/dispatch/fleet/fleet_matrix.cpp
@@ -9,6 +9,8 @@
 constexpr duration time_after_faults = 2s;
 // A start is judged by a former capacity for less than this.
 constexpr duration former_capacity_time = 5s;
+// The first late starts are executed after 2 s.
+constexpr duration late_instance_time = 2s;
 
 using target_action = std::function<void(virtual_fleet&, std::size_t)>;
 
@@ -224,6 +226,24 @@
         {"deadly_tasks",
          [](auto& fleet, auto /*target*/) { fleet.set_deadly_share(0.15); },
          [](auto& fleet, auto /*target*/) { fleet.set_deadly_share(0.0); }});
+    // A third of the endpoints, or all if the target is a multiple of 4.
+    const auto each = [](virtual_fleet& fleet, std::size_t target,
+                         void (virtual_fleet::*act)(std::size_t)) {
+        for (std::size_t i = 0; i < fleet.endpoint_count(); ++i) {
+            if (target % 4 == 0 || i % 3 == target % 3) {
+                (fleet.*act)(i);
+            }
+        }
+    };
+    faults.push_back(
+        {"late_instances",
+         [each](auto& fleet, auto target) {
+             each(fleet, target, &virtual_fleet::begin_late_instance);
+         },
+         [each](auto& fleet, auto target) {
+             each(fleet, target, &virtual_fleet::end_late_instance);
+         },
+         late_instance_time});
     return faults;
 }
 
--- a/tests/dispatch/fleet/virtual_fleet.cpp
+++ b/tests/dispatch/fleet/virtual_fleet.cpp
@@ -327,22 +327,20 @@
             }
             return;
         }
+        if (endpoint.listed_instance_ms) {
+            if (kind == call_kind::start) {
+                execute_late(id, 2s + std::chrono::milliseconds(draw(4000)),
+                             execute);
+            }
+            return;
+        }
         const bool late =
             static_cast<double>(draw(1000)) < 1000.0 * late_share_;
         const bool late_order = is_late_order(kind);
         if (late || late_order) {
             const auto later = 2s + std::chrono::milliseconds(
                                         draw(late_order ? 10'000 : 4000));
-            const auto instance_started_ms =
-                endpoint_of(id).model->record().instance_started_ms;
-            at(now_ + later, [this, id, instance_started_ms, execute] {
-                // The call waits at the endpoint, so a crash discards it.
-                if (endpoint_of(id).model->record().instance_started_ms ==
-                    instance_started_ms) {
-                    execute(false);
-                }
-            });
-            return;
+            return execute_late(id, later, execute);
         }
         // The random number is drawn only during this fault, so that seeded
         // runs without it stay the same.
@@ -363,6 +361,20 @@
     });
 }
 
+void virtual_fleet::execute_late(const std::string& id, duration later,
+                                 std::function<void(bool)> execute) {
+    const auto instance_started_ms =
+        endpoint_of(id).model->record().instance_started_ms;
+    at(now_ + later,
+       [this, id, instance_started_ms, execute = std::move(execute)] {
+           // The call waits at the endpoint, so a crash discards it.
+           if (endpoint_of(id).model->record().instance_started_ms ==
+               instance_started_ms) {
+               execute(false);
+           }
+       });
+}
+
 void virtual_fleet::advance_endpoint(fleet_endpoint& endpoint) {
     endpoint.model->advance(now_);
     auto waiting = std::exchange(endpoint.holds, {});
@@ -407,6 +419,33 @@
     publish_endpoint(index);
 }
 
+void virtual_fleet::begin_late_instance(std::size_t index) {
+    auto& endpoint = endpoints_[index];
+    if (endpoint.down || endpoint.listed_instance_ms) {
+        return;
+    }
+    if (keep_log) {
+        note("late instance of " + endpoint.model->record().id);
+    }
+    endpoint.listed_instance_ms = endpoint.model->record().instance_started_ms;
+    endpoint.holds.clear();
+    endpoint.model->start_instance(now_);
+}
+
+void virtual_fleet::end_late_instance(std::size_t index) {
+    auto& endpoint = endpoints_[index];
+    if (std::exchange(endpoint.listed_instance_ms, std::nullopt)) {
+        publish_endpoint(index);
+    }
+}
+
+endpoint_record virtual_fleet::listed_record(const fleet_endpoint& endpoint) {
+    auto record = endpoint.model->record();
+    record.instance_started_ms =
+        endpoint.listed_instance_ms.value_or(record.instance_started_ms);
+    return record;
+}
+
 void virtual_fleet::shrink_capacity(std::size_t index, bool enforced) {
     capacity_changed_ = true;
     auto& model = *endpoints_[index].model;
@@ -522,7 +561,7 @@
     for (const auto& host : hosts_) {
         at(now_ + duration{draw(list_poll_interval.count())},
            [this, index, &host = *host, process = host->process] {
-               const auto record = endpoints_[index].model->record();
+               const auto record = listed_record(endpoints_[index]);
                if (has_path_to_store(host) && store_ == store_mode::up) {
                    deliver(host.index, process, [this, record](auto& core) {
                        core.set_endpoint(now_, record);
@@ -661,7 +700,7 @@
         std::vector<endpoint_record> listed;
         std::vector<std::string> unlisted;
         for (const auto& endpoint : endpoints_) {
-            listed.push_back(endpoint.model->record());
+            listed.push_back(listed_record(endpoint));
             unlisted.insert(unlisted.end(), endpoint.unlisted_ids.begin(),
                             endpoint.unlisted_ids.end());
         }
--- a/tests/dispatch/fleet/virtual_fleet.hpp
+++ b/tests/dispatch/fleet/virtual_fleet.hpp
@@ -87,6 +87,11 @@
     void set_mode(std::size_t index, endpoint_mode mode);
     void set_slowness(std::size_t index, double slowness);
     void crash_endpoint(std::size_t index);
+    // The endpoint starts again under its id. It is not listed and answers
+    // nothing until `end_late_instance`; starts that it gets until then are
+    // executed 2 to 6 s late, other calls are lost.
+    void begin_late_instance(std::size_t index);
+    void end_late_instance(std::size_t index);
     // The capacity shrinks to 20 to 80%, which may be less than what runs. The
     // endpoint's row shows a change at its next heartbeat that the store
     // accepts. With `enforced`, the endpoint refuses what doesn't fit.
@@ -144,7 +149,9 @@
         bool cut = false;
         std::size_t domain = 0;
         std::optional<timestamp> next_advance_at;
-        bool down = false;         // refuses connections after a crash
+        bool down = false; // refuses connections after a crash
+        // Listed in place of a late instance; empty without one.
+        std::optional<std::int64_t> listed_instance_ms;
         std::uint64_t crashes = 0; // that reset its connections
         std::set<std::string> former_ids;
         std::set<std::string> unlisted_ids; // of `former_ids`
@@ -201,6 +208,13 @@
     // Delivers an input to a process; delayed if the host is frozen or slow.
     void deliver(std::size_t host, std::uint64_t process,
                  std::function<void(dispatcher&)> input);
+    // The endpoint's row as the store shows it.
+    [[nodiscard]] static endpoint_record
+    listed_record(const fleet_endpoint& endpoint);
+    // Executes the call `later`, unanswered, if the endpoint doesn't start
+    // again until then.
+    void execute_late(const std::string& id, duration later,
+                      std::function<void(bool)> execute);
     // Whether this call is one of those that `set_late_orders` delays.
     bool is_late_order(call_kind kind);
     void call_endpoint(std::size_t host, const call_target& target,
