A lost holder's unreported task waits for its endpoints

What callers saw: TWICE, two runs of one task at a time. The holder of a task was killed, cut off or paused after it had sent the start, which got no answer. The coordinator placed the task again at the bound, and the next instance of the endpoint carried the first start out seconds later.

Cause: lease and deadline end a run whose start was answered. They say nothing of an unanswered start, and the coordinator of a lost holder doesn't know whether there is one. `tick()` placed every task of a lost holder again as `bound_passed`.

Fix: past the bound, a task whose start its holder did not report is placed again only if `may_start_late()` is false: each endpoint of its pool and label that the holder had has answered a higher token, or is gone. The job counts as sent from the bound on, so it is never refused as not run. Tasks whose reports were dropped wait until the holder, in contact again, has had 500 ms to tell. A new line, `task_awaits_endpoints`, is logged once; `task_placed_again` then has why=endpoints_answered.

What the ledger needed for that: - an adoption ends the tenure of the holder it names at once only; a run that it lists for another former holder (an adoption in between was missed) is not claimed and goes on until its stop or lease; - a row read again under a token that the endpoint has refused since opens no tenure; - an endpoint that is listed again after it was forgotten has its holder again.

The tests fail without their parts: without the check in tick() eight of job_coordinator_test and dispatcher_test, without the later bound task_with_lost_reports_waits_for_its_holder_to_tell, without the token kept in the ledger two of tenure_ledger_test, without the changes of the dispatcher endpoint_listed_again_may_still_start_late and run_listed_for_another_former_holder_is_waited_for. started_task_of_a_lost_holder_waits_for_the_bound_alone and holder_in_contact_again_is_believed guard against waits without need and passed before.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -192,6 +192,11 @@
     return now_ + lease + (restarted ? duration{0} : settings_.abandon_after);
 }
 
+// The runs that an adoption lists and nobody claims are stopped.
+timestamp dispatcher::listed_runs_end_by() const {
+    return runs_end_by(true) + claim_window;
+}
+
 bool dispatcher::is_in_contact(const process_id& peer) const {
     const auto found = sessions_.peers().find(peer.address);
     return found != sessions_.peers().end() && !found->second.out_of_contact;
@@ -214,7 +219,7 @@
     ports_.observer.log(log_level::info, "peer_heard",
                         {{"peer", peer.address}});
     if (is_in_contact(peer)) {
-        coordinator_.handle_holder_recovered(peer);
+        coordinator_.handle_holder_recovered(peer, doubts_told_by(peer));
     }
 }
 
@@ -230,7 +235,11 @@
 }
 
 void dispatcher::on_in_contact(const process_id& peer) {
-    coordinator_.handle_holder_recovered(peer);
+    coordinator_.handle_holder_recovered(peer, doubts_told_by(peer));
+}
+
+timestamp dispatcher::doubts_told_by(const process_id& peer) const {
+    return sessions_.peers().at(peer.address).contact_since + doubt_settle_time;
 }
 
 void dispatcher::on_payloads_dropped(const process_id& peer, drop_cause cause) {
@@ -355,8 +364,11 @@
     }
     for (const auto& adoption : content.adoptions) {
         record_announced_holder(now_, from, adoption);
-        // The coordinator claims or awaits the runs that it lists.
-        tenures_.fence(adoption.endpoint, adoption.token, now_);
+        tenures_.fence(adoption.endpoint, adoption.token,
+                       adoption.running.empty() ? now_ : listed_runs_end_by());
+        // The coordinator claims or awaits the listed runs of this one.
+        tenures_.fence_holder(adoption.endpoint, adoption.token,
+                              adoption.former, now_);
         crashes_.handle_adoption(adoption);
         coordinator_.handle_adoption(now_, from, adoption);
     }
@@ -462,6 +474,11 @@
     for (const auto& endpoint : listed) {
         directory_.set_endpoint(endpoint);
         tenures_.set_endpoint(endpoint);
+        // The ledger forgets an endpoint that is gone, the directory keeps its
+        // holder.
+        if (const auto* row = directory_.holder_of(endpoint.id)) {
+            tenures_.set_holder(*row);
+        }
         crashes_.handle_listed(endpoint.id, endpoint.instance_started_ms);
         holder_.update_endpoint(now, endpoint);
     }
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -156,6 +156,12 @@
     // The time by which all runs of a holder have ended if contact with it is
     // lost now. `restarted`: the holder's process has ended.
     [[nodiscard]] timestamp runs_end_by(bool restarted) const;
+    // The time by which the runs have ended that an endpoint taken over by now
+    // listed and this host has not claimed.
+    [[nodiscard]] timestamp listed_runs_end_by() const;
+    // When the peer has told which of its starts may still be carried out.
+    // Precondition: the peer is known.
+    [[nodiscard]] timestamp doubts_told_by(const process_id& peer) const;
     [[nodiscard]] bool is_in_contact(const process_id& peer) const;
     payload* outbox(const process_id& peer);
     void deliver_to_self(timestamp now);
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -18,9 +18,6 @@
 // An endpoint that refused a start for room is tried again after this, if
 // nothing has shown before that it has room.
 constexpr duration full_retry_delay = 500ms;
-// Time for coordinators to claim their runs after an adoption: a round trip
-// between failure domains plus their wake-up time.
-constexpr duration claim_window = 60ms;
 // Ended runs are acknowledged with the next renewal, or after this delay if
 // the endpoint is idle.
 constexpr duration idle_acknowledgement_delay = 300ms;
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -19,6 +19,10 @@
 
 namespace figridge::dispatch {
 
+// Time for coordinators to claim their runs after an adoption: a round trip
+// between failure domains plus their wake-up time.
+constexpr duration claim_window = 60ms;
+
 enum class session_phase {
     adopting, // waiting for the answer to the first call
     claiming, // waiting for coordinators to claim the runs found
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/job_coordinator.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
@@ -209,6 +210,7 @@
             task.holder_lost = false;
             task.report_lost = false;
             task.runs_end_by = timestamp{0};
+            task.awaits_endpoints = false;
             task.own_run_open = false;
             task.found.reset();
             assignments[*holder].items.push_back(
@@ -469,6 +471,7 @@
     task.holder_lost = task.found->ends_by.has_value();
     task.report_lost = task.found->report_lost;
     task.runs_end_by = task.found->ends_by.value_or(timestamp{0});
+    task.awaits_endpoints = false;
     task.found.reset();
 }
 
@@ -509,6 +512,27 @@
     }
 }
 
+bool job_coordinator::may_start_late(const job_state& state,
+                                     const task_key& key, task_state& task) {
+    const auto& pool = state.submission.queue.pool;
+    const auto& label =
+        state.submission.work.steps[key.step].need.required_label;
+    // The start of a run that was reported on an endpoint was answered, or its
+    // bound is that of an adoption; see `update_kind::disowned`.
+    const bool may = task.endpoint.empty() &&
+                     events_.may_start_late(task.holder, pool, label);
+    if (may && !std::exchange(task.awaits_endpoints, true)) {
+        observer_.log(log_level::info, "task_awaits_endpoints",
+                      {{"job", key.job},
+                       {"task", absl::StrCat(key.step, ".", key.index)},
+                       {"run", std::to_string(task.run)},
+                       {"holder", task.holder.address},
+                       {"pool", pool},
+                       {"label", label}});
+    }
+    return may;
+}
+
 // The longest lower bound of a step's run time.
 duration job_coordinator::min_job_time(const job& work) {
     duration longest{0};
@@ -720,8 +744,11 @@
                 if (task.phase == task_phase::placed && task.holder_lost &&
                     now > task.runs_end_by) {
                     state.never_sent = false;
-                    reschedule({id, s, i}, task, update_kind::lost, {},
-                               "bound_passed");
+                    if (!may_start_late(state, {id, s, i}, task)) {
+                        reschedule({id, s, i}, task, update_kind::lost, {},
+                                   task.awaits_endpoints ? "endpoints_answered"
+                                                         : "bound_passed");
+                    }
                 }
                 unplaced |= task.phase == task_phase::unplaced;
             }
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -72,13 +72,16 @@
                          const endpoint_adoption& adoption);
     // Contact with a holder is lost. Its tasks may be queued there or run on
     // any endpoint that it holds, or that it takes over before it drops the
-    // tasks of this host. All of these runs have ended at `runs_end_by`. A
-    // run is resolved earlier only by an adoption of the endpoint that it was
-    // reported on.
+    // tasks of this host. All runs whose start was answered have ended at
+    // `runs_end_by`. A run is resolved earlier only by an adoption of the
+    // endpoint that it was reported on, and later while its start may come
+    // (`coordinator_events::may_start_late()`). Not thread-safe.
     void handle_holder_lost(const process_id& holder, timestamp runs_end_by);
     // Contact with the same process is restored: it still has its tasks, or
-    // reports those that it dropped meanwhile.
-    void handle_holder_recovered(const process_id& holder);
+    // reports those that it dropped meanwhile. By `doubts_told_by` it has told
+    // which of its starts may still be carried out. Not thread-safe.
+    void handle_holder_recovered(const process_id& holder,
+                                 timestamp doubts_told_by = timestamp{0});
     // Assignments to the holder, or its reports, were dropped in transit. Runs
     // whose end is not reported by `runs_end_by` have ended by then.
     void handle_reports_lost(const process_id& holder, timestamp runs_end_by);
@@ -124,6 +127,8 @@
         timestamp runs_end_by{0}; // set if `holder_lost`
         bool holder_lost = false;
         bool report_lost = false; // its end may never be reported
+        // The bound has passed, but the start may still come.
+        bool awaits_endpoints = false;
         // Replaces the task's own run once that one has certainly ended.
         std::optional<found_run> found;
         // Done by a found run; the task's own may still be queued or run.
@@ -176,6 +181,10 @@
     // `lost`. `why` is only logged.
     void reschedule(const task_key& key, task_state& task, update_kind cause,
                     const std::string& endpoint, std::string_view why);
+    // Whether the start of the lost holder's task may still be carried out.
+    // Logs the first time. Precondition: the bound of the task has passed.
+    bool may_start_late(const job_state& state, const task_key& key,
+                        task_state& task);
     void apply_update(timestamp now, job_state& state, task_state& task,
                       const task_update& update);
     // The answer to a job with a task, not done yet, under which too many
--- a/src/core/dispatch/job_coordinator_holders.cpp
+++ b/src/core/dispatch/job_coordinator_holders.cpp
@@ -46,13 +46,18 @@
     }
 }
 
-void job_coordinator::handle_holder_recovered(const process_id& holder) {
+void job_coordinator::handle_holder_recovered(const process_id& holder,
+                                              timestamp doubts_told_by) {
     for (auto& [id, state] : jobs_) {
         for (auto& step : state.steps) {
             for (auto& task : step.tasks) {
                 if (task.holder == holder && !task.report_lost) {
                     task.holder_lost = false;
                     task.runs_end_by = timestamp{0};
+                    task.awaits_endpoints = false;
+                } else if (task.holder == holder && task.endpoint.empty()) {
+                    task.runs_end_by =
+                        std::max(task.runs_end_by, doubts_told_by);
                 }
                 if (task.found && task.found->holder == holder &&
                     !task.found->report_lost) {
--- a/src/core/dispatch/tenure_ledger.cpp
+++ b/src/core/dispatch/tenure_ledger.cpp
@@ -5,24 +5,53 @@
 namespace figridge::dispatch {
 
 void tenure_ledger::set_holder(const holder_record& record) {
-    auto& tenures = endpoints_[record.endpoint].tenures;
+    auto& known = endpoints_[record.endpoint];
     const bool outdated =
-        !tenures.empty() && tenures.back().token >= record.token;
-    if (!outdated && !record.holder.address.empty()) {
-        tenures.push_back({record.holder, record.token, std::nullopt});
+        !known.tenures.empty() && known.tenures.back().token >= record.token;
+    if (outdated || record.holder.address.empty()) {
+        return;
+    }
+    auto& added = known.tenures.emplace_back();
+    added.holder = record.holder;
+    added.token = record.token;
+    if (record.token < known.answered_token) {
+        added.end_by(known.earlier_runs_end_by);
     }
 }
 
+void tenure_ledger::tenure::end_by(timestamp runs_end_by) {
+    ends_by = std::min(ends_by.value_or(runs_end_by), runs_end_by);
+}
+
 void tenure_ledger::fence(const std::string& endpoint, std::uint64_t token,
                           timestamp runs_end_by) {
     const auto found = endpoints_.find(endpoint);
-    if (found == endpoints_.end()) {
+    if (found == endpoints_.end() || token < found->second.answered_token) {
+        return;
+    }
+    auto& known = found->second;
+    known.earlier_runs_end_by =
+        token == known.answered_token
+            ? std::min(known.earlier_runs_end_by, runs_end_by)
+            : runs_end_by;
+    known.answered_token = token;
+    for (auto& earlier : known.tenures) {
+        if (earlier.token < token) {
+            earlier.end_by(runs_end_by);
+        }
+    }
+}
+
+void tenure_ledger::fence_holder(const std::string& endpoint,
+                                 std::uint64_t token, const process_id& holder,
+                                 timestamp runs_end_by) {
+    const auto found = endpoints_.find(endpoint);
+    if (found == endpoints_.end() || token < found->second.answered_token) {
         return;
     }
-    for (auto& tenure : found->second.tenures) {
-        if (tenure.token < token) {
-            tenure.ends_by =
-                std::min(tenure.ends_by.value_or(runs_end_by), runs_end_by);
+    for (auto& earlier : found->second.tenures) {
+        if (earlier.token < token && earlier.holder == holder) {
+            earlier.end_by(runs_end_by);
         }
     }
 }
--- a/src/core/dispatch/tenure_ledger.hpp
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -26,10 +26,14 @@
     // than the highest known one are ignored. Not thread-safe.
     void set_holder(const holder_record& record);
     // The endpoint has answered a call under `token`. Runs of earlier tenures
-    // that it may have listed then have ended by `runs_end_by`. Not
-    // thread-safe.
+    // that it may have listed then have ended by `runs_end_by`. Ignored if it
+    // has answered under a higher token. Not thread-safe.
     void fence(const std::string& endpoint, std::uint64_t token,
                timestamp runs_end_by);
+    // The same for the tenures of one process. Precondition: `fence()` was
+    // called for this endpoint and token.
+    void fence_holder(const std::string& endpoint, std::uint64_t token,
+                      const process_id& holder, timestamp runs_end_by);
     // The platform lists the endpoint (again). Not thread-safe.
     void set_endpoint(const endpoint_record& endpoint);
     // The platform does not list the endpoint any more: what was sent to it
@@ -56,11 +60,17 @@
         std::uint64_t token = 0;
         // When its last run has ended; empty until it is fenced.
         std::optional<timestamp> ends_by;
+
+        void end_by(timestamp runs_end_by);
     };
     struct endpoint_state_row {
         std::string pool;
         std::vector<std::string> labels;
         std::vector<tenure> tenures; // by token
+        // The highest token under which the endpoint has answered, and when the
+        // runs of the tenures before it have ended.
+        std::uint64_t answered_token = 0;
+        timestamp earlier_runs_end_by{0};
         std::optional<timestamp> gone_by;
     };
 
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -895,8 +895,11 @@
         }
     }
 
-    // The endpoint answers the calls of the holder at once.
+    // The endpoint answers the calls of the holder at once, or never.
     void answer_holder() {
+        if (endpoint_silent) {
+            return;
+        }
         for (const auto& call : std::exchange(holder.endpoints.starts, {})) {
             started.push_back(call.run);
             running.push_back({call.run, 10});
@@ -945,6 +948,7 @@
     std::vector<task_run> started;
     std::vector<running_entry> running;
     std::uint32_t highest_run = 0; // of the assignments sent
+    bool endpoint_silent = false;
 };
 
 // Guards against jobs that are accepted and never start: after a partition in
@@ -1031,6 +1035,133 @@
     BOOST_TEST(started[0].run == 2U);
 }
 
+// The holder of the task of an open job is killed. It has sent the start, which
+// got no answer; the coordinator doesn't know that. No other host is there.
+struct killed_holder_fixture : two_hosts_fixture {
+    killed_holder_fixture() {
+        coordinator.core.set_endpoints(
+            now, {quiet_dispatcher::make_endpoint(endpoint)});
+        coordinator.core.set_holder(
+            now, {endpoint, "domain-1", {"10.1.0.2:1", 12}, 4, 5});
+        endpoint_silent = true;
+        auto job = quiet_dispatcher::make_job("0123456789abcdef");
+        job.caller_timeout = 60s;
+        coordinator.core.submit(now, 1, job);
+        run_for(50ms);
+        BOOST_REQUIRE_EQUAL(holder.endpoints.starts.size(), 1U);
+    }
+
+    // The holder is gone.
+    void run_coordinator_for(duration time) {
+        for (const auto end = now + time; now < end;) {
+            now += 25ms;
+            coordinator.core.tick(now);
+        }
+    }
+
+    // Another host is heard, with this content.
+    void receive_from_third_host(const payload& content) {
+        envelope message;
+        message.from = {"10.1.0.3:1", 13};
+        message.failure_domain = "domain-1";
+        message.to_incarnation = 99;
+        message.stamp_us = now.count();
+        message.echo_us = now.count();
+        message.content_echo_us = now.count();
+        message.sequence = 1;
+        message.content = content;
+        coordinator.core.handle_envelope(now, message);
+    }
+
+    [[nodiscard]] std::size_t placed_again() {
+        return coordinator.observer.lines["task_placed_again"].size();
+    }
+};
+
+// Guards against two runs of a task at the same time: the next instance of the
+// endpoint carries the start out after the bound, unless it has answered a
+// successor of the holder.
+BOOST_FIXTURE_TEST_CASE(silent_endpoint_of_a_killed_holder_holds_its_task,
+                        killed_holder_fixture) {
+    run_coordinator_for(8s);
+    BOOST_TEST(placed_again() == 0U);
+    BOOST_TEST(coordinator.observer.lines["task_awaits_endpoints"].size() ==
+               1U);
+    payload content;
+    content.adoptions = {{endpoint, {"10.1.0.2:1", 12}, 8, {}, {}}};
+    receive_from_third_host(content);
+    run_coordinator_for(50ms);
+    BOOST_TEST(placed_again() == 1U);
+}
+
+// Guards against a second run beside one that a successor has found: the
+// successor names another former holder, since an earlier adoption was missed,
+// so the run is not claimed and goes on until it is stopped.
+BOOST_FIXTURE_TEST_CASE(run_listed_for_another_former_holder_is_waited_for,
+                        killed_holder_fixture) {
+    run_coordinator_for(3s);
+    payload content;
+    content.adoptions = {{endpoint,
+                          {"10.1.0.4:1", 14},
+                          8,
+                          {{{"0123456789abcdef", 0, 0}, 1}},
+                          {}}};
+    receive_from_third_host(content);
+    run_coordinator_for(1s);
+    BOOST_TEST(placed_again() == 0U);
+    run_coordinator_for(300ms);
+    BOOST_TEST(placed_again() == 1U);
+}
+
+// Guards against tasks that wait for an endpoint that is no more.
+BOOST_FIXTURE_TEST_CASE(task_of_a_killed_holder_waits_for_no_gone_endpoint,
+                        killed_holder_fixture) {
+    run_coordinator_for(5s);
+    coordinator.core.remove_endpoint(now, endpoint);
+    run_coordinator_for(14s);
+    BOOST_TEST(placed_again() == 0U);
+    run_coordinator_for(2s);
+    BOOST_TEST(placed_again() == 1U);
+}
+
+// Guards against two runs of a task at the same time: an endpoint that was
+// unlisted and is listed again is held under the same row as before.
+BOOST_FIXTURE_TEST_CASE(endpoint_listed_again_may_still_start_late,
+                        killed_holder_fixture) {
+    holder.core.remove_endpoint(now, endpoint);
+    coordinator.core.remove_endpoint(now, endpoint);
+    run_for(16s);
+    for (auto* host : {&coordinator, &holder}) {
+        host->core.set_endpoints(now,
+                                 {quiet_dispatcher::make_endpoint(endpoint)});
+    }
+    auto job = quiet_dispatcher::make_job("0123456789abcde0");
+    job.caller_timeout = 60s;
+    endpoint_silent = false;
+    run_for(1s);
+    endpoint_silent = true;
+    coordinator.core.submit(now, 2, job);
+    run_for(50ms);
+    BOOST_REQUIRE_EQUAL(holder.endpoints.starts.size(), 1U);
+    run_coordinator_for(5s);
+    for (auto& line : coordinator.observer.lines["task_placed_again"]) {
+        BOOST_TEST(line["job"] != "0123456789abcde0");
+    }
+}
+
+// Guards against tasks that wait for a silent endpoint although their holder is
+// there and tells which of its starts may still be carried out.
+BOOST_FIXTURE_TEST_CASE(holder_in_contact_again_is_believed,
+                        killed_holder_fixture) {
+    run_for(575ms, true);
+    coordinator.core.remove_member("10.1.0.2:1");
+    coordinator.core.add_member(now, "10.1.0.2:1");
+    run_for(1500ms);
+    BOOST_TEST(placed_again() == 0U);
+    run_for(1500ms);
+    BOOST_TEST(placed_again() == 1U);
+}
+
 // Guards against a job that waits until its caller gives up: a process that
 // stood still withdraws its jobs, and the withdrawal removed the task of the
 // same job that came again in the same input.
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -3,7 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "core/dispatch/job_coordinator.hpp"
-#include "quiet_observer.hpp"
+#include "recording_observer.hpp"
 
 namespace figridge::dispatch {
 namespace {
@@ -121,7 +121,7 @@
     dispatch_settings settings;
     holder_views views{"domain-1"};
     crash_ledger crashes;
-    quiet_observer observer;
+    recording_observer observer;
     std::vector<std::pair<process_id, task_assignment>> assignments;
     std::vector<process_id> withdrawals;
     std::vector<std::pair<process_id, adoption_claim>> claims;
@@ -381,6 +381,104 @@
     BOOST_TEST(placements() == 2U);
 }
 
+// Guards against two runs of a task at the same time: its lost holder had sent
+// the start, unanswered, to an endpoint that carried it out seconds later.
+BOOST_AUTO_TEST_CASE(queued_task_waits_while_a_lost_holders_start_may_come) {
+    submit(1, 3, 60s);
+    add_holder_b();
+    starts_open_of.insert(holder_a);
+    coordinator.handle_holder_lost(holder_a, now + 1s);
+    advance(20s);
+    BOOST_TEST(placements() == 1U);
+    starts_open_of.clear();
+    advance(25ms);
+    BOOST_TEST(placements() == 2U);
+    BOOST_TEST(assignments.back().second.items[0].run.run == 2U);
+}
+
+// Guards against a log that grows with each tick of a wait, and against waits
+// that leave no trace.
+BOOST_AUTO_TEST_CASE(wait_for_the_endpoints_of_a_lost_holder_is_logged_once) {
+    submit(1, 3, 60s);
+    starts_open_of.insert(holder_a);
+    coordinator.handle_holder_lost(holder_a, now + 1s);
+    advance(1s);
+    auto& waits = observer.lines["task_awaits_endpoints"];
+    BOOST_TEST(waits.empty());
+    advance(5s);
+    BOOST_REQUIRE_EQUAL(waits.size(), 1U);
+    BOOST_TEST(waits[0]["job"] == "0123456789abcdef");
+    BOOST_TEST(waits[0]["task"] == "0.0");
+    BOOST_TEST(waits[0]["run"] == "1");
+    BOOST_TEST(waits[0]["holder"] == holder_a.address);
+}
+
+// Guards against running tasks that wait for an adoption without need: the
+// start was answered, so the lease ends the run.
+BOOST_AUTO_TEST_CASE(started_task_of_a_lost_holder_waits_for_the_bound_alone) {
+    submit(1, 3, 60s);
+    update(holder_a, 0, update_kind::started);
+    add_holder_b();
+    starts_open_of.insert(holder_a);
+    coordinator.handle_holder_lost(holder_a, now + 1s);
+    advance(1s);
+    BOOST_TEST(placements() == 1U);
+    advance(25ms);
+    BOOST_TEST(placements() == 2U);
+}
+
+// Guards against two runs of a task at the same time: reports were dropped in a
+// cut, and the holder tells of its unanswered starts only after the cut.
+BOOST_AUTO_TEST_CASE(task_with_lost_reports_waits_for_its_holder_to_tell) {
+    submit(2, 3, 60s);
+    update(holder_a, 1, update_kind::started);
+    add_holder_b();
+    coordinator.handle_reports_lost(holder_a, now + 100ms);
+    advance(75ms);
+    coordinator.handle_holder_recovered(holder_a, now + 500ms);
+    advance(50ms);
+    BOOST_TEST(placements() == 3U); // the one whose start was answered
+    advance(450ms);
+    BOOST_TEST(placements() == 3U);
+    advance(25ms);
+    BOOST_TEST(placements() == 4U);
+}
+
+// Guards against the answer "not run" for a job whose start may still be
+// carried out: its other task was recalled and came back.
+BOOST_AUTO_TEST_CASE(recalled_job_with_a_possible_late_start_is_not_refused) {
+    submit(2, 3, 2500ms);
+    starts_open_of.insert(holder_a);
+    coordinator.handle_holder_lost(holder_a, now + 1s);
+    queue_up(10s);
+    advance(25ms);
+    BOOST_REQUIRE_EQUAL(recalls.size(), 1U);
+    update(holder_a, 0, update_kind::returned);
+    advance(3s);
+    BOOST_TEST(placements() == 3U); // the returned task only
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::gave_up));
+}
+
+// Guards against a done task that is placed again: another holder has found the
+// run while the task's own holder is lost.
+BOOST_AUTO_TEST_CASE(found_run_ends_the_wait_for_a_lost_holders_endpoints) {
+    submit(1, 3, 60s);
+    add_holder_b();
+    starts_open_of.insert(holder_a);
+    coordinator.handle_holder_lost(holder_a, now + 1s);
+    advance(2s);
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {run_of(0)}, {}});
+    BOOST_TEST(claims.size() == 1U);
+    starts_open_of.clear();
+    advance(1s);
+    BOOST_TEST(placements() == 1U);
+    update(holder_b, 0, update_kind::done);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::completed));
+}
+
 // A holder that is reachable again before it dropped the tasks still has them.
 BOOST_AUTO_TEST_CASE(task_stays_with_a_holder_that_recovers) {
     submit(1);
--- /dev/null
+++ b/tests/dispatch/tenure_ledger_test.cpp
@@ -0,0 +1,132 @@
+#include <boost/test/unit_test.hpp>
+
+#include "core/dispatch/tenure_ledger.hpp"
+
+namespace figridge::dispatch {
+namespace {
+
+const process_id holder_a{"10.1.0.1:1", 11};
+const process_id holder_b{"10.1.0.2:1", 12};
+
+struct tenure_fixture {
+    tenure_fixture() {
+        list("endpoint-1", {"gpu"});
+        hold("endpoint-1", holder_a, 4);
+    }
+
+    void list(const std::string& id, std::vector<std::string> labels = {}) {
+        endpoint_record endpoint;
+        endpoint.id = id;
+        endpoint.pool = "pool";
+        endpoint.labels = std::move(labels);
+        tenures.set_endpoint(endpoint);
+    }
+
+    void hold(const std::string& id, const process_id& holder,
+              std::uint64_t token) {
+        tenures.set_holder({id, "domain-1", holder, token, 1});
+    }
+
+    [[nodiscard]] bool may_start(const process_id& holder,
+                                 const std::string& label = {}) const {
+        return tenures.may_start(holder, "pool", label);
+    }
+
+    timestamp now{10s};
+    tenure_ledger tenures;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(tenure_ledger_test, tenure_fixture)
+
+// Guards against waits for endpoints on which the task can't have been started.
+BOOST_AUTO_TEST_CASE(only_endpoints_that_suit_a_task_may_start_it_late) {
+    BOOST_TEST(may_start(holder_a));
+    BOOST_TEST(may_start(holder_a, "gpu"));
+    BOOST_TEST(!may_start(holder_a, "ssd"));
+    BOOST_TEST(!tenures.may_start(holder_a, "other-pool", ""));
+    BOOST_TEST(!may_start(holder_b));
+    BOOST_TEST(!may_start({holder_a.address, 12}));
+}
+
+// Guards against two runs at a time: a row or an endpoint's answer under the
+// holder's own token, or a lower one, proves nothing about its starts.
+BOOST_AUTO_TEST_CASE(only_an_answer_under_a_higher_token_fences_a_tenure) {
+    hold("endpoint-1", holder_b, 8);
+    BOOST_TEST(may_start(holder_a));
+    tenures.fence("endpoint-1", 4, now);
+    tenures.tick(now);
+    BOOST_TEST(may_start(holder_a));
+    tenures.fence("endpoint-1", 8, now);
+    tenures.tick(now);
+    BOOST_TEST(!may_start(holder_a));
+    BOOST_TEST(may_start(holder_b));
+}
+
+// Guards against a second run beside one that the endpoint listed when it was
+// taken over.
+BOOST_AUTO_TEST_CASE(fenced_tenure_counts_until_its_listed_runs_have_ended) {
+    tenures.fence("endpoint-1", 8, now + 1s);
+    tenures.tick(now + 999ms);
+    BOOST_TEST(may_start(holder_a));
+    BOOST_TEST(tenures.may_start_at("endpoint-1", 4));
+    tenures.tick(now + 1s);
+    BOOST_TEST(!may_start(holder_a));
+    BOOST_TEST(!tenures.may_start_at("endpoint-1", 4));
+}
+
+// Guards against tasks that wait until their caller's deadline: a list of the
+// store that is read again names a holder that the endpoint has refused since.
+BOOST_AUTO_TEST_CASE(row_read_again_does_not_open_a_fenced_tenure) {
+    tenures.fence("endpoint-1", 8, now);
+    tenures.tick(now);
+    hold("endpoint-1", holder_a, 4);
+    tenures.tick(now);
+    BOOST_TEST(!may_start(holder_a));
+    hold("endpoint-1", holder_b, 8);
+    BOOST_TEST(may_start(holder_b));
+}
+
+// The same where the row is read after the fence and while a run of its holder
+// may go on.
+BOOST_AUTO_TEST_CASE(tenure_known_after_its_fence_ends_with_it) {
+    list("endpoint-2");
+    tenures.fence("endpoint-2", 8, now + 1s);
+    hold("endpoint-2", holder_b, 4);
+    BOOST_TEST(may_start(holder_b));
+    tenures.tick(now + 1s);
+    BOOST_TEST(!may_start(holder_b));
+}
+
+// Guards against a second run beside one that is listed, but not claimed: the
+// successor names another former holder.
+BOOST_AUTO_TEST_CASE(fence_of_one_holder_leaves_the_runs_of_others) {
+    hold("endpoint-1", holder_b, 8);
+    tenures.fence("endpoint-1", 12, now + 1s);
+    tenures.fence_holder("endpoint-1", 12, holder_b, now);
+    tenures.tick(now);
+    BOOST_TEST(!may_start(holder_b));
+    BOOST_TEST(may_start(holder_a));
+    tenures.tick(now + 1s);
+    BOOST_TEST(!may_start(holder_a));
+}
+
+// Guards against two runs at a time: an endpoint that a list lacks for a moment
+// may still carry a start out.
+BOOST_AUTO_TEST_CASE(endpoint_counts_until_it_was_gone_for_long) {
+    tenures.remove_endpoint("endpoint-1", now + 15s);
+    tenures.remove_endpoint("endpoint-1", now + 30s);
+    tenures.tick(now + 15s);
+    BOOST_TEST(may_start(holder_a));
+    list("endpoint-1");
+    tenures.tick(now + 16s);
+    BOOST_TEST(may_start(holder_a));
+    tenures.remove_endpoint("endpoint-1", now + 30s);
+    tenures.tick(now + 30s + 1ms);
+    BOOST_TEST(!may_start(holder_a));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace figridge::dispatch
