Tell fences when contact is restored

What callers would see: timeouts. A task of a lost holder waits until each endpoint that the holder had has answered a higher token. That is known by the successor's adoption, which is announced once: a coordinator that is cut off then doesn't hear it, and the task waits until its caller's deadline, though the endpoint has answered.

Cause: announcements skip lost peers, and payloads to them may be dropped.

Fix: when a peer is heard again or in contact again, or payloads were dropped, the host sends it `fences`: each endpoint that has answered it, with the token. They are sent once the peer hears the present stream, since payloads may be dropped unnoticed before; a host without endpoints sends none. The receiver ends earlier tenures after claim window, lease on a slow clock and two stops: the unheard adoption may have listed runs that nobody claimed. Unknown endpoints and lower tokens are ignored.

host_in_contact_again_tells_of_its_answered_takeovers, dropped_payloads_are_followed_by_the_fences_again and fence_told_after_a_cut_releases_a_lost_holders_task failed without the change.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -85,6 +85,7 @@
     deliver_to_self(now);
     own_advert_ = describe_self();
     views_.update(now, settings_.self, settings_.failure_domain, own_advert_);
+    send_fences();
     sessions_.flush(now);
 }
 
@@ -218,6 +219,7 @@
 void dispatcher::on_live(const process_id& peer) {
     ports_.observer.log(log_level::info, "peer_heard",
                         {{"peer", peer.address}});
+    fences_due_.insert(peer);
     if (is_in_contact(peer)) {
         coordinator_.handle_holder_recovered(peer, doubts_told_by(peer));
     }
@@ -235,6 +237,7 @@
 }
 
 void dispatcher::on_in_contact(const process_id& peer) {
+    fences_due_.insert(peer);
     coordinator_.handle_holder_recovered(peer, doubts_told_by(peer));
 }
 
@@ -247,6 +250,7 @@
         log_level::error, "peer_payloads_dropped",
         {{"peer", peer.address}, {"cause", std::string(to_string(cause))}});
     ports_.observer.count("peer_payloads_dropped", "yes");
+    fences_due_.insert(peer);
     holder_.abandon(now_, peer);
     coordinator_.handle_reports_lost(peer, runs_end_by(false));
 }
@@ -372,6 +376,9 @@
         crashes_.handle_adoption(adoption);
         coordinator_.handle_adoption(now_, from, adoption);
     }
+    for (const auto& fence : content.fences) {
+        tenures_.fence(fence.endpoint, fence.token, listed_runs_end_by());
+    }
     // Before the updates, which may place the tasks again.
     for (const auto& report : content.crashes) {
         crashes_.record(now_, report);
@@ -399,6 +406,26 @@
     to_self_.adoptions.push_back(adoption);
 }
 
+void dispatcher::send_fences() {
+    std::erase_if(fences_due_, [this](const process_id& id) {
+        const auto peer = sessions_.peers().find(id.address);
+        if (peer == sessions_.peers().end() || peer->second.id != id) {
+            return true;
+        }
+        // Until it hears the stream, payloads may be dropped unnoticed.
+        if (peer->second.out_of_contact || !peer->second.hears_stream) {
+            return false;
+        }
+        auto& fences = sessions_.pending_for(id)->fences;
+        for (const auto& [endpoint, session] : holder_.sessions()) {
+            if (session->knows_runs()) {
+                fences.push_back({endpoint, session->token()});
+            }
+        }
+        return true;
+    });
+}
+
 void dispatcher::announce_crash(const crash_report& report) {
     for (const auto& [address, peer] : sessions_.peers()) {
         if (auto* pending = sessions_.pending_for(peer.id);
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -162,6 +162,9 @@
     // When the peer has told which of its starts may still be carried out.
     // Precondition: the peer is known.
     [[nodiscard]] timestamp doubts_told_by(const process_id& peer) const;
+    // Tells peers, once they are in contact, which endpoints have answered this
+    // host: they may have missed adoptions.
+    void send_fences();
     [[nodiscard]] bool is_in_contact(const process_id& peer) const;
     payload* outbox(const process_id& peer);
     void deliver_to_self(timestamp now);
@@ -245,6 +248,9 @@
     std::map<std::string, timestamp> unstored_grants_;
     // The hosts to which this host has granted endpoints.
     std::set<process_id> grant_receivers_;
+    // The peers to which the fences have not been sent since contact was
+    // restored or payloads were dropped.
+    std::set<process_id> fences_due_;
     bool has_endpoints_ = false;
     bool takeover_wanted_ = false; // there are endpoints to take over
     timestamp holder_lost_at_{0};
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -501,6 +501,7 @@
     repack(older, read);
     BOOST_TEST(read.grants.size() == 1U);
     BOOST_TEST(read.crashes.empty());
+    BOOST_TEST(read.fences.empty());
     older_item item;
     repack(content.assignments[0].items[0], item);
     BOOST_TEST(item.avoid.size() == 1U);
@@ -889,6 +890,9 @@
                     highest_run = std::max(highest_run, item.run.run);
                 }
             }
+            for (const auto& fence : message.content.fences) {
+                fences[message.from.address].push_back(fence);
+            }
             if (!cut) {
                 to.core.handle_envelope(now, message);
             }
@@ -949,6 +953,7 @@
     std::vector<running_entry> running;
     std::uint32_t highest_run = 0; // of the assignments sent
     bool endpoint_silent = false;
+    std::map<std::string, std::vector<endpoint_fence>> fences; // by sender
 };
 
 // Guards against jobs that are accepted and never start: after a partition in
@@ -1149,6 +1154,47 @@
     }
 }
 
+// Guards against tasks that wait until their caller's deadline: adoptions that
+// were announced during a cut are not heard.
+BOOST_FIXTURE_TEST_CASE(fence_told_after_a_cut_releases_a_lost_holders_task,
+                        killed_holder_fixture) {
+    run_coordinator_for(3s);
+    payload content;
+    content.fences = {{endpoint, 8}, {"unknown-endpoint", 9}, {endpoint, 3}};
+    receive_from_third_host(content);
+    // A run that the unheard adoption listed may not be over.
+    run_coordinator_for(1100ms);
+    BOOST_TEST(placed_again() == 0U);
+    run_coordinator_for(200ms);
+    BOOST_TEST(placed_again() == 1U);
+}
+
+// Guards against tasks of a lost holder that wait although its endpoints have
+// answered a successor, which was cut off when it announced that.
+BOOST_FIXTURE_TEST_CASE(host_in_contact_again_tells_of_its_answered_takeovers,
+                        two_hosts_fixture) {
+    run_for(2s, true);
+    fences.clear();
+    run_for(1s);
+    BOOST_REQUIRE_EQUAL(fences["10.1.0.2:1"].size(), 1U);
+    BOOST_TEST(fences["10.1.0.2:1"][0].endpoint == endpoint);
+    BOOST_TEST(fences["10.1.0.2:1"][0].token == 4U);
+    BOOST_TEST(fences["10.1.0.9:1"].empty());
+}
+
+// Guards against the same after payloads were dropped, the fences with them.
+BOOST_FIXTURE_TEST_CASE(dropped_payloads_are_followed_by_the_fences_again,
+                        two_hosts_fixture) {
+    coordinator.core.remove_member("10.1.0.2:1");
+    run_for(575ms, true);
+    coordinator.core.remove_member("10.1.0.2:1");
+    coordinator.core.add_member(now, "10.1.0.2:1");
+    fences.clear();
+    run_for(1s);
+    BOOST_REQUIRE(!fences["10.1.0.2:1"].empty());
+    BOOST_TEST(fences["10.1.0.2:1"].back().token == 4U);
+}
+
 // Guards against tasks that wait for a silent endpoint although their holder is
 // there and tells which of its starts may still be carried out.
 BOOST_FIXTURE_TEST_CASE(holder_in_contact_again_is_believed,
