Hosts are told of starts that stay unanswered

Callers saw: a task ran twice at the same time. Its coordinator ended, or the caller's connection broke, the caller sent the job again to another host, and seconds later an endpoint carried out the first start.

Cause: the holder knows that an unanswered start may still be carried out, and waits, but no other host knew of it. The 1,300 ms after which callers send again rest on the lease, which ends an answered start only.

Fix: a holder tells all hosts in contact of a start that has been unanswered for 250 ms or whose run is revoked or disowned, and when it is over. Such a task is not placed, the others of its job are, and the job is never refused as not run. Two hosts that come into contact replace what they know of each other's doubts.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -34,9 +34,10 @@
 dispatcher::dispatcher(const dispatch_settings& settings,
                        const dispatch_ports& ports)
     : settings_(settings), ports_(ports), views_(settings.failure_domain),
+      doubts_(settings_),
       holder_(settings_, ports.endpoints, ports.observer, *this),
-      coordinator_(settings_, views_, crashes_, ports.callers, ports.observer,
-                   *this),
+      coordinator_(settings_, views_, crashes_, doubts_, ports.callers,
+                   ports.observer, *this),
       sessions_(settings_, ports.peers, *this) {}
 
 void dispatcher::start(timestamp now) {
@@ -85,7 +86,7 @@
     deliver_to_self(now);
     own_advert_ = describe_self();
     views_.update(now, settings_.self, settings_.failure_domain, own_advert_);
-    send_fences();
+    inform_peers();
     sessions_.flush(now);
 }
 
@@ -99,6 +100,8 @@
     coordinator_.tick(now);
     crashes_.tick(now);
     tenures_.tick(now);
+    doubts_.tick(
+        now, [this](const start_doubt& doubt) { return is_doubt_open(doubt); });
     if (now >= next_check_) {
         next_check_ = now + holder_check_interval;
         check_holders(now);
@@ -219,7 +222,7 @@
 void dispatcher::on_live(const process_id& peer) {
     ports_.observer.log(log_level::info, "peer_heard",
                         {{"peer", peer.address}});
-    fences_due_.insert(peer);
+    peers_to_inform_.insert(peer);
     if (is_in_contact(peer)) {
         coordinator_.handle_holder_recovered(peer, doubts_told_by(peer));
     }
@@ -237,7 +240,7 @@
 }
 
 void dispatcher::on_in_contact(const process_id& peer) {
-    fences_due_.insert(peer);
+    peers_to_inform_.insert(peer);
     coordinator_.handle_holder_recovered(peer, doubts_told_by(peer));
 }
 
@@ -250,7 +253,7 @@
         log_level::error, "peer_payloads_dropped",
         {{"peer", peer.address}, {"cause", std::string(to_string(cause))}});
     ports_.observer.count("peer_payloads_dropped", "yes");
-    fences_due_.insert(peer);
+    peers_to_inform_.insert(peer);
     holder_.abandon(now_, peer);
     coordinator_.handle_reports_lost(peer, runs_end_by(false));
 }
@@ -374,16 +377,21 @@
         tenures_.fence_holder(adoption.endpoint, adoption.token,
                               adoption.former, now_);
         crashes_.handle_adoption(adoption);
+        doubts_.handle_adoption(now_, adoption);
         coordinator_.handle_adoption(now_, from, adoption);
     }
     for (const auto& fence : content.fences) {
         tenures_.fence(fence.endpoint, fence.token, listed_runs_end_by());
+        doubts_.handle_fence(now_, fence);
     }
     // Before the updates, which may place the tasks again.
     for (const auto& report : content.crashes) {
         crashes_.record(now_, report);
         holder_.record_crash(now_, report);
     }
+    for (const auto& doubt : content.doubts) {
+        doubts_.record(now_, doubt);
+    }
     for (const auto& update : content.updates) {
         coordinator_.handle_update(now_, from, update);
     }
@@ -406,8 +414,8 @@
     to_self_.adoptions.push_back(adoption);
 }
 
-void dispatcher::send_fences() {
-    std::erase_if(fences_due_, [this](const process_id& id) {
+void dispatcher::inform_peers() {
+    std::erase_if(peers_to_inform_, [this](const process_id& id) {
         const auto peer = sessions_.peers().find(id.address);
         if (peer == sessions_.peers().end() || peer->second.id != id) {
             return true;
@@ -422,6 +430,7 @@
                 fences.push_back({endpoint, session->token()});
             }
         }
+        repeat_doubts(id);
         return true;
     });
 }
@@ -436,6 +445,36 @@
     to_self_.crashes.push_back(report);
 }
 
+void dispatcher::announce_doubt(const start_doubt& doubt) {
+    has_told_doubts_ |= doubt.holder == settings_.self;
+    for (const auto& [address, peer] : sessions_.peers()) {
+        if (auto* pending = sessions_.pending_for(peer.id);
+            pending != nullptr && !peer.lost) {
+            pending->doubts.push_back(doubt);
+        }
+    }
+    to_self_.doubts.push_back(doubt);
+}
+
+void dispatcher::repeat_doubts(const process_id& peer) {
+    auto* pending = sessions_.pending_for(peer);
+    if (pending == nullptr || !has_told_doubts_) {
+        return;
+    }
+    start_doubt end_all;
+    end_all.holder = settings_.self;
+    end_all.over = true;
+    pending->doubts.push_back(std::move(end_all));
+    for (auto& doubt : doubts_.of(settings_.self)) {
+        pending->doubts.push_back(std::move(doubt));
+    }
+}
+
+bool dispatcher::is_doubt_open(const start_doubt& doubt) const {
+    return doubt.holder != settings_.self &&
+           may_start_late(doubt.holder, doubt.pool, doubt.required_label);
+}
+
 timestamp dispatcher::last_contact(const process_id& coordinator) const {
     if (coordinator == settings_.self) {
         return timestamp::max();
@@ -507,6 +546,7 @@
             tenures_.set_holder(*row);
         }
         crashes_.handle_listed(endpoint.id, endpoint.instance_started_ms);
+        doubts_.handle_listed(endpoint.id);
         holder_.update_endpoint(now, endpoint);
     }
     end_input(now);
@@ -517,6 +557,7 @@
     directory_.remove_endpoint(endpoint);
     tenures_.remove_endpoint(endpoint, now + settings_.gone_limit);
     crashes_.handle_removed(endpoint);
+    doubts_.handle_removed(now, endpoint);
     holder_.mark_gone(now, endpoint);
     coordinator_.handle_endpoint_gone(now, endpoint);
     end_input(now);
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -20,6 +20,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include "core/dispatch/crash_ledger.hpp"
+#include "core/dispatch/doubt_ledger.hpp"
 #include "core/dispatch/endpoint_holder.hpp"
 #include "core/dispatch/holder_directory.hpp"
 #include "core/dispatch/job_coordinator.hpp"
@@ -163,10 +164,16 @@
     // Precondition: the peer is known.
     [[nodiscard]] timestamp doubts_told_by(const process_id& peer) const;
     // Tells peers, once they are in contact, which endpoints have answered this
-    // host: they may have missed adoptions.
-    void send_fences();
+    // host and which doubts are open: they may have missed both.
+    void inform_peers();
     [[nodiscard]] bool is_in_contact(const process_id& peer) const;
     payload* outbox(const process_id& peer);
+    // Replaces what the peer knows of the doubts of this host, which it may
+    // have missed while it was out of contact.
+    void repeat_doubts(const process_id& peer);
+    // Whether a start of a lost holder, told without an endpoint, may still be
+    // carried out.
+    [[nodiscard]] bool is_doubt_open(const start_doubt& doubt) const;
     void deliver_to_self(timestamp now);
     void handle_payload(const process_id& from, const payload& content,
                         bool fresh);
@@ -175,6 +182,7 @@
                      const task_update& update) override;
     void announce(const endpoint_adoption& adoption) override;
     void announce_crash(const crash_report& report) override;
+    void announce_doubt(const start_doubt& doubt) override;
     [[nodiscard]] timestamp
     last_contact(const process_id& coordinator) const override;
     void send_assignment(const process_id& holder,
@@ -207,6 +215,9 @@
     holder_directory directory_;
     tenure_ledger tenures_;
     crash_ledger crashes_;
+    doubt_ledger doubts_;
+    // Whether this host, as a holder, has told any doubt.
+    bool has_told_doubts_ = false;
     endpoint_holder holder_;
     job_coordinator coordinator_;
     peer_sessions sessions_;
@@ -248,9 +259,9 @@
     std::map<std::string, timestamp> unstored_grants_;
     // The hosts to which this host has granted endpoints.
     std::set<process_id> grant_receivers_;
-    // The peers to which the fences have not been sent since contact was
-    // restored or payloads were dropped.
-    std::set<process_id> fences_due_;
+    // The peers that were not informed since contact was restored or payloads
+    // were dropped.
+    std::set<process_id> peers_to_inform_;
     bool has_endpoints_ = false;
     bool takeover_wanted_ = false; // there are endpoints to take over
     timestamp holder_lost_at_{0};
--- a/src/core/dispatch/dispatcher_dump.cpp
+++ b/src/core/dispatch/dispatcher_dump.cpp
@@ -118,6 +118,7 @@
             {"hosts_live", sessions_.live_count() + 1},
             {"peer_links_stalled", sessions_.stalled_count(now)},
             {"tasks_with_crashes", crashes_.size()},
+            {"start_doubts_open", doubts_.size()},
             {"catalogue_version", catalogue_version_}};
 }
 
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -16,6 +16,14 @@
 constexpr duration min_refusal_time = 1s;
 // A task crashes one endpoint at a time, a cut or a lost rack takes more.
 constexpr std::size_t max_crashes_at_once = 2;
+// Most runs of unanswered starts are stopped, and known to be over, within
+// this time; other hosts need not know of them.
+constexpr duration doubt_delay = 250ms;
+
+bool is_unanswered(const run_entry& entry) {
+    return entry.state == run_state::starting ||
+           entry.state == run_state::uncertain;
+}
 
 } // namespace
 
@@ -60,6 +68,13 @@
 }
 
 void endpoint_holder::disown(endpoint_session& session) {
+    // The coordinator of an unanswered start may be lost before the endpoint
+    // answers the next holder.
+    for (auto& [run, entry] : session.ledger().entries()) {
+        if (is_unanswered(entry) && !entry.doubt_told) {
+            tell_doubt(session, entry);
+        }
+    }
     const auto entries = session.ledger().entries();
     for (const auto& [run, entry] : entries) {
         report(session, entry, update_kind::disowned);
@@ -67,6 +82,45 @@
     session.ledger().entries().clear();
 }
 
+void endpoint_holder::tell_doubts(timestamp now, endpoint_session& session) {
+    for (auto& [run, entry] : session.ledger().entries()) {
+        const bool due =
+            entry.state == run_state::uncertain &&
+            (entry.revoked || now - entry.entered_at >= doubt_delay);
+        if (due && !entry.doubt_told) {
+            tell_doubt(session, entry);
+        }
+    }
+}
+
+void endpoint_holder::tell_doubt(const endpoint_session& session,
+                                 run_entry& entry) {
+    entry.doubt_told = true;
+    observer_.count("start_doubts", "told");
+    announce_doubt(session, entry, false);
+}
+
+void endpoint_holder::announce_doubt(const endpoint_session& session,
+                                     const run_entry& entry, bool over) {
+    observer_.log(log_level::info, over ? "start_resolved" : "start_in_doubt",
+                  {{"job", entry.run.task.job},
+                   {"task", std::to_string(entry.run.task.step) + "." +
+                                std::to_string(entry.run.task.index)},
+                   {"run", std::to_string(entry.run.run)},
+                   {"endpoint", session.endpoint().id},
+                   {"token", std::to_string(session.token())},
+                   {"coordinator", entry.coordinator.address},
+                   {"revoked", entry.revoked ? "yes" : "no"},
+                   {"age_ms", std::to_string(to_ms(now_ - entry.entered_at))}});
+    events_.announce_doubt({entry.run,
+                            settings_.self,
+                            session.endpoint().id,
+                            session.token(),
+                            over,
+                            {},
+                            {}});
+}
+
 void endpoint_holder::report(const endpoint_session& session,
                              const run_entry& entry, update_kind kind) {
     if (!entry.coordinator.address.empty()) {
@@ -335,6 +389,7 @@
     std::size_t slow = 0;
     for (auto& [id, session] : sessions_) {
         session->tick(now);
+        tell_doubts(now, *session);
         slow += session->health().is_slow(now) ? 1 : 0;
     }
     report_suspected_crashes(now);
@@ -404,6 +459,10 @@
              {"age_ms", std::to_string(to_ms(now_ - entry.entered_at))},
              {"faults", std::to_string(health.consecutive_faults())}});
     }
+    if (entry.doubt_told) {
+        observer_.count("start_doubts", "over");
+        announce_doubt(session, entry, true);
+    }
     report(session, entry, kind);
 }
 
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -22,6 +22,8 @@
     virtual void announce(const endpoint_adoption& adoption) = 0;
     // Sends the report to all hosts, this one included.
     virtual void announce_crash(const crash_report& report) = 0;
+    // The same with a doubt, or its end.
+    virtual void announce_doubt(const start_doubt& doubt) = 0;
     // See `session_events::last_contact`.
     [[nodiscard]] virtual timestamp
     last_contact(const process_id& coordinator) const = 0;
@@ -184,6 +186,13 @@
     // here, used or not.
     [[nodiscard]] bool fits_held_endpoint(const queued_task& task) const;
     void disown(endpoint_session& session);
+    // Tells other hosts of the starts that stay unanswered, or whose runs are
+    // not needed any more.
+    void tell_doubts(timestamp now, endpoint_session& session);
+    // Precondition: the entry's start is unanswered.
+    void tell_doubt(const endpoint_session& session, run_entry& entry);
+    void announce_doubt(const endpoint_session& session, const run_entry& entry,
+                        bool over);
     // Reports the endpoints that began to refuse connections, unless so many
     // did at the same moment that a cut is more likely.
     void report_suspected_crashes(timestamp now);
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -48,10 +48,11 @@
 job_coordinator::job_coordinator(const dispatch_settings& settings,
                                  holder_views& views,
                                  const crash_ledger& crashes,
+                                 const doubt_ledger& doubts,
                                  caller_port& callers, observer_port& observer,
                                  coordinator_events& events)
-    : settings_(settings), views_(views), crashes_(crashes), callers_(callers),
-      observer_(observer), events_(events) {}
+    : settings_(settings), views_(views), crashes_(crashes), doubts_(doubts),
+      callers_(callers), observer_(observer), events_(events) {}
 
 // --- arrival ----------------------------------------------------------------
 
@@ -109,7 +110,9 @@
     }
     const bool takeover_pending =
         views_.empty() && now - *no_holder_since_ < settings_.takeover_limit;
-    if (views_.empty() && !takeover_pending) {
+    // A refusal would tell the caller that the job has not run.
+    const bool in_doubt = doubts_.is_open_for_job(id);
+    if (views_.empty() && !takeover_pending && !in_doubt) {
         return refuse(
             now, token, submission,
             {job_outcome::refused, "no_endpoints", retry_after_takeover});
@@ -117,7 +120,8 @@
     duration total_estimate{0};
     const auto min_time = min_job_time(submission.work);
     for (const auto& step : submission.work.steps) {
-        if (!takeover_pending && !views_.fits_any_endpoint(step.need)) {
+        if (!takeover_pending && !in_doubt &&
+            !views_.fits_any_endpoint(step.need)) {
             return refuse(now, token, submission,
                           {job_outcome::refused, "task_fits_no_endpoint",
                            retry_after_takeover});
@@ -125,11 +129,11 @@
         total_estimate += std::chrono::milliseconds(step.need.estimate_ms);
     }
     const auto wait = views_.min_queue_wait(submission.queue.priority);
-    if (min_time > submission.caller_timeout) {
+    if (min_time > submission.caller_timeout && !in_doubt) {
         return refuse(now, token, submission,
                       {job_outcome::refused, "too_little_time", wait});
     }
-    if (wait + min_time > submission.caller_timeout) {
+    if (wait + min_time > submission.caller_timeout && !in_doubt) {
         return refuse(now, token, submission,
                       {job_outcome::refused, "queue_too_long", wait});
     }
@@ -141,7 +145,7 @@
                          scale_wait(total_estimate, submission.queue.stretch));
     state.caller_deadline = now + submission.caller_timeout;
     const auto former = former_runs_.find(id);
-    state.never_sent = former == former_runs_.end();
+    state.never_sent = former == former_runs_.end() && !in_doubt;
     const auto first_run =
         former == former_runs_.end() ? 1 : former->second.highest_run + 1;
     if (former != former_runs_.end()) {
@@ -195,7 +199,7 @@
             }
             const task_key key{submission.work.id, s, i};
             const auto crashes = crashes_.of(key);
-            if (hold_back(key, task, crashes)) {
+            if (hold_back(key, task, crashes) || hold_in_doubt(key, task)) {
                 continue;
             }
             const auto& need = submission.work.steps[s].need;
@@ -289,6 +293,28 @@
     return held_back;
 }
 
+// --- starts that may still be carried out -----------------------------------
+
+bool job_coordinator::hold_in_doubt(const task_key& key, task_state& task) {
+    const bool in_doubt = doubts_.is_open(key);
+    if (in_doubt != task.in_doubt) {
+        observer_.log(log_level::info,
+                      in_doubt ? "task_waits_for_start" : "task_start_resolved",
+                      {{"job", key.job},
+                       {"task", absl::StrCat(key.step, ".", key.index)},
+                       {"run", std::to_string(task.run)}});
+        task.in_doubt = in_doubt;
+    }
+    return in_doubt;
+}
+
+void job_coordinator::note_doubts(job_state& state) const {
+    if (doubts_.is_open_for_job(state.submission.work.id)) {
+        state.never_sent = false;
+        state.recalled = false;
+    }
+}
+
 // --- ends -------------------------------------------------------------------
 
 job_coordinator::task_state* job_coordinator::find(const task_key& key,
@@ -575,7 +601,8 @@
 }
 
 bool job_coordinator::refuse_recalled(timestamp now, const std::string& id) {
-    const auto& state = jobs_.at(id);
+    auto& state = jobs_.at(id);
+    note_doubts(state);
     const bool all_returned = std::all_of(
         state.steps.begin(), state.steps.end(), [](const step_state& step) {
             return std::all_of(step.tasks.begin(), step.tasks.end(),
@@ -728,6 +755,7 @@
             expired.emplace_back(id, "too_late_to_complete");
             continue;
         }
+        note_doubts(state);
         const auto priority = state.submission.queue.priority;
         if (!waits.contains(priority)) {
             waits[priority] = views_.min_queue_wait(priority);
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -11,6 +11,7 @@
 #include <set>
 
 #include "core/dispatch/crash_ledger.hpp"
+#include "core/dispatch/doubt_ledger.hpp"
 #include "core/dispatch/holder_views.hpp"
 #include "core/dispatch/ports.hpp"
 #include "core/dispatch/settings.hpp"
@@ -58,10 +59,11 @@
 // Owned by a `dispatcher`. Not thread-safe.
 class job_coordinator {
 public:
-    // `crashes` must outlive the coordinator.
+    // `crashes` and `doubts` must outlive the coordinator.
     job_coordinator(const dispatch_settings& settings, holder_views& views,
-                    const crash_ledger& crashes, caller_port& callers,
-                    observer_port& observer, coordinator_events& events);
+                    const crash_ledger& crashes, const doubt_ledger& doubts,
+                    caller_port& callers, observer_port& observer,
+                    coordinator_events& events);
 
     void submit(timestamp now, caller_token token, job_submission submission);
     // Call when the caller has closed its connection; ends its job.
@@ -124,6 +126,7 @@
         std::vector<std::string> avoid;
         process_id returned_by;   // the holder that gave it back last
         bool held_back = false;   // not placed, as endpoints crashed under it
+        bool in_doubt = false;    // not placed, as another run may start
         timestamp runs_end_by{0}; // set if `holder_lost`
         bool holder_lost = false;
         bool report_lost = false; // its end may never be reported
@@ -197,6 +200,11 @@
     // Whether the task must not be placed because of the crashes under it.
     bool hold_back(const task_key& key, task_state& task,
                    const task_crashes& crashes);
+    // Whether the task must not be placed because an unanswered start of it may
+    // still be carried out.
+    bool hold_in_doubt(const task_key& key, task_state& task);
+    // An open doubt about a task shows that the job was sent to an endpoint.
+    void note_doubts(job_state& state) const;
     // Report of the holder of `task.found`.
     void apply_found_update(timestamp now, job_state& state, task_state& task,
                             const task_update& update);
@@ -252,6 +260,7 @@
     const dispatch_settings& settings_;
     holder_views& views_;
     const crash_ledger& crashes_;
+    const doubt_ledger& doubts_;
     caller_port& callers_;
     observer_port& observer_;
     coordinator_events& events_;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -1503,6 +1503,52 @@
     BOOST_TEST((callers.answers[1].second.outcome == job_outcome::failed));
 }
 
+// Guards against duplicate runs: a host that was cut off when a doubt was told
+// gets the job again.
+BOOST_AUTO_TEST_CASE(open_doubt_is_told_again_when_a_peer_comes_into_contact) {
+    complete_takeover();
+    core.submit(now, 1, make_job("0123456789abcdef"));
+    BOOST_REQUIRE(endpoints.starts.size() == 1U);
+    const auto call = endpoints.starts.back();
+    advance(150ms);
+    core.handle_start(now, call.target, call.run, {});
+    advance(150ms);
+    peers.sent.clear();
+    receive_from_peer();
+    advance(25ms);
+    std::vector<start_doubt> told;
+    for (const auto& [address, message] : peers.sent) {
+        if (!message.content.doubts.empty()) {
+            told = message.content.doubts;
+        }
+    }
+    BOOST_REQUIRE_EQUAL(told.size(), 2U);
+    BOOST_TEST(told[0].over); // of all that was told before
+    BOOST_TEST(told[0].run.task.job.empty());
+    BOOST_TEST(!told[1].over);
+    BOOST_TEST((told[1].run == call.run));
+    BOOST_TEST(told[1].endpoint == "endpoint-1");
+}
+
+// Guards against duplicate runs: the caller sends the job again to a host that
+// was told of an unanswered start of it.
+BOOST_AUTO_TEST_CASE(job_that_a_peer_has_told_a_doubt_of_is_not_started) {
+    complete_takeover();
+    payload content;
+    content.doubts.push_back({{{"0123456789abcdef", 0, 0}, 1},
+                              {"10.1.0.2:1", 12},
+                              "endpoint-7",
+                              1000,
+                              false,
+                              {},
+                              {}});
+    receive_from_peer("domain-1", content);
+    core.submit(now, 1, make_job("0123456789abcdef", 2));
+    advance(100ms);
+    BOOST_REQUIRE(endpoints.starts.size() == 1U);
+    BOOST_TEST(endpoints.starts.back().run.task.index == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -18,6 +18,10 @@
     void announce_crash(const crash_report& report) override {
         crashes.push_back(report);
     }
+    void announce_doubt(const start_doubt& doubt) override {
+        doubts.push_back(doubt);
+        updates_before_doubt.push_back(updates.size());
+    }
     [[nodiscard]] timestamp
     last_contact(const process_id& /*coordinator*/) const override {
         return timestamp::max();
@@ -25,6 +29,8 @@
 
     std::vector<task_update> updates;
     std::vector<crash_report> crashes;
+    std::vector<start_doubt> doubts;
+    std::vector<std::size_t> updates_before_doubt;
 };
 
 // A holder of two endpoints of 16 cores each.
@@ -154,6 +160,22 @@
         holder.update_endpoint(now, endpoint);
     }
 
+    // The last start gets no answer within the time limit of calls.
+    task_run leave_start_unanswered() {
+        const auto call = port.starts.back();
+        now += 150ms;
+        holder.handle_start(now, call.target.endpoint, 1, call.run, {});
+        return call.run;
+    }
+
+    // The stop of the run is answered, and a list asked for later lacks it.
+    void confirm_stop(const task_run& run) {
+        const auto endpoint = endpoint_of(run.task.job);
+        holder.handle_stop(now, endpoint, 1, run,
+                           {call_status::ok, to_ms(now) + 500});
+        answer_hold(endpoint, {});
+    }
+
     void answer_starts() {
         for (; answered < port.starts.size(); ++answered) {
             const auto& call = port.starts[answered];
@@ -929,6 +951,93 @@
     BOOST_TEST(endpoint_of("job-2") == inside);
 }
 
+// Guards against duplicate runs: the caller sends the job again to a host that
+// does not know of a start that may still be carried out.
+BOOST_AUTO_TEST_CASE(start_that_stays_unanswered_is_told_once) {
+    assign("0123456789abcdef", 1);
+    const auto run = leave_start_unanswered();
+    holder.tick(now);
+    BOOST_TEST(events.doubts.empty());
+    now += 100ms;
+    holder.tick(now);
+    BOOST_REQUIRE_EQUAL(events.doubts.size(), 1U);
+    const auto& doubt = events.doubts.front();
+    BOOST_TEST((doubt.run == run));
+    BOOST_TEST((doubt.holder == settings.self));
+    BOOST_TEST(doubt.endpoint == endpoint_of("0123456789abcdef"));
+    BOOST_TEST(doubt.token == 1U);
+    BOOST_TEST(!doubt.over);
+    now += 25ms;
+    holder.tick(now);
+    BOOST_TEST(events.doubts.size() == 1U);
+}
+
+// Guards against duplicate runs: the caller of a withdrawn job may send it
+// again to another host.
+BOOST_AUTO_TEST_CASE(unanswered_start_of_a_withdrawn_job_is_told_at_once) {
+    assign("0123456789abcdef", 1);
+    leave_start_unanswered();
+    holder.withdraw(now, coordinator, "0123456789abcdef");
+    holder.tick(now);
+    BOOST_TEST(events.doubts.size() == 1U);
+}
+
+// Guards against tasks that wait to the end of their job, and against a
+// coordinator that learns the end of the run before the end of the doubt.
+BOOST_AUTO_TEST_CASE(end_of_a_doubt_is_told_before_the_end_of_its_run) {
+    assign("0123456789abcdef", 1);
+    const auto run = leave_start_unanswered();
+    now += 100ms;
+    holder.tick(now);
+    BOOST_REQUIRE_EQUAL(events.doubts.size(), 1U);
+    confirm_stop(run);
+    BOOST_REQUIRE_EQUAL(events.doubts.size(), 2U);
+    BOOST_TEST(events.doubts.back().over);
+    BOOST_TEST((events.doubts.back().run == run));
+    BOOST_REQUIRE_EQUAL(events.updates.size(), 1U);
+    BOOST_TEST((events.updates.back().kind == update_kind::lost));
+    BOOST_TEST(events.updates_before_doubt.back() == 0U);
+}
+
+// Guards against duplicate runs: a start that was carried out late runs on
+// until its stop is answered.
+BOOST_AUTO_TEST_CASE(doubt_stays_open_when_its_run_is_found_running) {
+    assign("0123456789abcdef", 1);
+    const auto run = leave_start_unanswered();
+    now += 100ms;
+    holder.tick(now);
+    BOOST_REQUIRE_EQUAL(events.doubts.size(), 1U);
+    answer_hold(endpoint_of(run.task.job), {{run, 10}});
+    now += 25ms;
+    holder.tick(now);
+    BOOST_TEST(events.doubts.size() == 1U);
+    confirm_stop(run);
+    BOOST_TEST(events.doubts.size() == 2U);
+}
+
+// Guards against messages to all hosts for each start.
+BOOST_AUTO_TEST_CASE(answered_start_is_not_told) {
+    assign("0123456789abcdef", 1);
+    answer_starts();
+    holder.withdraw(now, coordinator, "0123456789abcdef");
+    now += 300ms;
+    holder.tick(now);
+    confirm_stop(port.starts.back().run);
+    BOOST_TEST(events.doubts.empty());
+}
+
+// Guards against duplicate runs: the holder has no part in the endpoint any
+// more, and the coordinator may be lost before the next holder has.
+BOOST_AUTO_TEST_CASE(unanswered_start_on_a_released_endpoint_is_told) {
+    assign("0123456789abcdef", 1);
+    const auto endpoint = endpoint_of("0123456789abcdef");
+    holder.withdraw(now, coordinator, "0123456789abcdef");
+    holder.release(now, endpoint);
+    BOOST_REQUIRE_EQUAL(events.doubts.size(), 1U);
+    BOOST_TEST(!events.doubts.back().over);
+    BOOST_TEST(events.doubts.back().endpoint == endpoint);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -14,7 +14,8 @@
 // A coordinator with one known holder; records the messages that it sends.
 struct coordinator_fixture : coordinator_events, caller_port {
     coordinator_fixture()
-        : coordinator(settings, views, crashes, *this, observer, *this) {
+        : coordinator(settings, views, crashes, doubts, *this, observer,
+                      *this) {
         advert about;
         about.capacity_cpu = 64'000;
         about.largest_cpu = 16'000;
@@ -87,6 +88,13 @@
                        {run_of(index), "queue-1", endpoint, 1000, evidence});
     }
 
+    // A holder has told that a start of the task may still be carried out, or
+    // that it is over.
+    void tell_doubt(std::uint32_t index, bool over = false) {
+        doubts.record(
+            now, {run_of(index), holder_b, "endpoint-9", 1000, over, {}, {}});
+    }
+
     // Number of assignments of a task to a holder.
     [[nodiscard]] std::size_t placements() const {
         std::size_t count = 0;
@@ -121,6 +129,7 @@
     dispatch_settings settings;
     holder_views views{"domain-1"};
     crash_ledger crashes;
+    doubt_ledger doubts{settings};
     recording_observer observer;
     std::vector<std::pair<process_id, task_assignment>> assignments;
     std::vector<process_id> withdrawals;
@@ -1128,6 +1137,57 @@
     BOOST_TEST(answers[0].reason == "queue_too_long");
 }
 
+// Guards against duplicate runs: the job was sent to another host before, and
+// one of its starts there got no answer.
+BOOST_AUTO_TEST_CASE(task_with_an_open_doubt_waits_and_the_others_go_on) {
+    tell_doubt(0);
+    submit(2);
+    BOOST_REQUIRE_EQUAL(placements(), 1U);
+    BOOST_TEST((assignments[0].second.items[0].run == run_of(1)));
+    advance(300ms);
+    BOOST_TEST(placements() == 1U);
+    tell_doubt(0, true);
+    advance(25ms);
+    BOOST_REQUIRE_EQUAL(placements(), 2U);
+    BOOST_TEST((assignments[1].second.items[0].run == run_of(0)));
+}
+
+// Guards against duplicate runs: the run that its holder gave up is over, a
+// start elsewhere is not.
+BOOST_AUTO_TEST_CASE(task_is_not_placed_again_beside_an_open_doubt) {
+    submit(1);
+    tell_doubt(0);
+    advance(100ms);
+    BOOST_TEST(placements() == 1U);
+    update(holder_a, 0, update_kind::lost);
+    BOOST_TEST(placements() == 1U);
+    tell_doubt(0, true);
+    advance(25ms);
+    BOOST_TEST(placements() == 2U);
+}
+
+// Guards against a wrong answer: a job whose start may be carried out is
+// refused, which says that it has not run.
+BOOST_AUTO_TEST_CASE(job_with_an_open_doubt_is_not_refused) {
+    tell_doubt(0);
+    queue_up(5s);
+    submit(1);
+    BOOST_TEST(answers.empty());
+    advance(1600ms);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::gave_up));
+}
+
+// Guards against the same wrong answer for a job that was accepted before.
+BOOST_AUTO_TEST_CASE(job_is_not_recalled_while_a_doubt_is_open) {
+    submit(1);
+    tell_doubt(0);
+    queue_up(5s);
+    advance(100ms);
+    BOOST_TEST(recalls.empty());
+    BOOST_TEST(answers.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
