A job that is given up tells of starts that no holder tells

Cause: a lost holder can't tell which starts stay unanswered, and a run that it has disowned is nobody's. Its coordinator knows both while the job is open, and forgot them with the job.

Fix: a job that ends other than completed tells all hosts of each task of a lost holder whose endpoint is unknown, and of disowned unanswered runs.

given_up_job_tells_of_the_tasks_of_a_lost_holder and given_up_job_tells_of_a_disowned_unanswered_start failed with the doubts not sent; given_up_job_tells_nothing_of_holders_in_contact is a bound that passes either way.

--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -315,6 +315,42 @@
     }
 }
 
+void job_coordinator::announce_doubts(const job_state& state) {
+    const auto& work = state.submission.work;
+    for (std::uint32_t s = 0; s < state.steps.size(); ++s) {
+        const auto& tasks = state.steps[s].tasks;
+        for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+            const auto& task = tasks[i];
+            const bool endpoint_unknown = task.endpoint.empty();
+            const bool disowned_unanswered =
+                !endpoint_unknown && task.runs_end_by == timestamp::max();
+            if (task.phase != task_phase::placed || !task.holder_lost ||
+                !(endpoint_unknown || disowned_unanswered)) {
+                continue;
+            }
+            start_doubt doubt;
+            doubt.run = {{work.id, s, i}, task.run};
+            doubt.holder = task.holder;
+            doubt.endpoint = task.endpoint;
+            doubt.token = task.token;
+            if (endpoint_unknown) {
+                doubt.pool = state.submission.queue.pool;
+                doubt.required_label = work.steps[s].need.required_label;
+            }
+            observer_.log(
+                log_level::info, "start_in_doubt",
+                {{"job", work.id},
+                 {"task", absl::StrCat(s, ".", i)},
+                 {"run", std::to_string(task.run)},
+                 {"endpoint", endpoint_unknown ? "unknown" : task.endpoint},
+                 {"token", std::to_string(task.token)},
+                 {"holder", task.holder.address}});
+            observer_.count("start_doubts", "told");
+            events_.announce_doubt(doubt);
+        }
+    }
+}
+
 // --- ends -------------------------------------------------------------------
 
 job_coordinator::task_state* job_coordinator::find(const task_key& key,
@@ -646,6 +682,7 @@
     observer_.count("jobs", to_string(answer.outcome));
     if (answer.outcome != job_outcome::completed) {
         record_former_runs(now, state);
+        announce_doubts(state);
         log_job(log_level::info,
                 answer.outcome == job_outcome::refused ? "job_refused"
                                                        : "job_failed",
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -36,6 +36,8 @@
     [[nodiscard]] virtual bool
     may_start_late(const process_id& holder, const std::string& pool,
                    const std::string& label) const = 0;
+    // Sends the doubt to all hosts, this one included. Not thread-safe.
+    virtual void announce_doubt(const start_doubt& doubt) = 0;
 };
 
 struct job_submission {
@@ -205,6 +207,9 @@
     bool hold_in_doubt(const task_key& key, task_state& task);
     // An open doubt about a task shows that the job was sent to an endpoint.
     void note_doubts(job_state& state) const;
+    // Tells all hosts of the starts of a job that is given up and that no
+    // holder may tell: those of lost holders, and those that were disowned.
+    void announce_doubts(const job_state& state);
     // Report of the holder of `task.found`.
     void apply_found_update(timestamp now, job_state& state, task_state& task,
                             const task_update& update);
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -54,6 +54,9 @@
                    const std::string& /*label*/) const override {
         return starts_open_of.contains(holder);
     }
+    void announce_doubt(const start_doubt& doubt) override {
+        told.push_back(doubt);
+    }
     void answer(caller_token /*token*/, const job_answer& answer) override {
         answers.push_back(answer);
     }
@@ -130,6 +133,7 @@
     holder_views views{"domain-1"};
     crash_ledger crashes;
     doubt_ledger doubts{settings};
+    std::vector<start_doubt> told;
     recording_observer observer;
     std::vector<std::pair<process_id, task_assignment>> assignments;
     std::vector<process_id> withdrawals;
@@ -1188,6 +1192,41 @@
     BOOST_TEST(answers.empty());
 }
 
+// Guards against duplicate runs: nobody else knows which tasks a lost holder
+// may have started for a job that is given up.
+BOOST_AUTO_TEST_CASE(given_up_job_tells_of_the_tasks_of_a_lost_holder) {
+    submit(2);
+    update(holder_a, 0, update_kind::started);
+    coordinator.handle_holder_lost(holder_a, now + 1s);
+    coordinator.drop_caller(now, 1);
+    BOOST_REQUIRE_EQUAL(told.size(), 1U);
+    BOOST_TEST((told[0].run == run_of(1)));
+    BOOST_TEST((told[0].holder == holder_a));
+    BOOST_TEST(told[0].endpoint.empty());
+    BOOST_TEST(!told[0].over);
+}
+
+// Guards against duplicate runs: the former holder has no part in the endpoint
+// any more.
+BOOST_AUTO_TEST_CASE(given_up_job_tells_of_a_disowned_unanswered_start) {
+    submit(1);
+    update(holder_a, 0, update_kind::disowned);
+    coordinator.drop_caller(now, 1);
+    BOOST_REQUIRE_EQUAL(told.size(), 1U);
+    BOOST_TEST((told[0].run == run_of(0)));
+    BOOST_TEST(told[0].endpoint == "endpoint-1");
+    BOOST_TEST(told[0].token == 1U);
+}
+
+// Guards against messages to all hosts for each job that is given up: a holder
+// in contact tells its doubts itself.
+BOOST_AUTO_TEST_CASE(given_up_job_tells_nothing_of_holders_in_contact) {
+    submit(2);
+    update(holder_a, 0, update_kind::started);
+    coordinator.drop_caller(now, 1);
+    BOOST_TEST(told.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
