Order search: a run beside a late start on an instance nobody knows (red)

On an instance that nobody knows, another start that is carried out late extends the lease of all runs there ("it applies to everything that runs on that worker"). Two scenarios, with the holder or the coordinator killed and a job of two tasks, and an outcome of calls, "carried out 1 s later, unanswered".

--- a/tests/dispatch/orders/order_model.cpp
+++ b/tests/dispatch/orders/order_model.cpp
@@ -1029,7 +1029,8 @@
     "is carried out 2 s later, unanswered",
     "is carried out, the answer arrives 130 ms later",
     "is carried out, the connection reset",
-    "is refused a connection"};
+    "is refused a connection",
+    "is carried out 1 s later, unanswered"};
 constexpr const char* hold_outcomes[] = {
     "is lost", "is carried out, the answer lost",
     "is carried out, the answer arrives 130 ms later",
@@ -1135,6 +1136,8 @@
             return at(now_ + hop_time, [end, what] {
                 end(input_source::endpoint, what.not_sent);
             });
+        case 9:
+            return at(now_ + 1s, [execute] { execute(std::nullopt); });
         default:
             return execute(duration{0});
         }
--- a/tests/dispatch/orders/order_scenarios.cpp
+++ b/tests/dispatch/orders/order_scenarios.cpp
@@ -598,6 +598,38 @@
               {110ms, cut_endpoint, 3},
               {120ms, leave}},
              6s});
+        // Guards against an answered run that counts as over at its bound,
+        // while the late start of another task there has extended its lease.
+        add({"run_beside_a_late_start_of_a_killed_holder",
+             4,
+             {1, 2},
+             2500,
+             2,
+             false,
+             {{100ms, crash_unlisted, 0},
+              {106ms, submit, 0},
+              {111ms, cut_endpoint, 0},
+              {111ms, cut_endpoint, 1},
+              {111ms, cut_endpoint, 2},
+              {111ms, cut_endpoint, 3},
+              {112ms, kill, 1}},
+             6s});
+        // The same failure where the job is sent again to a host that knows
+        // neither the run nor the start.
+        add({"run_beside_a_late_start_of_a_killed_coordinator",
+             4,
+             {1, 2},
+             2500,
+             2,
+             false,
+             {{100ms, crash_unlisted, 0},
+              {106ms, submit, 0},
+              {111ms, cut_endpoint, 0},
+              {111ms, cut_endpoint, 1},
+              {111ms, cut_endpoint, 2},
+              {111ms, cut_endpoint, 3},
+              {115ms, kill, 0}},
+             6s});
         // Guards against two runs where the one host that knew of the start has
         // ended, so that no host waits for it when the job comes again.
         add({"late_start_of_a_killed_coordinator_that_holds",
