A run on an instance that its holder does not know has no bound

Cause: the endpoint had started again unnoticed. Its instance counts leases on a clock that began anew, so another start of the lost holder, carried out 1 s late, is not too late there, and extends the lease of all runs. The bound of the coordinator (1,820 ms), and the 1,300 ms after which callers send again, take the lease of an answered start for its end.

Fix: a holder says with each report whether it knows the run's instance (known_instance): the answer's clock goes on from the last reading, or a list has shown the run. Otherwise the run is treated as an unanswered start: its coordinator waits for the endpoint's next answer if the holder is lost or disowns it, and the holder tells a doubt if its job is given up. A fence that is told after a cut ends the wait for an adoption that was missed.

Also: results of may_start_late() are kept during an input, and the ledger of tenures is only gone through when one ends.

run_on_an_unknown_instance_waits_for_its_endpoint, disowned_run_on_an_unknown_instance_waits_for_an_adoption and given_up_run_on_an_unknown_instance_is_told fail without the change; fence_told_after_a_cut_ends_the_wait_for_an_adoption calls a new function. In job_coordinator_test holders know their instances unless a test says otherwise, so that the older tests check the same bounds as before.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -63,6 +63,7 @@
 void dispatcher::begin_input(timestamp now) {
     const auto gap = now - now_;
     now_ = now;
+    late_starts_.clear();
     if (gap < suspension_gap) {
         if (gap >= delay_gap) {
             ports_.observer.log(log_level::info, "process_delayed",
@@ -383,6 +384,7 @@
     for (const auto& fence : content.fences) {
         tenures_.fence(fence.endpoint, fence.token, listed_runs_end_by());
         doubts_.handle_fence(now_, fence);
+        coordinator_.handle_fence(fence, listed_runs_end_by());
     }
     // Before the updates, which may place the tasks again.
     for (const auto& report : content.crashes) {
@@ -517,14 +519,27 @@
     }
 }
 
+bool dispatcher::tells_doubts(const process_id& holder) const {
+    return sessions_.is_live(holder) && is_in_contact(holder) &&
+           now_ >= doubts_told_by(holder);
+}
+
 bool dispatcher::may_start_late(const process_id& holder,
                                 const std::string& pool,
                                 const std::string& label) const {
-    const auto peer = sessions_.peers().find(holder.address);
-    const bool tells_doubts =
-        sessions_.is_live(holder) && !peer->second.out_of_contact &&
-        now_ - peer->second.contact_since >= doubt_settle_time;
-    return !tells_doubts && tenures_.may_start(holder, pool, label);
+    const auto [known, added] =
+        late_starts_.try_emplace(std::tuple(holder, pool, label));
+    if (added) {
+        known->second =
+            !tells_doubts(holder) && tenures_.may_start(holder, pool, label);
+    }
+    return known->second;
+}
+
+bool dispatcher::may_start_late_at(const process_id& holder,
+                                   const std::string& endpoint,
+                                   std::uint64_t token) const {
+    return !tells_doubts(holder) && tenures_.may_start_at(endpoint, token);
 }
 
 // --- the platform's list -----------------------------------------------------
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -16,6 +16,7 @@
 #define FIGRIDGE_CORE_DISPATCH_DISPATCHER_HPP
 
 #include <functional>
+#include <tuple>
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -163,6 +164,9 @@
     // When the peer has told which of its starts may still be carried out.
     // Precondition: the peer is known.
     [[nodiscard]] timestamp doubts_told_by(const process_id& peer) const;
+    // Whether the process is in contact and has told which of its starts may
+    // still be carried out.
+    [[nodiscard]] bool tells_doubts(const process_id& holder) const;
     // Tells peers, once they are in contact, which endpoints have answered this
     // host and which doubts are open: they may have missed both.
     void inform_peers();
@@ -196,6 +200,9 @@
     [[nodiscard]] bool may_start_late(const process_id& holder,
                                       const std::string& pool,
                                       const std::string& label) const override;
+    [[nodiscard]] bool may_start_late_at(const process_id& holder,
+                                         const std::string& endpoint,
+                                         std::uint64_t token) const override;
     void on_payload(const process_id& from, const payload& content,
                     bool fresh) override;
     void on_advert(const process_id& from, const std::string& failure_domain,
@@ -214,6 +221,9 @@
     holder_views views_;
     holder_directory directory_;
     tenure_ledger tenures_;
+    // Results of `may_start_late()` in this input: many tasks ask the same.
+    mutable std::map<std::tuple<process_id, std::string, std::string>, bool>
+        late_starts_;
     crash_ledger crashes_;
     doubt_ledger doubts_;
     // Whether this host, as a holder, has told any doubt.
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -20,9 +20,11 @@
 // this time; other hosts need not know of them.
 constexpr duration doubt_delay = 250ms;
 
-bool is_unanswered(const run_entry& entry) {
+// Whether the start may be carried out late, or a late one of another task may
+// extend the lease of the run: see `task_update::known_instance`.
+bool may_outlast_lease(const run_entry& entry) {
     return entry.state == run_state::starting ||
-           entry.state == run_state::uncertain;
+           entry.state == run_state::uncertain || !entry.listed;
 }
 
 } // namespace
@@ -71,7 +73,7 @@
     // The coordinator of an unanswered start may be lost before the endpoint
     // answers the next holder.
     for (auto& [run, entry] : session.ledger().entries()) {
-        if (is_unanswered(entry) && !entry.doubt_told) {
+        if (may_outlast_lease(entry) && !entry.doubt_told) {
             tell_doubt(session, entry);
         }
     }
@@ -84,10 +86,11 @@
 
 void endpoint_holder::tell_doubts(timestamp now, endpoint_session& session) {
     for (auto& [run, entry] : session.ledger().entries()) {
-        const bool due =
-            entry.state == run_state::uncertain &&
-            (entry.revoked || now - entry.entered_at >= doubt_delay);
-        if (due && !entry.doubt_told) {
+        const bool is_late = entry.state == run_state::uncertain &&
+                             now - entry.entered_at >= doubt_delay;
+        const bool is_given_up = entry.state != run_state::starting &&
+                                 entry.revoked && may_outlast_lease(entry);
+        if ((is_late || is_given_up) && !entry.doubt_told) {
             tell_doubt(session, entry);
         }
     }
@@ -124,9 +127,9 @@
 void endpoint_holder::report(const endpoint_session& session,
                              const run_entry& entry, update_kind kind) {
     if (!entry.coordinator.address.empty()) {
-        events_.send_update(
-            entry.coordinator,
-            {entry.run, kind, session.endpoint().id, session.token()});
+        events_.send_update(entry.coordinator,
+                            {entry.run, kind, session.endpoint().id,
+                             session.token(), !may_outlast_lease(entry)});
     }
 }
 
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -189,7 +189,7 @@
     // Tells other hosts of the starts that stay unanswered, or whose runs are
     // not needed any more.
     void tell_doubts(timestamp now, endpoint_session& session);
-    // Precondition: the entry's start is unanswered.
+    // Precondition: the entry was not told.
     void tell_doubt(const endpoint_session& session, run_entry& entry);
     void announce_doubt(const endpoint_session& session, const run_entry& entry,
                         bool over);
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -211,6 +211,7 @@
             task.holder = *holder;
             task.endpoint.clear();
             task.token = 0;
+            task.bound_holds = false;
             task.holder_lost = false;
             task.report_lost = false;
             task.runs_end_by = timestamp{0};
@@ -322,10 +323,8 @@
         for (std::uint32_t i = 0; i < tasks.size(); ++i) {
             const auto& task = tasks[i];
             const bool endpoint_unknown = task.endpoint.empty();
-            const bool disowned_unanswered =
-                !endpoint_unknown && task.runs_end_by == timestamp::max();
             if (task.phase != task_phase::placed || !task.holder_lost ||
-                !(endpoint_unknown || disowned_unanswered)) {
+                task.bound_holds) {
                 continue;
             }
             start_doubt doubt;
@@ -406,6 +405,7 @@
     case update_kind::started:
         task.endpoint = update.endpoint;
         task.token = update.token;
+        task.bound_holds = update.known_instance;
         state.any_started = true;
         apply_kept_adoption(now, state, task, update);
         return;
@@ -437,7 +437,9 @@
         // seconds later, until it has answered a call under a higher token.
         const bool answered =
             task.endpoint == update.endpoint && task.token == update.token;
-        const bool ends = answered || is_adopted_since(update);
+        task.bound_holds =
+            update.known_instance || (answered && task.bound_holds);
+        const bool ends = task.bound_holds || is_adopted_since(update);
         task.endpoint = update.endpoint;
         task.token = update.token;
         task.holder_lost = true;
@@ -530,6 +532,7 @@
     task.holder = task.found->holder;
     task.endpoint = task.found->endpoint;
     task.token = task.found->token;
+    task.bound_holds = true;
     task.holder_lost = task.found->ends_by.has_value();
     task.report_lost = task.found->report_lost;
     task.runs_end_by = task.found->ends_by.value_or(timestamp{0});
@@ -579,18 +582,21 @@
     const auto& pool = state.submission.queue.pool;
     const auto& label =
         state.submission.work.steps[key.step].need.required_label;
-    // The start of a run that was reported on an endpoint was answered, or its
-    // bound is that of an adoption; see `update_kind::disowned`.
-    const bool may = task.endpoint.empty() &&
-                     events_.may_start_late(task.holder, pool, label);
+    const bool may =
+        task.endpoint.empty()
+            ? events_.may_start_late(task.holder, pool, label)
+            : !task.bound_holds && events_.may_start_late_at(
+                                       task.holder, task.endpoint, task.token);
     if (may && !std::exchange(task.awaits_endpoints, true)) {
-        observer_.log(log_level::info, "task_awaits_endpoints",
-                      {{"job", key.job},
-                       {"task", absl::StrCat(key.step, ".", key.index)},
-                       {"run", std::to_string(task.run)},
-                       {"holder", task.holder.address},
-                       {"pool", pool},
-                       {"label", label}});
+        observer_.log(
+            log_level::info, "task_awaits_endpoints",
+            {{"job", key.job},
+             {"task", absl::StrCat(key.step, ".", key.index)},
+             {"run", std::to_string(task.run)},
+             {"holder", task.holder.address},
+             {"endpoint", task.endpoint.empty() ? "unknown" : task.endpoint},
+             {"pool", pool},
+             {"label", label}});
     }
     return may;
 }
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -36,6 +36,11 @@
     [[nodiscard]] virtual bool
     may_start_late(const process_id& holder, const std::string& pool,
                    const std::string& label) const = 0;
+    // The same for any start that the holder sent to the endpoint under this
+    // token, which may extend the lease of all runs there. Not thread-safe.
+    [[nodiscard]] virtual bool may_start_late_at(const process_id& holder,
+                                                 const std::string& endpoint,
+                                                 std::uint64_t token) const = 0;
     // Sends the doubt to all hosts, this one included. Not thread-safe.
     virtual void announce_doubt(const start_doubt& doubt) = 0;
 };
@@ -89,6 +94,9 @@
     // Assignments to the holder, or its reports, were dropped in transit. Runs
     // whose end is not reported by `runs_end_by` have ended by then.
     void handle_reports_lost(const process_id& holder, timestamp runs_end_by);
+    // The endpoint has answered a call under `token`: runs under lower ones
+    // have ended by `runs_end_by`. Not thread-safe.
+    void handle_fence(const endpoint_fence& fence, timestamp runs_end_by);
     // The platform does not list the endpoint any more. Not thread-safe.
     void handle_endpoint_gone(timestamp now, const std::string& endpoint);
     void tick(timestamp now);
@@ -122,6 +130,9 @@
         process_id holder;
         std::string endpoint;    // empty until known
         std::uint64_t token = 0; // under which the run was last reported
+        // Its run has ended at `runs_end_by`: no start that is carried out late
+        // extends its lease. See `task_update::known_instance`.
+        bool bound_holds = false;
         std::uint32_t run = 1;
         std::uint32_t failures = 0;
         std::uint32_t moves = 0;
@@ -186,8 +197,9 @@
     // `lost`. `why` is only logged.
     void reschedule(const task_key& key, task_state& task, update_kind cause,
                     const std::string& endpoint, std::string_view why);
-    // Whether the start of the lost holder's task may still be carried out.
-    // Logs the first time. Precondition: the bound of the task has passed.
+    // Whether the start of the lost holder's task may still be carried out, or
+    // its run last longer than its bound. Logs the first time. Precondition:
+    // the bound of the task has passed.
     bool may_start_late(const job_state& state, const task_key& key,
                         task_state& task);
     void apply_update(timestamp now, job_state& state, task_state& task,
--- a/src/core/dispatch/job_coordinator_holders.cpp
+++ b/src/core/dispatch/job_coordinator_holders.cpp
@@ -55,7 +55,7 @@
                     task.holder_lost = false;
                     task.runs_end_by = timestamp{0};
                     task.awaits_endpoints = false;
-                } else if (task.holder == holder && task.endpoint.empty()) {
+                } else if (task.holder == holder && !task.bound_holds) {
                     task.runs_end_by =
                         std::max(task.runs_end_by, doubts_told_by);
                 }
@@ -106,6 +106,22 @@
     }
 }
 
+void job_coordinator::handle_fence(const endpoint_fence& fence,
+                                   timestamp runs_end_by) {
+    for (auto& [id, state] : jobs_) {
+        for (auto& step : state.steps) {
+            for (auto& task : step.tasks) {
+                if (task.phase == task_phase::placed &&
+                    task.endpoint == fence.endpoint &&
+                    task.token < fence.token && task.holder_lost) {
+                    task.runs_end_by = std::min(task.runs_end_by, runs_end_by);
+                    task.bound_holds = true;
+                }
+            }
+        }
+    }
+}
+
 void job_coordinator::handle_adoption(timestamp now, const process_id& holder,
                                       const endpoint_adoption& adoption) {
     // Messages of two holders may arrive out of order.
@@ -200,6 +216,7 @@
         if (on_endpoint) {
             task.holder = holder;
             task.token = adoption.token;
+            task.bound_holds = true;
             task.holder_lost = false;
             task.report_lost = false;
             task.runs_end_by = timestamp{0};
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -99,7 +99,11 @@
     update_kind kind = update_kind::returned;
     std::string endpoint;
     std::uint64_t token = 0; // under which the holder held the endpoint
-    MSGPACK_DEFINE(run, kind, endpoint, token);
+    // The run is on an instance whose clock the holder knows, so that no start
+    // that is carried out late extends its lease. Last, so that older peers can
+    // read the fields before it.
+    bool known_instance = false;
+    MSGPACK_DEFINE(run, kind, endpoint, token, known_instance);
 };
 
 // Runs that a new holder found on an endpoint when it took it over.
--- a/src/core/dispatch/tenure_ledger.cpp
+++ b/src/core/dispatch/tenure_ledger.cpp
@@ -16,6 +16,7 @@
     added.token = record.token;
     if (record.token < known.answered_token) {
         added.end_by(known.earlier_runs_end_by);
+        note_end(known.earlier_runs_end_by);
     }
 }
 
@@ -23,6 +24,10 @@
     ends_by = std::min(ends_by.value_or(runs_end_by), runs_end_by);
 }
 
+void tenure_ledger::note_end(timestamp ends_by) {
+    next_end_ = std::min(next_end_.value_or(ends_by), ends_by);
+}
+
 void tenure_ledger::fence(const std::string& endpoint, std::uint64_t token,
                           timestamp runs_end_by) {
     const auto found = endpoints_.find(endpoint);
@@ -38,6 +43,7 @@
     for (auto& earlier : known.tenures) {
         if (earlier.token < token) {
             earlier.end_by(runs_end_by);
+            note_end(runs_end_by);
         }
     }
 }
@@ -52,6 +58,7 @@
     for (auto& earlier : found->second.tenures) {
         if (earlier.token < token && earlier.holder == holder) {
             earlier.end_by(runs_end_by);
+            note_end(runs_end_by);
         }
     }
 }
@@ -68,17 +75,30 @@
     const auto found = endpoints_.find(endpoint);
     if (found != endpoints_.end() && !found->second.gone_by) {
         found->second.gone_by = runs_end_by;
+        note_end(runs_end_by);
     }
 }
 
 void tenure_ledger::tick(timestamp now) {
+    if (!next_end_ || now < *next_end_) {
+        return;
+    }
+    next_end_.reset();
     std::erase_if(endpoints_, [now](const auto& item) {
-        return item.second.gone_by && now > *item.second.gone_by;
+        return item.second.gone_by && now >= *item.second.gone_by;
     });
     for (auto& [id, known] : endpoints_) {
         std::erase_if(known.tenures, [now](const tenure& ended) {
             return ended.ends_by && now >= *ended.ends_by;
         });
+        for (const auto& ending : known.tenures) {
+            if (ending.ends_by) {
+                note_end(*ending.ends_by);
+            }
+        }
+        if (known.gone_by) {
+            note_end(*known.gone_by);
+        }
     }
 }
 
--- a/src/core/dispatch/tenure_ledger.hpp
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -74,7 +74,11 @@
         std::optional<timestamp> gone_by;
     };
 
+    // Notes a time at which `tick()` has something to forget.
+    void note_end(timestamp ends_by);
+
     std::map<std::string, endpoint_state_row> endpoints_;
+    std::optional<timestamp> next_end_; // of a tenure or an endpoint
 };
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -1015,10 +1015,29 @@
     BOOST_TEST(events.doubts.size() == 2U);
 }
 
+// Guards against duplicate runs: the run is on an instance that nobody knows,
+// and another start that is carried out late extends its lease, although the
+// caller of the job that was given up sends it to another host meanwhile.
+BOOST_AUTO_TEST_CASE(given_up_run_on_an_unknown_instance_is_told) {
+    assign("0123456789abcdef", 1);
+    const auto& call = port.starts.back();
+    // The clock of a later instance began anew.
+    holder.handle_start(now, call.target.endpoint, 1, call.run,
+                        {call_status::ok, 10});
+    BOOST_REQUIRE_EQUAL(events.updates.size(), 1U);
+    BOOST_TEST(!events.updates.back().known_instance);
+    holder.tick(now);
+    BOOST_TEST(events.doubts.empty());
+    holder.withdraw(now, coordinator, "0123456789abcdef");
+    holder.tick(now);
+    BOOST_TEST(events.doubts.size() == 1U);
+}
+
 // Guards against messages to all hosts for each start.
 BOOST_AUTO_TEST_CASE(answered_start_is_not_told) {
     assign("0123456789abcdef", 1);
     answer_starts();
+    BOOST_TEST(events.updates.back().known_instance);
     holder.withdraw(now, coordinator, "0123456789abcdef");
     now += 300ms;
     holder.tick(now);
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -57,6 +57,11 @@
     void announce_doubt(const start_doubt& doubt) override {
         told.push_back(doubt);
     }
+    [[nodiscard]] bool
+    may_start_late_at(const process_id& holder, const std::string& /*endpoint*/,
+                      std::uint64_t /*token*/) const override {
+        return starts_open_of.contains(holder);
+    }
     void answer(caller_token /*token*/, const job_answer& answer) override {
         answers.push_back(answer);
     }
@@ -80,8 +85,10 @@
     void update(const process_id& holder, std::uint32_t index, update_kind kind,
                 std::uint32_t run = 1,
                 const std::string& endpoint = "endpoint-1") {
-        coordinator.handle_update(now, holder,
-                                  {run_of(index, run), kind, endpoint, 1});
+        coordinator.handle_update(
+            now, holder,
+            {run_of(index, run), kind, endpoint, 1,
+             kind != update_kind::disowned && on_known_instance});
     }
 
     // An endpoint has, or may have, crashed while the task ran there.
@@ -140,6 +147,9 @@
     std::vector<std::pair<process_id, adoption_claim>> claims;
     std::vector<std::pair<process_id, job_recall>> recalls;
     std::set<process_id> starts_open_of; // holders
+    // Whether holders know the instances on which they report runs; never of
+    // those that they disown.
+    bool on_known_instance = true;
     std::vector<job_answer> answers;
     job_coordinator coordinator;
 };
@@ -440,6 +450,55 @@
     BOOST_TEST(placements() == 2U);
 }
 
+// Guards against two runs of a task at the same time: an instance that nobody
+// knows carries another start out late, which extends the lease of all its runs
+// beyond the bound.
+BOOST_AUTO_TEST_CASE(run_on_an_unknown_instance_waits_for_its_endpoint) {
+    on_known_instance = false;
+    submit(1, 3, 60s);
+    update(holder_a, 0, update_kind::started);
+    add_holder_b();
+    starts_open_of.insert(holder_a);
+    coordinator.handle_holder_lost(holder_a, now + 1s);
+    advance(10s);
+    BOOST_TEST(placements() == 1U);
+    starts_open_of.clear();
+    advance(25ms);
+    BOOST_TEST(placements() == 2U);
+}
+
+// The same where the holder loses the endpoint, not the coordinator the holder.
+BOOST_AUTO_TEST_CASE(
+    disowned_run_on_an_unknown_instance_waits_for_an_adoption) {
+    on_known_instance = false;
+    submit(1, 3, 60s);
+    update(holder_a, 0, update_kind::started);
+    update(holder_a, 0, update_kind::disowned);
+    add_holder_b();
+    advance(20s);
+    BOOST_TEST(placements() == 1U);
+    coordinator.handle_adoption(now, holder_b,
+                                {"endpoint-1", holder_a, 8, {}, {}});
+    BOOST_TEST(placements() == 2U);
+}
+
+// Guards against tasks that wait until their caller's deadline: the adoption
+// was announced while this host was cut off.
+BOOST_AUTO_TEST_CASE(fence_told_after_a_cut_ends_the_wait_for_an_adoption) {
+    submit(1, 3, 60s);
+    update(holder_a, 0, update_kind::disowned);
+    add_holder_b();
+    advance(5s);
+    coordinator.handle_fence({"endpoint-1", 1}, now + 1s); // the same tenure
+    advance(2s);
+    BOOST_TEST(placements() == 1U);
+    coordinator.handle_fence({"endpoint-1", 8}, now + 1s);
+    advance(1s);
+    BOOST_TEST(placements() == 1U);
+    advance(25ms);
+    BOOST_TEST(placements() == 2U);
+}
+
 // Guards against two runs of a task at the same time: reports were dropped in a
 // cut, and the holder tells of its unanswered starts only after the cut.
 BOOST_AUTO_TEST_CASE(task_with_lost_reports_waits_for_its_holder_to_tell) {
