A listed run keeps a doubt without an endpoint open

What callers would see: a task runs twice at the same time. Its holder was lost, its job was given up, and the caller sent it to another host.

Cause: an adoption ends the tenure of the holder that it names at once, since the coordinator claims or awaits the listed runs. The coordinator of a job that was given up does neither. A doubt without an endpoint ended with the tenure, while the listed run went on until its stop or its lease.

Evidence: read in the code, not played.

Fix: such a doubt stays open for run_limit() after an adoption that lists a run of its task. Past that time the unclaimed run was stopped, or its lease has ended.

listed_run_of_a_doubt_without_an_endpoint_is_waited_for fails without the change.

--- a/src/core/dispatch/doubt_ledger.cpp
+++ b/src/core/dispatch/doubt_ledger.cpp
@@ -39,7 +39,7 @@
         });
         return;
     }
-    entry added{doubt, now, std::nullopt, std::nullopt};
+    entry added{doubt, now, std::nullopt, std::nullopt, timestamp{0}};
     const auto answer = answers_.find(doubt.endpoint);
     if (answer != answers_.end() && answer->second.token > doubt.token) {
         added.fenced_by = run_end(answer->second, doubt.run.task);
@@ -89,6 +89,12 @@
     }
     for (auto& [task, known] : tasks_) {
         for (auto& other : known) {
+            if (other.doubt.endpoint.empty() && has_list &&
+                answer.running->contains(task)) {
+                // Nobody need claim the run, which then ends with its stop or
+                // lease, later than the tenure of the doubt's holder.
+                other.listed_run_ends_by = answer.at + run_limit();
+            }
             if (other.doubt.endpoint != endpoint ||
                 other.doubt.token >= answer.token) {
                 continue;
@@ -130,7 +136,7 @@
     erase_if([&](const entry& known) {
         const auto& doubt = known.doubt;
         const bool holder_has_told =
-            doubt.endpoint.empty() &&
+            doubt.endpoint.empty() && now >= known.listed_run_ends_by &&
             now - known.at > settings_.abandon_after + tell_limit &&
             !may_start_late(doubt);
         return holder_has_told || now - known.at > entry_retention ||
--- a/src/core/dispatch/doubt_ledger.hpp
+++ b/src/core/dispatch/doubt_ledger.hpp
@@ -67,6 +67,8 @@
         // When its run has ended, by a higher token and by the platform's list.
         std::optional<timestamp> fenced_by;
         std::optional<timestamp> gone_by;
+        // Without an endpoint: when the run that an adoption lists has ended.
+        timestamp listed_run_ends_by{0};
     };
     // What an endpoint has answered under its highest known token.
     struct answered_call {
--- a/tests/dispatch/doubt_ledger_test.cpp
+++ b/tests/dispatch/doubt_ledger_test.cpp
@@ -179,6 +179,19 @@
     BOOST_TEST(ledger.of(successor).empty());
 }
 
+// Guards against two runs of a task at a time: the late start of a lost holder
+// is on the list of an adoption, its job was given up, and nobody claims it.
+BOOST_AUTO_TEST_CASE(listed_run_of_a_doubt_without_an_endpoint_is_waited_for) {
+    tell("");
+    advance(5s);
+    adopt(2000, {{task, 1}});
+    may_start_late = false;
+    advance(1s);
+    BOOST_TEST(ledger.is_open(task));
+    advance(5s);
+    BOOST_TEST(!ledger.is_open(task));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
