A start under a token whose row is not read may come late

Cause: may_start_at() looked for the tenure of the token among the rows that this host has read. A holder reports its runs with its token before its row is read here if the store is slow or cut off, and a fence that is told after a cut adds no tenure. The endpoint then counted as answered under a higher token.

Evidence: read in the code, not played.

Fix: a token not lower than the highest one that the endpoint has answered is open, whether its row is known or not. A tenure is only forgotten once a higher token has answered, so nothing waits longer for a known row.

start_under_a_token_whose_row_is_not_read_may_come_late fails without the change.

--- a/src/core/dispatch/tenure_ledger.cpp
+++ b/src/core/dispatch/tenure_ledger.cpp
@@ -124,7 +124,11 @@
 bool tenure_ledger::may_start_at(const std::string& endpoint,
                                  std::uint64_t token) const {
     const auto found = endpoints_.find(endpoint);
-    return found != endpoints_.end() &&
+    if (found == endpoints_.end()) {
+        return false;
+    }
+    // The row of the tenure may not have been read.
+    return token >= found->second.answered_token ||
            std::any_of(
                found->second.tenures.begin(), found->second.tenures.end(),
                [token](const tenure& open) { return open.token == token; });
--- a/tests/dispatch/tenure_ledger_test.cpp
+++ b/tests/dispatch/tenure_ledger_test.cpp
@@ -127,6 +127,17 @@
     BOOST_TEST(!may_start(holder_a));
 }
 
+// Guards against two runs at a time: the store is slow, so the row of a holder
+// that has reported a run under its token is not read yet.
+BOOST_AUTO_TEST_CASE(start_under_a_token_whose_row_is_not_read_may_come_late) {
+    BOOST_TEST(tenures.may_start_at("endpoint-1", 8));
+    tenures.fence("endpoint-1", 8, now);
+    BOOST_TEST(tenures.may_start_at("endpoint-1", 8));
+    tenures.fence("endpoint-1", 12, now);
+    tenures.tick(now);
+    BOOST_TEST(!tenures.may_start_at("endpoint-1", 8));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
