The end of a doubt is looked up by its task

What operators would see: processor time that grows with the square of the starts in doubt, on all hosts at once, when a cut heals: each end of a doubt went through all doubts.

Cause: record() called erase_if() over the whole ledger for each end.

Evidence: read in the code, not measured.

Fix: only the doubts of the task that is named are compared; an end without a job still goes through all.

No test: what is_open() and size() return is unchanged, which the tests of doubt_ledger_test assert.

--- a/src/core/dispatch/doubt_ledger.cpp
+++ b/src/core/dispatch/doubt_ledger.cpp
@@ -31,12 +31,22 @@
 
 void doubt_ledger::record(timestamp now, const start_doubt& doubt) {
     if (doubt.over) {
-        const bool all_of_holder = doubt.run.task.job.empty();
-        erase_if([&](const entry& known) {
-            return all_of_holder ? known.doubt.holder == doubt.holder &&
-                                       !known.doubt.endpoint.empty()
-                                 : is_same(known.doubt, doubt);
-        });
+        if (doubt.run.task.job.empty()) {
+            return erase_if([&doubt](const entry& known) {
+                return known.doubt.holder == doubt.holder &&
+                       !known.doubt.endpoint.empty();
+            });
+        }
+        // Not all tasks: many starts are resolved at once after a cut.
+        const auto task = tasks_.find(doubt.run.task);
+        if (task != tasks_.end()) {
+            std::erase_if(task->second, [&doubt](const entry& known) {
+                return is_same(known.doubt, doubt);
+            });
+            if (task->second.empty()) {
+                tasks_.erase(task);
+            }
+        }
         return;
     }
     entry added{doubt, now, std::nullopt, std::nullopt, timestamp{0}};
