A former instance's open start takes the known bound from a run

What callers would see: a task runs twice at the same time. Its holder sent a start A to an instance, noticed the restart, started B on the next one, and was lost before A was stopped there.

Cause: B is reported with known_instance, since its instance's clock is known. A has a deadline of the former clock. Carried out late it extends the lease of B, as check_lease_expiry() takes into account (may_extend_listed) and the report did not.

Evidence: read in the code, not played.

Fix: a run beside such a start is not reported with a known instance, and is told as a doubt if it is revoked.

run_beside_a_former_instances_start_has_no_known_bound fails without the change.

--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -22,9 +22,11 @@
 
 // Whether the start may be carried out late, or a late one of another task may
 // extend the lease of the run: see `task_update::known_instance`.
-bool may_outlast_lease(const run_entry& entry) {
+bool may_outlast_lease(const endpoint_session& session,
+                       const run_entry& entry) {
     return entry.state == run_state::starting ||
-           entry.state == run_state::uncertain || !entry.listed;
+           entry.state == run_state::uncertain || !entry.listed ||
+           session.awaits_former_start();
 }
 
 } // namespace
@@ -73,7 +75,7 @@
     // The coordinator of an unanswered start may be lost before the endpoint
     // answers the next holder.
     for (auto& [run, entry] : session.ledger().entries()) {
-        if (may_outlast_lease(entry) && !entry.doubt_told) {
+        if (may_outlast_lease(session, entry) && !entry.doubt_told) {
             tell_doubt(session, entry);
         }
     }
@@ -89,7 +91,8 @@
         const bool is_late = entry.state == run_state::uncertain &&
                              now - entry.entered_at >= doubt_delay;
         const bool is_given_up = entry.state != run_state::starting &&
-                                 entry.revoked && may_outlast_lease(entry);
+                                 entry.revoked &&
+                                 may_outlast_lease(session, entry);
         if ((is_late || is_given_up) && !entry.doubt_told) {
             tell_doubt(session, entry);
         }
@@ -129,7 +132,8 @@
     if (!entry.coordinator.address.empty()) {
         events_.send_update(entry.coordinator,
                             {entry.run, kind, session.endpoint().id,
-                             session.token(), !may_outlast_lease(entry)});
+                             session.token(),
+                             !may_outlast_lease(session, entry)});
     }
 }
 
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -166,6 +166,15 @@
                        });
 }
 
+bool endpoint_session::awaits_former_start() const {
+    return std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
+                       [](const auto& item) {
+                           return is_unanswered(item.second) &&
+                                  item.second.lease_deadline_ms ==
+                                      unknown_deadline;
+                       });
+}
+
 std::int64_t
 endpoint_session::latest_lease(timestamp now,
                                const process_id& coordinator) const {
@@ -819,12 +828,10 @@
     // its deadline's clock is not of, and then extends the lease of all runs
     // there. So no time ends an unanswered start or a run beside it.
     bool may_extend_unlisted = unanswered_renewal_ != 0;
-    bool may_extend_listed = false;
+    const bool may_extend_listed = awaits_former_start();
     for (const auto& [run, entry] : ledger_.entries()) {
         newest_start = std::max(newest_start, entry.entered_at);
         may_extend_unlisted |= is_unanswered(entry);
-        may_extend_listed |=
-            is_unanswered(entry) && entry.lease_deadline_ms == unknown_deadline;
     }
     const bool starts_over = now - newest_start > silent_instance_limit();
     auto entries = ledger_.entries();
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -116,6 +116,10 @@
     // Whether a revoked run may still run. The lease is not extended then,
     // neither by renewals nor by starts.
     [[nodiscard]] bool awaits_revocation() const;
+    // Whether a start that was sent to a former instance may still be carried
+    // out. Its deadline is of another clock, so it may extend the lease of all
+    // runs of the present instance. Not thread-safe.
+    [[nodiscard]] bool awaits_former_start() const;
     // Whether the ledger has all runs of the endpoint.
     [[nodiscard]] bool knows_runs() const {
         return phase_ == session_phase::claiming ||
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -1033,6 +1033,36 @@
     BOOST_TEST(events.doubts.size() == 1U);
 }
 
+// Guards against duplicate runs: a start sent to a former instance has a
+// deadline of that one's clock, so it extends the lease of a run whose instance
+// is known if it is carried out late.
+BOOST_AUTO_TEST_CASE(run_beside_a_former_instances_start_has_no_known_bound) {
+    shrink("endpoint-2", 0);
+    assign("0123456789abcdef", 1);
+    leave_start_unanswered();
+    endpoint_record later;
+    later.id = "endpoint-1";
+    later.pool = "pool";
+    later.capacity = {16'000, 32'768, 0};
+    later.instance_started_ms = 2000;
+    holder.update_endpoint(now, later);
+    hold_reply reply;
+    reply.number = port.holds.back().number;
+    reply.call = {call_status::ok, 1500};
+    reply.instance_started_ms = 2000;
+    holder.handle_hold(now, "endpoint-1", 1, reply);
+    assign("fedcba9876543210", 1);
+    BOOST_REQUIRE_EQUAL(endpoint_of("fedcba9876543210"), "endpoint-1");
+    holder.handle_start(now, "endpoint-1", 1, port.starts.back().run,
+                        {call_status::ok, 1501});
+    BOOST_REQUIRE(events.updates.back().kind == update_kind::started);
+    BOOST_TEST(!events.updates.back().known_instance);
+    holder.withdraw(now, coordinator, "fedcba9876543210");
+    holder.tick(now);
+    BOOST_REQUIRE(!events.doubts.empty());
+    BOOST_TEST(events.doubts.back().run.task.job == "fedcba9876543210");
+}
+
 // Guards against messages to all hosts for each start.
 BOOST_AUTO_TEST_CASE(answered_start_is_not_told) {
     assign("0123456789abcdef", 1);
