Fences count for later reports, and once for all tasks

A fence heard before its endpoint's former holder reports a run as disowned was forgotten, so that the task waited for an adoption that this host had missed, up to its caller's deadline. An adoption or a fence from a host whose row is not read yet opened no tenure, so that a start of that host would not be waited for once it is lost; a row of an endpoint that is not listed kept a tenure for good. And each fence went through all tasks.

Fix: a fence raises the highest known token of its endpoint; its sender's tenure is recorded; tenures are recorded of listed endpoints only; the fences of one payload are handled together.

fence_told_before_a_run_is_disowned_ends_the_wait fails without the first.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -372,6 +372,7 @@
     }
     for (const auto& adoption : content.adoptions) {
         record_announced_holder(now_, from, adoption);
+        record_tenure(from, adoption.endpoint, adoption.token);
         tenures_.fence(adoption.endpoint, adoption.token,
                        adoption.running.empty() ? now_ : listed_runs_end_by());
         // The coordinator claims or awaits the listed runs of this one.
@@ -382,10 +383,11 @@
         coordinator_.handle_adoption(now_, from, adoption);
     }
     for (const auto& fence : content.fences) {
+        record_tenure(from, fence.endpoint, fence.token);
         tenures_.fence(fence.endpoint, fence.token, listed_runs_end_by());
         doubts_.handle_fence(now_, fence);
-        coordinator_.handle_fence(fence, listed_runs_end_by());
     }
+    coordinator_.handle_fences(now_, content.fences, listed_runs_end_by());
     // Before the updates, which may place the tasks again.
     for (const auto& report : content.crashes) {
         crashes_.record(now_, report);
@@ -521,6 +523,16 @@
 
 bool dispatcher::tells_doubts(const process_id& holder) const {
     return sessions_.is_live(holder) && is_in_contact(holder) &&
+void dispatcher::record_tenure(const process_id& holder,
+                               const std::string& endpoint,
+                               std::uint64_t token) {
+    // The row of an endpoint that is not listed may outlive it.
+    if (directory_.endpoints().contains(endpoint)) {
+        tenures_.set_holder({endpoint, {}, holder, token, 0});
+        late_starts_.clear();
+    }
+}
+
            now_ >= doubts_told_by(holder);
 }
 
@@ -555,8 +567,7 @@
     for (const auto& endpoint : listed) {
         directory_.set_endpoint(endpoint);
         tenures_.set_endpoint(endpoint);
-        // The ledger forgets an endpoint that is gone, the directory keeps its
-        // holder.
+        // Rows are kept while their endpoint is not listed.
         if (const auto* row = directory_.holder_of(endpoint.id)) {
             tenures_.set_holder(*row);
         }
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -118,6 +118,10 @@
     void end_input(timestamp now);
     void check_holders(timestamp now);
     void record_holder(timestamp now, const holder_record& record);
+    // The process calls the endpoint under this token; its row may not be read
+    // yet.
+    void record_tenure(const process_id& holder, const std::string& endpoint,
+                       std::uint64_t token);
     // Keeps peers active, so that heartbeats stay frequent, while a task of
     // theirs is here or one of this host is there, however long it runs.
     void refresh_shared_work(timestamp now);
--- a/src/core/dispatch/dispatcher_holding.cpp
+++ b/src/core/dispatch/dispatcher_holding.cpp
@@ -45,8 +45,7 @@
 
 void dispatcher::record_holder(timestamp now, const holder_record& record) {
     directory_.set_holder(now, record);
-    tenures_.set_holder(record);
-    late_starts_.clear();
+    record_tenure(record.holder, record.endpoint, record.token);
 }
 
 void dispatcher::check_holders(timestamp now) {
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -94,9 +94,10 @@
     // Assignments to the holder, or its reports, were dropped in transit. Runs
     // whose end is not reported by `runs_end_by` have ended by then.
     void handle_reports_lost(const process_id& holder, timestamp runs_end_by);
-    // The endpoint has answered a call under `token`: runs under lower ones
+    // Each endpoint has answered a call under this token: runs under lower ones
     // have ended by `runs_end_by`. Not thread-safe.
-    void handle_fence(const endpoint_fence& fence, timestamp runs_end_by);
+    void handle_fences(timestamp now, const std::vector<endpoint_fence>& fences,
+                       timestamp runs_end_by);
     // The platform does not list the endpoint any more. Not thread-safe.
     void handle_endpoint_gone(timestamp now, const std::string& endpoint);
     void tick(timestamp now);
--- a/src/core/dispatch/job_coordinator_holders.cpp
+++ b/src/core/dispatch/job_coordinator_holders.cpp
@@ -106,14 +106,29 @@
     }
 }
 
-void job_coordinator::handle_fence(const endpoint_fence& fence,
-                                   timestamp runs_end_by) {
+void job_coordinator::handle_fences(timestamp now,
+                                    const std::vector<endpoint_fence>& fences,
+                                    timestamp runs_end_by) {
+    if (fences.empty()) {
+        return;
+    }
+    std::map<std::string, std::uint64_t> tokens;
+    for (const auto& fence : fences) {
+        auto& token = tokens[fence.endpoint];
+        token = std::max(token, fence.token);
+        auto& newest = adoption_tokens_[fence.endpoint];
+        if (newest.first < fence.token) {
+            newest = {fence.token, now};
+        }
+    }
     for (auto& [id, state] : jobs_) {
         for (auto& step : state.steps) {
             for (auto& task : step.tasks) {
-                if (task.phase == task_phase::placed &&
-                    task.endpoint == fence.endpoint &&
-                    task.token < fence.token && task.holder_lost) {
+                if (task.phase != task_phase::placed || !task.holder_lost) {
+                    continue;
+                }
+                const auto answered = tokens.find(task.endpoint);
+                if (answered != tokens.end() && task.token < answered->second) {
                     task.runs_end_by = std::min(task.runs_end_by, runs_end_by);
                     task.bound_holds = true;
                 }
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -489,10 +489,10 @@
     update(holder_a, 0, update_kind::disowned);
     add_holder_b();
     advance(5s);
-    coordinator.handle_fence({"endpoint-1", 1}, now + 1s); // the same tenure
+    coordinator.handle_fences(now, {{"endpoint-1", 1}}, now + 1s); // its own
     advance(2s);
     BOOST_TEST(placements() == 1U);
-    coordinator.handle_fence({"endpoint-1", 8}, now + 1s);
+    coordinator.handle_fences(now, {{"endpoint-1", 8}}, now + 1s);
     advance(1s);
     BOOST_TEST(placements() == 1U);
     advance(25ms);
@@ -500,6 +500,18 @@
 }
 
 // Guards against two runs of a task at the same time: reports were dropped in a
+// The same where the fence is told before the former holder is heard.
+BOOST_AUTO_TEST_CASE(fence_told_before_a_run_is_disowned_ends_the_wait) {
+    submit(1, 3, 60s);
+    add_holder_b();
+    coordinator.handle_fences(now, {{"endpoint-1", 8}}, now + 1s);
+    update(holder_a, 0, update_kind::disowned);
+    advance(1300ms);
+    BOOST_TEST(placements() == 1U);
+    advance(50ms);
+    BOOST_TEST(placements() == 2U);
+}
+
 // cut, and the holder tells of its unanswered starts only after the cut.
 BOOST_AUTO_TEST_CASE(task_with_lost_reports_waits_for_its_holder_to_tell) {
     submit(2, 3, 60s);
