A coordinator's doubt ends when its holder tells its own

A coordinator that gives a job up tells of a run on an instance that its lost holder did not know. Nobody ended that doubt but an adoption: the holder, in contact again, tells only its own. A job sent again waited for up to its caller's deadline, and the holder repeated the doubt as one of its own.

Fix: such a doubt says that a coordinator told it (`holder_lost`), and is over once the holder tells its doubts itself, or its endpoint has answered others. Listed endpoints are compared with doubts only if they were missing before.

doubt_of_a_coordinator_ends_when_the_holder_tells_its_own fails without it.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -476,7 +476,9 @@
 
 bool dispatcher::is_doubt_open(const start_doubt& doubt) const {
     return doubt.holder != settings_.self &&
-           may_start_late(doubt.holder, doubt.pool, doubt.required_label);
+           (doubt.endpoint.empty()
+                ? may_start_late(doubt.holder, doubt.pool, doubt.required_label)
+                : may_start_late_at(doubt.holder, doubt.endpoint, doubt.token));
 }
 
 timestamp dispatcher::last_contact(const process_id& coordinator) const {
--- a/src/core/dispatch/doubt_ledger.cpp
+++ b/src/core/dispatch/doubt_ledger.cpp
@@ -17,7 +17,8 @@
 
 bool is_same(const start_doubt& one, const start_doubt& other) {
     return one.run == other.run && one.holder == other.holder &&
-           one.endpoint == other.endpoint && one.token == other.token;
+           one.endpoint == other.endpoint && one.token == other.token &&
+           one.holder_lost == other.holder_lost;
 }
 
 } // namespace
@@ -34,7 +35,7 @@
         if (doubt.run.task.job.empty()) {
             return erase_if([&doubt](const entry& known) {
                 return known.doubt.holder == doubt.holder &&
-                       !known.doubt.endpoint.empty();
+                       !known.doubt.holder_lost;
             });
         }
         // Not all tasks: many starts are resolved at once after a cut.
@@ -121,6 +122,9 @@
 }
 
 void doubt_ledger::handle_listed(const std::string& endpoint) {
+    if (gone_.erase(endpoint) == 0) {
+        return;
+    }
     for (auto& [task, known] : tasks_) {
         for (auto& other : known) {
             if (other.doubt.endpoint == endpoint) {
@@ -135,6 +139,7 @@
         for (auto& other : known) {
             if (other.doubt.endpoint == endpoint && !other.gone_by) {
                 other.gone_by = now + settings_.gone_limit;
+                gone_.insert(endpoint);
             }
         }
     }
@@ -146,7 +151,7 @@
     erase_if([&](const entry& known) {
         const auto& doubt = known.doubt;
         const bool holder_has_told =
-            doubt.endpoint.empty() && now >= known.listed_run_ends_by &&
+            doubt.holder_lost && now >= known.listed_run_ends_by &&
             now - known.at > settings_.abandon_after + tell_limit &&
             !may_start_late(doubt);
         return holder_has_told || now - known.at > entry_retention ||
@@ -182,7 +187,7 @@
     std::vector<start_doubt> found;
     for (const auto& [task, known] : tasks_) {
         for (const auto& other : known) {
-            if (other.doubt.holder == holder && !other.doubt.endpoint.empty()) {
+            if (other.doubt.holder == holder && !other.doubt.holder_lost) {
                 found.push_back(other.doubt);
             }
         }
--- a/src/core/dispatch/doubt_ledger.hpp
+++ b/src/core/dispatch/doubt_ledger.hpp
@@ -30,8 +30,7 @@
         : settings_(settings) {}
 
     // Applies a report, or ends an earlier one. One with `over` and without a
-    // job ends all reports that name its holder and an endpoint. Not
-    // thread-safe.
+    // job ends all that its holder has told. Not thread-safe.
     void record(timestamp now, const start_doubt& doubt);
     // The endpoint has answered a call under the adoption's token and listed
     // its runs. Starts under lower tokens are not carried out any more. Not
@@ -44,8 +43,8 @@
     // The platform does not list the endpoint any more. Not thread-safe.
     void handle_removed(timestamp now, const std::string& endpoint);
     // Forgets what is over, and what no submission of its job can refer to any
-    // more. `may_start_late` tells whether a start of a lost holder, told
-    // without an endpoint, may still be carried out. Not thread-safe.
+    // more. `may_start_late` tells whether a start of a lost holder may still
+    // be carried out. Not thread-safe.
     void
     tick(timestamp now,
          const std::function<bool(const start_doubt& doubt)>& may_start_late);
@@ -55,7 +54,7 @@
     [[nodiscard]] bool is_open(const task_key& task) const;
     // Whether that holds for any task of the job. Not thread-safe.
     [[nodiscard]] bool is_open_for_job(const std::string& job) const;
-    // The open doubts that name this holder and an endpoint. Not thread-safe.
+    // The open doubts that this holder has told. Not thread-safe.
     [[nodiscard]] std::vector<start_doubt> of(const process_id& holder) const;
     // Number of open doubts. Not thread-safe.
     [[nodiscard]] std::size_t size() const;
@@ -93,6 +92,8 @@
     const dispatch_settings& settings_;
     std::map<task_key, std::vector<entry>> tasks_;
     std::map<std::string, answered_call> answers_; // by endpoint
+    // The endpoints with doubts that the platform has stopped to list.
+    std::set<std::string> gone_;
 };
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -123,6 +123,7 @@
                             session.endpoint().id,
                             session.token(),
                             over,
+                            false,
                             {},
                             {}});
 }
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -332,10 +332,9 @@
             doubt.holder = task.holder;
             doubt.endpoint = task.endpoint;
             doubt.token = task.token;
-            if (endpoint_unknown) {
-                doubt.pool = state.submission.queue.pool;
-                doubt.required_label = work.steps[s].need.required_label;
-            }
+            doubt.holder_lost = true;
+            doubt.pool = state.submission.queue.pool;
+            doubt.required_label = work.steps[s].need.required_label;
             observer_.log(
                 log_level::info, "start_in_doubt",
                 {{"job", work.id},
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -168,10 +168,15 @@
     std::string endpoint;
     std::uint64_t token = 0;
     bool over = false;
-    // What an endpoint needs for the task; only set if `endpoint` is empty.
+    // Told by the coordinator of a job that was given up, since `holder` was
+    // lost. Nobody ends it; it is over once `holder` tells its doubts itself,
+    // or the endpoints that it held have answered others.
+    bool holder_lost = false;
+    // What an endpoint needs for the task; only set if `holder_lost`.
     std::string pool;
     std::string required_label;
-    MSGPACK_DEFINE(run, holder, endpoint, token, over, pool, required_label);
+    MSGPACK_DEFINE(run, holder, endpoint, token, over, holder_lost, pool,
+                   required_label);
 };
 
 // The endpoint has answered the sender under `token`, so it refuses calls under
--- a/src/core/dispatch/tenure_ledger.cpp
+++ b/src/core/dispatch/tenure_ledger.cpp
@@ -85,7 +85,7 @@
     }
     next_end_.reset();
     std::erase_if(endpoints_, [now](const auto& item) {
-        return item.second.gone_by && now >= *item.second.gone_by;
+        return item.second.gone_by && now > *item.second.gone_by;
     });
     for (auto& [id, known] : endpoints_) {
         std::erase_if(known.tenures, [now](const tenure& ended) {
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -1540,6 +1540,7 @@
                               "endpoint-7",
                               1000,
                               false,
+                              false,
                               {},
                               {}});
     receive_from_peer("domain-1", content);
--- a/tests/dispatch/doubt_ledger_test.cpp
+++ b/tests/dispatch/doubt_ledger_test.cpp
@@ -10,10 +10,17 @@
 const process_id successor{"10.1.0.3:1", 13};
 
 struct doubt_fixture {
+    // Without an endpoint, the coordinator of a lost holder tells.
     void tell(const std::string& endpoint = "endpoint-1",
               std::uint64_t token = 1000, bool over = false) {
-        ledger.record(now,
-                      {{task, 1}, holder, endpoint, token, over, "pool", ""});
+        ledger.record(now, {{task, 1},
+                            holder,
+                            endpoint,
+                            token,
+                            over,
+                            endpoint.empty(),
+                            "pool",
+                            ""});
     }
 
     void adopt(std::uint64_t token, const std::vector<task_run>& running = {}) {
@@ -148,14 +155,28 @@
     BOOST_TEST(!ledger.is_open(task));
 }
 
+// Guards against tasks that wait to the end of their job: nobody ends what a
+// coordinator has told of a lost holder that is in contact again.
+BOOST_AUTO_TEST_CASE(
+    doubt_of_a_coordinator_ends_when_the_holder_tells_its_own) {
+    ledger.record(
+        now, {{task, 1}, holder, "endpoint-1", 1000, false, true, "pool", ""});
+    BOOST_TEST(ledger.of(holder).empty());
+    advance(60s);
+    BOOST_TEST(ledger.is_open(task));
+    may_start_late = false;
+    advance(25ms);
+    BOOST_TEST(!ledger.is_open(task));
+}
+
 // Guards against tasks that wait to the end of their job: the end of a doubt
 // was told while the hosts were cut off from each other.
 BOOST_AUTO_TEST_CASE(end_of_all_doubts_of_a_holder_leaves_those_of_others) {
     tell();
     tell("");
-    ledger.record(now, {{}, successor, "", 0, true, "", ""});
+    ledger.record(now, {{}, successor, "", 0, true, false, "", ""});
     BOOST_TEST(ledger.size() == 2U);
-    ledger.record(now, {{}, holder, "", 0, true, "", ""});
+    ledger.record(now, {{}, holder, "", 0, true, false, "", ""});
     BOOST_TEST(ledger.size() == 1U);
     BOOST_TEST(ledger.of(holder).empty());
 }
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -102,7 +102,8 @@
     // that it is over.
     void tell_doubt(std::uint32_t index, bool over = false) {
         doubts.record(
-            now, {run_of(index), holder_b, "endpoint-9", 1000, over, {}, {}});
+            now,
+            {run_of(index), holder_b, "endpoint-9", 1000, over, false, {}, {}});
     }
 
     // Number of assignments of a task to a holder.
--- a/tests/dispatch/quiet_dispatcher.hpp
+++ b/tests/dispatch/quiet_dispatcher.hpp
@@ -143,7 +143,8 @@
     content.crashes = {
         {run, "queue-1", "endpoint-1", 1000, crash_evidence::refusing}};
     content.recalls = {{"0123456789abcdef"}};
-    content.doubts = {{run, {"10.1.0.2:1", 12}, "", 4, false, "pool", "label"}};
+    content.doubts = {
+        {run, {"10.1.0.2:1", 12}, "", 4, false, true, "pool", "label"}};
     content.fences = {{"endpoint-1", 6}};
     message.first_sequence = 1;
     message.stream = 4'000'000;
