A job given up before its holder is lost tells its starts

A holder ends within 250 ms of an unanswered start, and the caller leaves before the coordinator notices the loss (450 ms, idle peers 1,300 ms): nobody told the start, and 1,300 ms later the caller sent the job to a host that placed the task beside it.

Fix: the coordinator keeps the starts of jobs that it gives up for idle_suspect_after, and tells those of a holder that is lost meanwhile.

job_given_up_before_its_holder_is_lost_tells_its_starts fails without it.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -523,8 +523,6 @@
     }
 }
 
-bool dispatcher::tells_doubts(const process_id& holder) const {
-    return sessions_.is_live(holder) && is_in_contact(holder) &&
 void dispatcher::record_tenure(const process_id& holder,
                                const std::string& endpoint,
                                std::uint64_t token) {
@@ -535,6 +533,8 @@
     }
 }
 
+bool dispatcher::tells_doubts(const process_id& holder) const {
+    return sessions_.is_live(holder) && is_in_contact(holder) &&
            now_ >= doubts_told_by(holder);
 }
 
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -316,15 +316,13 @@
     }
 }
 
-void job_coordinator::announce_doubts(const job_state& state) {
+void job_coordinator::announce_doubts(timestamp now, const job_state& state) {
     const auto& work = state.submission.work;
     for (std::uint32_t s = 0; s < state.steps.size(); ++s) {
         const auto& tasks = state.steps[s].tasks;
         for (std::uint32_t i = 0; i < tasks.size(); ++i) {
             const auto& task = tasks[i];
-            const bool endpoint_unknown = task.endpoint.empty();
-            if (task.phase != task_phase::placed || !task.holder_lost ||
-                task.bound_holds) {
+            if (task.phase != task_phase::placed || task.bound_holds) {
                 continue;
             }
             start_doubt doubt;
@@ -335,20 +333,40 @@
             doubt.holder_lost = true;
             doubt.pool = state.submission.queue.pool;
             doubt.required_label = work.steps[s].need.required_label;
-            observer_.log(
-                log_level::info, "start_in_doubt",
-                {{"job", work.id},
-                 {"task", absl::StrCat(s, ".", i)},
-                 {"run", std::to_string(task.run)},
-                 {"endpoint", endpoint_unknown ? "unknown" : task.endpoint},
-                 {"token", std::to_string(task.token)},
-                 {"holder", task.holder.address}});
-            observer_.count("start_doubts", "told");
-            events_.announce_doubt(doubt);
+            if (task.holder_lost) {
+                announce_doubt(doubt);
+            } else {
+                given_up_starts_[task.holder].emplace_back(now, doubt);
+            }
         }
     }
 }
 
+void job_coordinator::announce_doubt(const start_doubt& doubt) {
+    const auto& key = doubt.run.task;
+    observer_.log(
+        log_level::info, "start_in_doubt",
+        {{"job", key.job},
+         {"task", absl::StrCat(key.step, ".", key.index)},
+         {"run", std::to_string(doubt.run.run)},
+         {"endpoint", doubt.endpoint.empty() ? "unknown" : doubt.endpoint},
+         {"token", std::to_string(doubt.token)},
+         {"holder", doubt.holder.address}});
+    observer_.count("start_doubts", "told");
+    events_.announce_doubt(doubt);
+}
+
+void job_coordinator::forget_given_up_starts(timestamp now) {
+    for (auto& [holder, starts] : given_up_starts_) {
+        std::erase_if(starts, [&, limit = settings_.idle_suspect_after](
+                                  const auto& start) {
+            return now - start.first > limit;
+        });
+    }
+    std::erase_if(given_up_starts_,
+                  [](const auto& item) { return item.second.empty(); });
+}
+
 // --- ends -------------------------------------------------------------------
 
 job_coordinator::task_state* job_coordinator::find(const task_key& key,
@@ -687,7 +705,7 @@
     observer_.count("jobs", to_string(answer.outcome));
     if (answer.outcome != job_outcome::completed) {
         record_former_runs(now, state);
-        announce_doubts(state);
+        announce_doubts(now, state);
         log_job(log_level::info,
                 answer.outcome == job_outcome::refused ? "job_refused"
                                                        : "job_failed",
@@ -833,6 +851,7 @@
     for (const auto& [id, reason] : expired) {
         finish(now, id, {job_outcome::gave_up, reason, {}});
     }
+    forget_given_up_starts(now);
     std::erase_if(cached_answers_, [now](const auto& item) {
         return now > item.second.expires_at;
     });
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -222,7 +222,10 @@
     void note_doubts(job_state& state) const;
     // Tells all hosts of the starts of a job that is given up and that no
     // holder may tell: those of lost holders, and those that were disowned.
-    void announce_doubts(const job_state& state);
+    // Those of holders that are lost within `idle_suspect_after` follow then.
+    void announce_doubts(timestamp now, const job_state& state);
+    void announce_doubt(const start_doubt& doubt);
+    void forget_given_up_starts(timestamp now);
     // Report of the holder of `task.found`.
     void apply_found_update(timestamp now, job_state& state, task_state& task,
                             const task_update& update);
@@ -288,6 +291,10 @@
     std::map<std::string, former_runs> former_runs_;
     // Of the ledger when jobs were last looked through.
     std::uint64_t crashes_generation_ = 0;
+    // Starts of jobs that were given up, by holder and with the time: if the
+    // holder is lost soon after, it may have ended before it could tell them.
+    std::map<process_id, std::vector<std::pair<timestamp, start_doubt>>>
+        given_up_starts_;
     std::optional<timestamp> no_holder_since_;
     std::map<std::string, recent_adoption> recent_adoptions_;
     // By endpoint: the highest token of its adoptions and when it arrived.
--- a/src/core/dispatch/job_coordinator_holders.cpp
+++ b/src/core/dispatch/job_coordinator_holders.cpp
@@ -26,6 +26,11 @@
 void job_coordinator::handle_holder_lost(const process_id& holder,
                                          timestamp runs_end_by) {
     views_.remove(holder);
+    if (const auto given_up = given_up_starts_.extract(holder)) {
+        for (const auto& [at, doubt] : given_up.mapped()) {
+            announce_doubt(doubt);
+        }
+    }
     for (auto& [id, state] : jobs_) {
         for (auto& step : state.steps) {
             for (auto& task : step.tasks) {
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -500,7 +500,6 @@
     BOOST_TEST(placements() == 2U);
 }
 
-// Guards against two runs of a task at the same time: reports were dropped in a
 // The same where the fence is told before the former holder is heard.
 BOOST_AUTO_TEST_CASE(fence_told_before_a_run_is_disowned_ends_the_wait) {
     submit(1, 3, 60s);
@@ -513,6 +512,7 @@
     BOOST_TEST(placements() == 2U);
 }
 
+// Guards against two runs of a task at the same time: reports were dropped in a
 // cut, and the holder tells of its unanswered starts only after the cut.
 BOOST_AUTO_TEST_CASE(task_with_lost_reports_waits_for_its_holder_to_tell) {
     submit(2, 3, 60s);
@@ -1290,6 +1290,21 @@
     BOOST_TEST(told[0].token == 1U);
 }
 
+// Guards against duplicate runs: the holder had ended when the job was given
+// up, which was noticed only later, so nobody told its unanswered starts.
+BOOST_AUTO_TEST_CASE(job_given_up_before_its_holder_is_lost_tells_its_starts) {
+    submit(2);
+    update(holder_a, 0, update_kind::started);
+    coordinator.drop_caller(now, 1);
+    BOOST_TEST(told.empty());
+    advance(500ms);
+    coordinator.handle_holder_lost(holder_a, now + 1s);
+    BOOST_REQUIRE_EQUAL(told.size(), 1U);
+    BOOST_TEST((told[0].run == run_of(1)));
+    coordinator.handle_holder_lost(holder_a, now + 1s);
+    BOOST_TEST(told.size() == 1U);
+}
+
 // Guards against messages to all hosts for each job that is given up: a holder
 // in contact tells its doubts itself.
 BOOST_AUTO_TEST_CASE(given_up_job_tells_nothing_of_holders_in_contact) {
