--- a/src/core/dispatch/run_ledger.hpp
+++ b/src/core/dispatch/run_ledger.hpp
@@ -36,7 +36,8 @@
     std::int64_t lease_deadline_ms = 0;  // sent with the start
     bool listed = false;                 // on a run list of the known instance
     bool reported_lost = false;          // with an instance that has ended
-    // Other hosts were told that the start is unanswered.
+    // Other hosts were told that the run may outlast its lease, or its start be
+    // carried out late.
     bool doubt_told = false;
     bool stop_wanted = false;
     // The task may be placed again once the lease must have ended.
