Names and comments of the late starts after a second reading

No change of logic: the ledger's rows are known endpoints, and three doc comments say what holds since runs on unknown instances have no bound.

--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -179,8 +179,8 @@
     // Replaces what the peer knows of the doubts of this host, which it may
     // have missed while it was out of contact.
     void repeat_doubts(const process_id& peer);
-    // Whether a start of a lost holder, told without an endpoint, may still be
-    // carried out.
+    // Whether a start that the coordinator of a lost holder has told may still
+    // be carried out.
     [[nodiscard]] bool is_doubt_open(const start_doubt& doubt) const;
     void deliver_to_self(timestamp now);
     void handle_payload(const process_id& from, const payload& content,
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -358,7 +358,7 @@
 
 void job_coordinator::forget_given_up_starts(timestamp now) {
     for (auto& [holder, starts] : given_up_starts_) {
-        std::erase_if(starts, [&, limit = settings_.idle_suspect_after](
+        std::erase_if(starts, [now, limit = settings_.idle_suspect_after](
                                   const auto& start) {
             return now - start.first > limit;
         });
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -81,10 +81,10 @@
                          const endpoint_adoption& adoption);
     // Contact with a holder is lost. Its tasks may be queued there or run on
     // any endpoint that it holds, or that it takes over before it drops the
-    // tasks of this host. All runs whose start was answered have ended at
-    // `runs_end_by`. A run is resolved earlier only by an adoption of the
-    // endpoint that it was reported on, and later while its start may come
-    // (`coordinator_events::may_start_late()`). Not thread-safe.
+    // tasks of this host. All runs that were reported on an instance known to
+    // the holder have ended at `runs_end_by`. A run is resolved earlier only by
+    // an adoption of the endpoint that it was reported on, and later while its
+    // start may come (`coordinator_events::may_start_late()`). Not thread-safe.
     void handle_holder_lost(const process_id& holder, timestamp runs_end_by);
     // Contact with the same process is restored: it still has its tasks, or
     // reports those that it dropped meanwhile. By `doubts_told_by` it has told
@@ -220,9 +220,9 @@
     bool hold_in_doubt(const task_key& key, task_state& task);
     // An open doubt about a task shows that the job was sent to an endpoint.
     void note_doubts(job_state& state) const;
-    // Tells all hosts of the starts of a job that is given up and that no
-    // holder may tell: those of lost holders, and those that were disowned.
-    // Those of holders that are lost within `idle_suspect_after` follow then.
+    // Tells all hosts of the starts of a job that is given up which no holder
+    // may tell: those of lost holders, and those that were disowned. Those of
+    // holders that are lost within `idle_suspect_after` follow then.
     void announce_doubts(timestamp now, const job_state& state);
     void announce_doubt(const start_doubt& doubt);
     void forget_given_up_starts(timestamp now);
--- a/src/core/dispatch/tenure_ledger.hpp
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -63,7 +63,7 @@
 
         void end_by(timestamp runs_end_by);
     };
-    struct endpoint_state_row {
+    struct known_endpoint {
         std::string pool;
         std::vector<std::string> labels;
         std::vector<tenure> tenures; // by token
@@ -77,7 +77,7 @@
     // Notes a time at which `tick()` has something to forget.
     void note_end(timestamp ends_by);
 
-    std::map<std::string, endpoint_state_row> endpoints_;
+    std::map<std::string, known_endpoint> endpoints_;
     std::optional<timestamp> next_end_; // of a tenure or an endpoint
 };
 
