--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -9,6 +9,8 @@
 cd "$(dirname "$0")/.."
 build=${BUILD:-build/release}
 at_once=4
+# A scenario that breaks without a mutation too (KNOWN-RED.txt).
+known_red=late_start_of_a_killed_coordinator_that_holds
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 libraries="$(pkg-config --libs absl_strings absl_status absl_statusor \
@@ -66,7 +68,8 @@
     if [[ $file == dispatch/* ]] &&
         link_mutant "$folder" orders "$cluster" tests/dispatch/orders/*.cpp \
             "$folder/$file" &&
-        ! timeout 300 "$folder/orders" --stop_at_first >"$folder/out" 2>&1 &&
+        ! timeout 300 "$folder/orders" --stop_at_first \
+            --leave_out "$known_red" >"$folder/out" 2>&1 &&
         grep -q '^BROKEN' "$folder/out"; then
         echo "mutant $name: caught by $(sed -n 's/^BROKEN //p' "$folder/out" | head -1)"
         return
