--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -188,6 +188,38 @@
     MSGPACK_DEFINE(endpoint, token);
 };
 
+// The processes that the sender does not hear. The receiver passes on what they
+// tell. Replaces the sender's last request.
+struct relay_request {
+    std::vector<process_id> unheard;
+    MSGPACK_DEFINE(unheard);
+};
+
+// What `origin` has told the sender, for a receiver that does not hear it.
+struct relayed_report {
+    process_id origin;
+    std::vector<start_doubt> doubts;
+    std::vector<endpoint_fence> fences; // of endpoints that `origin` holds
+    MSGPACK_DEFINE(origin, doubts, fences);
+};
+
+// Starts of one job that the sender is sending to its endpoints. If the sender
+// is lost before it can tell which of them stay unanswered, the receiver tells
+// all hosts of them.
+struct start_notice {
+    struct item {
+        std::uint32_t step = 0;
+        std::uint32_t index = 0;
+        std::uint32_t run = 0;
+        std::string endpoint;
+        std::uint64_t token = 0;
+        MSGPACK_DEFINE(step, index, run, endpoint, token);
+    };
+    std::string job;
+    std::vector<item> items;
+    MSGPACK_DEFINE(job, items);
+};
+
 struct catalogue_query {
     std::uint64_t known_version = 0;
     MSGPACK_DEFINE(known_version);
@@ -213,17 +245,21 @@
     std::vector<job_recall> recalls;
     std::vector<start_doubt> doubts;
     std::vector<endpoint_fence> fences;
+    std::vector<relay_request> relay_requests;
+    std::vector<relayed_report> relayed;
+    std::vector<start_notice> start_notices;
 
     [[nodiscard]] bool empty() const {
         return catalogue_queries.empty() && catalogues.empty() &&
                assignments.empty() && withdrawals.empty() &&
                adoptions.empty() && claims.empty() && updates.empty() &&
                grants.empty() && crashes.empty() && recalls.empty() &&
-               doubts.empty() && fences.empty();
+               doubts.empty() && fences.empty() && relay_requests.empty() &&
+               relayed.empty() && start_notices.empty();
     }
     MSGPACK_DEFINE(catalogue_queries, catalogues, assignments, withdrawals,
                    adoptions, claims, updates, grants, crashes, recalls, doubts,
-                   fences);
+                   fences, relay_requests, relayed, start_notices);
 };
 
 // `sequence` numbers the payload, 0 if there is none; payloads before
--- a/tests/dispatch/quiet_dispatcher.hpp
+++ b/tests/dispatch/quiet_dispatcher.hpp
@@ -146,6 +146,11 @@
     content.doubts = {
         {run, {"10.1.0.2:1", 12}, "", 4, false, true, "pool", "label"}};
     content.fences = {{"endpoint-1", 6}};
+    content.relay_requests = {{{{"10.1.0.3:1", 13}}}};
+    content.relayed = {
+        {{"10.1.0.3:1", 13}, content.doubts, {{"endpoint-2", 7}}}};
+    content.start_notices = {
+        {"0123456789abcdef", {{0, 1, 2, "endpoint-1", 4}}}};
     message.first_sequence = 1;
     message.stream = 4'000'000;
     message.ack_stream =
