--- a/tests/dispatch/orders/order_model.cpp
+++ b/tests/dispatch/orders/order_model.cpp
@@ -594,9 +594,10 @@
 
 void order_model::begin_step(const scenario_step& step) {
     static const char* const names[] = {
-        "submit", "block",     "leave", "cut",   "cut endpoint",
-        "heal",   "stop",      "kill",  "start", "freeze",
-        "thaw",   "cut store", "slow",  "crash", "crash without an entry"};
+        "submit",    "block",        "leave",  "cut",
+        "cut link",  "cut endpoint", "heal",   "stop",
+        "kill",      "start",        "freeze", "thaw",
+        "cut store", "slow",         "crash",  "crash without an entry"};
     const auto name =
         absl::StrCat(names[static_cast<int>(step.kind)], " ", step.target);
     const auto option = choose(std::size(step_delays), [&](std::size_t i) {
@@ -620,6 +621,8 @@
                 }
             }
             return;
+        case action_kind::cut_link:
+            return cut_link(target, step.other);
         case action_kind::cut_endpoint:
             calls_cut_until_[target][step.other] = timestamp::max();
             return;
--- a/tests/dispatch/orders/order_model.hpp
+++ b/tests/dispatch/orders/order_model.hpp
@@ -48,6 +48,7 @@
     block,        // a job whose tasks fill both endpoints, at `target`
     leave,        // the caller disconnects, and sends the job again elsewhere
     cut,          // the host from all other hosts
+    cut_link,     // messages of the host `target` to the host `other`
     cut_endpoint, // the host `target` from the endpoint `other`
     heal,         // ends all cuts, link by link, and those from the store
     stop,         // planned: drains the host, ends its process, starts it again
