--- a/tests/dispatch/orders/order_model.hpp
+++ b/tests/dispatch/orders/order_model.hpp
@@ -91,6 +91,9 @@
 
 const std::vector<scenario>& all_scenarios();
 
+// Appends the scenarios of lost_host_scenarios.cpp. Not thread-safe.
+void add_lost_host_scenarios(std::vector<scenario>& all);
+
 // The same scenario with an instance of endpoint 0 that no host knows: the
 // endpoint starts again under its id right before the job, and the platform
 // does not list the instance. Right after the job, no host reaches the endpoint
--- a/tests/dispatch/orders/order_scenarios.cpp
+++ b/tests/dispatch/orders/order_scenarios.cpp
@@ -814,6 +814,7 @@
              false,
              {{80ms, slow, 0}, {150ms, submit, 0}},
              4s});
+        add_lost_host_scenarios(all);
         return all;
     }();
     return scenarios;
