A run on a later instance doesn't count as lost with the former one

Cause: a holder that noticed a later instance of an endpoint counted all its runs there as lost with the former one. One that was started before that, on the later instance, went on running there and had a crash against it.

Now a run that neither a list nor the clock has shown on the former instance stays open: it is dropped once the later one shows it as running or ended, and counts, with the former one, once its entry is over without that, or the later one has ended as well. It counts once. Counting only the runs that were shown would lose those that crash their endpoint before their start is answered (run_that_the_next_instance_does_not_list_has_crashed).

Red before, with the runs taken as lost at once: run_started_on_the_next_instance_ has_not_crashed, run_ended_on_..., run_started_late_on_....

--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -502,13 +502,14 @@
 
 void endpoint_holder::on_crash_evidence(endpoint_session& session,
                                         const std::vector<lost_run>& runs,
-                                        crash_evidence evidence) {
+                                        crash_evidence evidence,
+                                        std::int64_t instance_started_ms) {
     const auto& endpoint = session.endpoint();
     std::set<std::string> queues;
     for (const auto& lost : runs) {
         queues.insert(lost.queue.empty() ? "unknown" : lost.queue);
-        events_.announce_crash({lost.run, lost.queue, endpoint.id,
-                                endpoint.instance_started_ms, evidence});
+        events_.announce_crash(
+            {lost.run, lost.queue, endpoint.id, instance_started_ms, evidence});
     }
     observer_.count("endpoint_crashes", to_string(evidence));
     observer_.log(log_level::warning, "endpoint_crash",
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -114,7 +114,8 @@
     void on_fenced(endpoint_session& session) override;
     void on_crash_evidence(endpoint_session& session,
                            const std::vector<lost_run>& runs,
-                           crash_evidence evidence) override;
+                           crash_evidence evidence,
+                           std::int64_t instance_started_ms) override;
     void on_instance_began(endpoint_session& session,
                            std::size_t runs) override;
     [[nodiscard]] timestamp
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -138,6 +138,7 @@
     }
     gone_ = true;
     if (refusing_since_) {
+        confirm_open_losses();
         confirm_crash();
     }
 }
@@ -423,6 +424,7 @@
         if (reply.number >= newest_list_) {
             process_running_list(now, reply);
         }
+        resolve_open_losses(reply);
     }
     newest_list_ = std::max(newest_list_, reply.number);
     if (ledger_.empty()) {
@@ -562,6 +564,7 @@
 // so all its runs are lost.
 void endpoint_session::end_instance(timestamp now) {
     note_later_instance();
+    confirm_open_losses();
     auto entries = ledger_.entries();
     for (const auto& [run, entry] : entries) {
         over(entry, update_kind::lost);
@@ -608,24 +611,67 @@
 
 void endpoint_session::record_lost_run(const run_entry& entry) {
     // A planned stop of the endpoint is no crash.
-    if (endpoint_.state == endpoint_state::ready && !entry.reported_lost) {
-        lost_runs_[entry.run] = {entry.run, entry.queue};
+    if (endpoint_.state == endpoint_state::ready && !entry.reported_lost &&
+        !open_losses_.contains(entry.run)) {
+        auto& lost = lost_runs_[entry.run];
+        lost = {entry.run, entry.queue, lost.on_instance || entry.listed};
         lost_runs_at_call_ = calls_sent_;
     }
 }
 
 void endpoint_session::note_later_instance() {
     events_.on_instance_began(*this, ledger_.size());
+    confirm_open_losses();
     for (auto& [run, entry] : ledger_.entries()) {
         // A start that is not answered yet may have reached the new instance.
         if (entry.state != run_state::starting) {
             record_lost_run(entry);
-            entry.reported_lost = true;
         }
     }
+    // So may any run that was not shown on the former instance. Each run is on
+    // one instance only.
+    std::erase_if(lost_runs_, [this](const auto& item) {
+        return !item.second.on_instance && open_losses_.insert(item).second;
+    });
+    for (auto& [run, entry] : ledger_.entries()) {
+        entry.reported_lost |= entry.listed || lost_runs_.contains(run);
+    }
+    former_started_ms_ = endpoint_.instance_started_ms;
     confirm_crash();
 }
 
+void endpoint_session::resolve_open_losses(const hold_reply& reply) {
+    if (open_losses_.empty()) {
+        return;
+    }
+    for (const auto& running : reply.running) {
+        open_losses_.erase(running.run);
+    }
+    for (const auto& ended : reply.ended) {
+        open_losses_.erase(ended.run);
+    }
+    std::vector<lost_run> runs;
+    std::erase_if(open_losses_, [this, &runs](const auto& item) {
+        if (ledger_.find(item.first) != nullptr) {
+            return false;
+        }
+        runs.push_back(item.second);
+        return true;
+    });
+    report_crash(runs, former_started_ms_);
+}
+
+void endpoint_session::confirm_open_losses() {
+    std::vector<lost_run> runs;
+    for (const auto& [run, lost] : std::exchange(open_losses_, {})) {
+        runs.push_back(lost);
+        if (auto* entry = ledger_.find(run)) {
+            entry->reported_lost = true;
+        }
+    }
+    report_crash(runs, former_started_ms_);
+}
+
 void endpoint_session::report_suspected_crash() {
     if (crash_suspected_ || !refusing_since_) {
         return;
@@ -636,12 +682,14 @@
             record_lost_run(entry);
         }
     }
-    for (const auto& [run, lost] : lost_runs_) {
+    for (auto& [run, lost] : lost_runs_) {
+        lost.on_instance = true;
         runs.push_back(lost);
     }
     if (!runs.empty()) {
         crash_suspected_ = true;
-        events_.on_crash_evidence(*this, runs, crash_evidence::refusing);
+        events_.on_crash_evidence(*this, runs, crash_evidence::refusing,
+                                  endpoint_.instance_started_ms);
     }
 }
 
@@ -651,7 +699,8 @@
         runs.push_back(lost);
     }
     if (std::exchange(crash_suspected_, false)) {
-        events_.on_crash_evidence(*this, runs, crash_evidence::none);
+        events_.on_crash_evidence(*this, runs, crash_evidence::none,
+                                  endpoint_.instance_started_ms);
     }
 }
 
@@ -661,8 +710,14 @@
         runs.push_back(lost);
     }
     crash_suspected_ = false;
+    report_crash(runs, endpoint_.instance_started_ms);
+}
+
+void endpoint_session::report_crash(const std::vector<lost_run>& runs,
+                                    std::int64_t instance_started_ms) {
     if (!runs.empty()) {
-        events_.on_crash_evidence(*this, runs, crash_evidence::ended);
+        events_.on_crash_evidence(*this, runs, crash_evidence::ended,
+                                  instance_started_ms);
     }
 }
 
@@ -859,6 +914,7 @@
     if (ledger_.empty() || !gone_ || !(refuses || silent)) {
         return;
     }
+    confirm_open_losses();
     const auto entries = ledger_.entries();
     for (const auto& [run, entry] : entries) {
         if (entry.state != run_state::starting &&
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -36,6 +36,9 @@
 struct lost_run {
     task_run run;
     std::string queue;
+    // A list or the clock of the instance has shown the run there, or it has
+    // refused connections since. Any other run may be on a later instance.
+    bool on_instance = false;
 };
 
 // Callbacks of sessions, made from within the session's inputs.
@@ -50,9 +53,11 @@
                             const run_entry& entry) = 0;
     virtual void on_fenced(endpoint_session& session) = 0;
     // What is known of the endpoint on which these runs were lost has changed.
+    // They were lost with the instance that started at `instance_started_ms`.
     virtual void on_crash_evidence(endpoint_session& session,
                                    const std::vector<lost_run>& runs,
-                                   crash_evidence evidence) = 0;
+                                   crash_evidence evidence,
+                                   std::int64_t instance_started_ms) = 0;
     // A later instance was noticed. `runs` are those on the ledger.
     virtual void on_instance_began(endpoint_session& session,
                                    std::size_t runs) = 0;
@@ -176,6 +181,15 @@
     void fence();
     // Adds a run to those that may have been lost with this instance.
     void record_lost_run(const run_entry& entry);
+    // Of the runs that were lost with the former instance, or are on the
+    // present one: those that the reply shows are there; those whose entry is
+    // over without that were lost.
+    void resolve_open_losses(const hold_reply& reply);
+    // All of them were lost: the present instance has ended as well.
+    void confirm_open_losses();
+    // Reports the runs as lost with an instance that has ended.
+    void report_crash(const std::vector<lost_run>& runs,
+                      std::int64_t instance_started_ms);
     // The instance has answered a call sent after its runs may have been lost.
     void withdraw_suspected_crash();
     // Whether another process may have taken the endpoint over since the known
@@ -246,6 +260,10 @@
     // sent when the newest of them was added.
     std::map<task_run, lost_run> lost_runs_;
     std::uint64_t lost_runs_at_call_ = 0;
+    // Runs that were lost with the former instance unless the present one shows
+    // them, and when the former one started.
+    std::map<task_run, lost_run> open_losses_;
+    std::int64_t former_started_ms_ = 0;
     // When a new instance of the endpoint was noticed, if any was.
     std::optional<timestamp> instance_began_at_;
     // The last call sent before that; the former instance may have answered it.
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -1194,6 +1194,93 @@
     BOOST_TEST(events.crashes.size() <= 1U);
 }
 
+// Guards against a task that is given up after one crash: its run was started
+// on a later instance, before the holder noticed that, and counted as lost with
+// the former one.
+BOOST_AUTO_TEST_CASE(run_started_on_the_next_instance_has_not_crashed) {
+    answer_hold({});
+    pass(2s);
+    start(0);
+    // The clock of an instance that has just begun.
+    session->handle_start(now, run_of(0), {call_status::ok, 20});
+    answer_hold({run_of(0)}, {}, 2000);
+    BOOST_TEST(events.crashes.empty());
+    // That instance is the one it is lost with.
+    answer_hold({}, {}, 3000);
+    BOOST_REQUIRE_EQUAL(events.crashes.size(), 1U);
+    BOOST_TEST((events.crashes[0].second == crash_evidence::ended));
+    BOOST_TEST(events.crashed_instances[0] == 2000);
+}
+
+// The same failure where the platform's list shows the later instance, on which
+// the run has ended when it answers.
+BOOST_AUTO_TEST_CASE(run_ended_on_the_next_instance_has_not_crashed) {
+    answer_hold({});
+    pass(2s);
+    start(0);
+    session->handle_start(now, run_of(0), {call_status::ok, 20});
+    endpoint.instance_started_ms = 2000;
+    session->update(now, endpoint);
+    pass(25ms);
+    answer_hold({}, {{1, run_of(0), end_kind::done}}, 2000);
+    BOOST_REQUIRE_EQUAL(events.ends.size(), 1U);
+    BOOST_TEST((events.ends[0].second == update_kind::done));
+    BOOST_TEST(events.crashes.empty());
+}
+
+// The same failure where the start is carried out late.
+BOOST_AUTO_TEST_CASE(run_started_late_on_the_next_instance_has_not_crashed) {
+    answer_hold({});
+    start(0);
+    answer_start(0, call_status::unanswered);
+    endpoint.instance_started_ms = 2000;
+    session->update(now, endpoint);
+    pass(25ms);
+    answer_hold({}, {}, 2000);
+    pass(25ms);
+    answer_hold({run_of(0)}, {}, 2000);
+    BOOST_TEST(events.crashes.empty());
+}
+
+// Guards against a task that crashes endpoints right after its starts and is
+// not counted: the start got no answer, and the next instance does not list the
+// run.
+BOOST_AUTO_TEST_CASE(run_that_the_next_instance_does_not_list_has_crashed) {
+    answer_hold({});
+    start(0);
+    answer_start(0, call_status::unanswered);
+    endpoint.instance_started_ms = 2000;
+    session->update(now, endpoint);
+    pass(25ms);
+    session->handle_stop(now, run_of(0), {call_status::unanswered, -1});
+    pass(125ms);
+    session->handle_stop(now, run_of(0), {call_status::ok, clock_ms()});
+    answer_hold({}, {}, 2000);
+    BOOST_REQUIRE_EQUAL(events.ends.size(), 1U);
+    BOOST_REQUIRE_EQUAL(events.crashes.size(), 1U);
+    BOOST_TEST((events.crashes[0].second == crash_evidence::ended));
+    BOOST_TEST(events.crashed_instances[0] == 1000);
+}
+
+// The same failure where the next instance ends before it has answered, so that
+// nothing shows with which of the two the run was lost.
+BOOST_AUTO_TEST_CASE(run_lost_with_one_of_two_instances_counts_once) {
+    answer_hold({});
+    start(0);
+    answer_start(0, call_status::unanswered);
+    endpoint.instance_started_ms = 2000;
+    session->update(now, endpoint);
+    pass(25ms);
+    refuse_calls(200ms);
+    session->report_suspected_crash();
+    endpoint.instance_started_ms = 3000;
+    session->update(now, endpoint);
+    pass(25ms);
+    answer_hold({}, {}, 3000);
+    BOOST_REQUIRE_EQUAL(events.crashes.size(), 1U);
+    BOOST_TEST((events.crashes[0].second == crash_evidence::ended));
+}
+
 BOOST_AUTO_TEST_CASE(run_of_another_instances_endpoint_has_crashed) {
     answer_hold({});
     start(0);
--- a/tests/dispatch/session_fixture.hpp
+++ b/tests/dispatch/session_fixture.hpp
@@ -37,9 +37,11 @@
     void on_fenced(endpoint_session& /*session*/) override { ++fenced; }
     void on_crash_evidence(endpoint_session& /*session*/,
                            const std::vector<lost_run>& runs,
-                           crash_evidence evidence) override {
+                           crash_evidence evidence,
+                           std::int64_t instance_started_ms) override {
         for (const auto& lost : runs) {
             crashes.emplace_back(lost.run, evidence);
+            crashed_instances.push_back(instance_started_ms);
         }
     }
     void on_instance_began(endpoint_session& /*session*/,
@@ -57,6 +59,7 @@
     std::vector<std::pair<task_run, update_kind>> ends;
     std::vector<task_run> started;
     std::vector<std::pair<task_run, crash_evidence>> crashes;
+    std::vector<std::int64_t> crashed_instances; // of the crashes
     int fenced = 0;
     int instances_began = 0;
 };
