A fence releases the endpoint at its former holder

Callers could see an endpoint over its capacity, or a task run twice: a holder that was cut off from all hosts and the store while another host took its endpoint over went on using it after contact was restored, if the endpoint had started again and forgotten the successor's token. The successor tells its fences then, but they did not release the endpoint as an adoption does.

A fence carries the token under which its sender holds the endpoint, so it now records the holder as an adoption does; lower tokens change nothing.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -383,6 +383,8 @@
         coordinator_.handle_adoption(now_, from, adoption);
     }
     for (const auto& fence : content.fences) {
+        record_announced_holder(now_, from,
+                                {fence.endpoint, {}, fence.token, {}, {}});
         record_tenure(from, fence.endpoint, fence.token);
         tenures_.fence(fence.endpoint, fence.token, listed_runs_end_by());
         doubts_.handle_fence(now_, fence);
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -1,6 +1,7 @@
 // Tests a whole dispatcher: takeovers, grants, suspension, drain, peers, and
 // catalogue versions.
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include "core/dispatch/route_table.hpp"
 #include "quiet_dispatcher.hpp"
@@ -1550,6 +1551,18 @@
     BOOST_TEST(endpoints.starts.back().run.task.index == 1U);
 }
 
+// Guards against an endpoint that two hosts use: its former holder could
+// neither hear the adoption nor read the row, and hears the successor again.
+BOOST_AUTO_TEST_CASE(former_holder_releases_an_endpoint_on_a_fence) {
+    complete_takeover();
+    const auto token = endpoints.holds.back().target.token;
+    BOOST_TEST(core.gauges(now)["endpoints_held"].get<int>() == 1);
+    payload content;
+    content.fences = {{"endpoint-1", token + 1000}};
+    receive_from_peer("domain-1", content);
+    BOOST_TEST(core.gauges(now)["endpoints_held"].get<int>() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
