A host asks who hears a silent peer: doubts are passed on

Callers saw a task run twice: an unanswered start is told to all hosts once, over the link from its holder. A host whose link was held up, and that had lost the holder, got the job again and started it, although a third host knew the doubt.

A host that has not heard a peer for 550 ms, or is not heard by it, now asks the peers in contact, once for each change, to pass on what that peer tells (contact_relay). They answer with the open doubts and pass on later ones and their ends, for one hop; a host in contact with the holder ignores them. An end of all doubts is passed on by name, since one that a slow host passes on late must not end newer doubts. A request counts for all processes at an address: the asker may know only a former one. Messages with impossible processes, or relayed reports without a job, are refused; so are such direct doubts, which would be passed on to hosts that refuse them. Logs peer_asked_about and doubt_relayed, counter relayed_reports, unheard and asks_about in the dump of hosts.

The new tests of dispatcher_test failed with the bodies of dispatcher_relay.cpp left out, except those that nothing is taken (relayed_doubt_of_a_holder_in_contact_is_ignored, relayed_report_of_an_odd_origin_does_no_harm). The mutant was not run.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -97,6 +97,7 @@
     ticked_at_ = now;
     refresh_shared_work(now);
     sessions_.tick(now);
+    ask_about_unheard();
     holder_.tick(now);
     coordinator_.tick(now);
     crashes_.tick(now);
@@ -224,6 +225,7 @@
     ports_.observer.log(log_level::info, "peer_heard",
                         {{"peer", peer.address}});
     peers_to_inform_.insert(peer);
+    relay_.handle_missed(peer);
     if (is_in_contact(peer)) {
         coordinator_.handle_holder_recovered(peer, doubts_told_by(peer));
     }
@@ -242,6 +244,7 @@
 
 void dispatcher::on_in_contact(const process_id& peer) {
     peers_to_inform_.insert(peer);
+    relay_.handle_missed(peer);
     coordinator_.handle_holder_recovered(peer, doubts_told_by(peer));
 }
 
@@ -255,6 +258,7 @@
         {{"peer", peer.address}, {"cause", std::string(to_string(cause))}});
     ports_.observer.count("peer_payloads_dropped", "yes");
     peers_to_inform_.insert(peer);
+    relay_.handle_missed(peer);
     holder_.abandon(now_, peer);
     coordinator_.handle_reports_lost(peer, runs_end_by(false));
 }
@@ -332,6 +336,7 @@
 
 void dispatcher::handle_payload(const process_id& from, const payload& content,
                                 bool fresh) {
+    pass_on(from, content);
     for (const auto& wanted : content.catalogue_queries) {
         auto* pending = outbox(from);
         if (pending != nullptr && wanted.known_version < catalogue_version_) {
@@ -398,6 +403,14 @@
     for (const auto& doubt : content.doubts) {
         doubts_.record(now_, doubt);
     }
+    for (const auto& report : content.relayed) {
+        record_relayed(from, report);
+    }
+    // After the doubts, so that the answer has those of the same payload.
+    for (const auto& request : content.relay_requests) {
+        relay_.record_request(from, request);
+        answer_request(from);
+    }
     for (const auto& update : content.updates) {
         coordinator_.handle_update(now_, from, update);
     }
@@ -437,6 +450,7 @@
             }
         }
         repeat_doubts(id);
+        answer_request(id);
         return true;
     });
 }
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -20,6 +20,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "core/dispatch/contact_relay.hpp"
 #include "core/dispatch/crash_ledger.hpp"
 #include "core/dispatch/doubt_ledger.hpp"
 #include "core/dispatch/endpoint_holder.hpp"
@@ -182,6 +183,26 @@
     // Whether a start that the coordinator of a lost holder has told may still
     // be carried out.
     [[nodiscard]] bool is_doubt_open(const start_doubt& doubt) const;
+    // Whether the peer, heard before, is silent or does not hear this host.
+    [[nodiscard]] bool is_unheard(const peer_sessions::peer& peer) const;
+    // Whether this incarnation of the process is heard and hears this host.
+    [[nodiscard]] bool hears(const process_id& process) const;
+    // Asks the peers in contact to pass on what the unheard ones tell, whenever
+    // these change.
+    void ask_about_unheard();
+    // Passes on what the sender tells to those that asked about it.
+    // Precondition: the payload has not been handled.
+    void pass_on(const process_id& from, const payload& content);
+    // Tells the requester what this host knows of the processes that it has
+    // asked about, if it has.
+    void answer_request(const process_id& requester);
+    void send_relayed(const process_id& requester,
+                      std::map<process_id, relayed_report> reports_by_origin);
+    void log_relayed(std::string_view direction, const process_id& peer,
+                     const relayed_report& report) const;
+    // Applies a report of a process that this host does not hear; ignores that
+    // of another one.
+    void record_relayed(const process_id& from, const relayed_report& report);
     void deliver_to_self(timestamp now);
     void handle_payload(const process_id& from, const payload& content,
                         bool fresh);
@@ -230,6 +251,7 @@
         late_starts_;
     crash_ledger crashes_;
     doubt_ledger doubts_;
+    contact_relay relay_;
     // Whether this host, as a holder, has told any doubt.
     bool has_told_doubts_ = false;
     endpoint_holder holder_;
--- a/src/core/dispatch/dispatcher_dump.cpp
+++ b/src/core/dispatch/dispatcher_dump.cpp
@@ -64,6 +64,10 @@
         rows.push_back(host_row(id, peer.failure_domain,
                                 peer.lost ? "suspect" : "live", peer.about));
         rows.back()["heard_ms_ago"] = to_ms(now - peer.heard_at);
+        const auto request = relay_.requests().find(id);
+        rows.back()["unheard"] = is_unheard(peer);
+        rows.back()["asks_about"] =
+            request == relay_.requests().end() ? 0 : request->second.size();
     }
     return rows;
 }
--- /dev/null
+++ b/src/core/dispatch/dispatcher_relay.cpp
@@ -0,0 +1,180 @@
+// Reports of processes that one host hears and another one does not.
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "core/dispatch/dispatcher.hpp"
+
+namespace figridge::dispatch {
+namespace {
+
+// Log lines name no more processes than this.
+constexpr std::size_t max_logged_peers = 8;
+
+std::string join_addresses(const std::set<process_id>& processes) {
+    std::string text;
+    std::size_t count = 0;
+    for (const auto& process : processes) {
+        if (count++ == max_logged_peers) {
+            return text + ",...";
+        }
+        text += (text.empty() ? "" : ",") + process.address;
+    }
+    return text;
+}
+
+bool ends_all(const start_doubt& doubt) {
+    return doubt.over && doubt.run.task.job.empty();
+}
+
+bool is_listed(const std::vector<start_doubt>& doubts,
+               const start_doubt& doubt) {
+    return std::any_of(doubts.begin(), doubts.end(),
+                       [&doubt](const start_doubt& other) {
+                           return !other.over && other.run == doubt.run &&
+                                  other.endpoint == doubt.endpoint &&
+                                  other.token == doubt.token;
+                       });
+}
+
+} // namespace
+
+bool dispatcher::is_unheard(const peer_sessions::peer& peer) const {
+    const auto limit =
+        settings_.idle_heartbeat_interval + settings_.heartbeat_interval;
+    // A process that is heard for the first time has not echoed a stamp yet.
+    const auto echoed_at = std::max(peer.echoed_at, peer.first_heard_at);
+    return peer.id.incarnation != 0 &&
+           (peer.lost || now_ - peer.heard_at > limit ||
+            (peer.out_of_contact && now_ - echoed_at > limit));
+}
+
+bool dispatcher::hears(const process_id& process) const {
+    const auto found = sessions_.peers().find(process.address);
+    return found != sessions_.peers().end() && found->second.id == process &&
+           !found->second.out_of_contact && !is_unheard(found->second);
+}
+
+void dispatcher::ask_about_unheard() {
+    std::set<process_id> unheard;
+    for (const auto& [address, peer] : sessions_.peers()) {
+        if (is_unheard(peer)) {
+            unheard.insert(peer.id);
+        }
+    }
+    relay_.set_unheard(std::move(unheard));
+    relay_.retain([this](const process_id& peer) {
+        return sessions_.pending_for(peer) != nullptr;
+    });
+    std::size_t asked = 0;
+    for (const auto& [address, peer] : sessions_.peers()) {
+        if (peer.hears_stream && hears(peer.id) && relay_.is_due(peer.id)) {
+            sessions_.pending_for(peer.id)->relay_requests.push_back(
+                relay_.ask(peer.id));
+            ++asked;
+        }
+    }
+    if (asked > 0) {
+        ports_.observer.log(log_level::info, "peer_asked_about",
+                            {{"peers", join_addresses(relay_.unheard())},
+                             {"count", std::to_string(relay_.unheard().size())},
+                             {"asked", std::to_string(asked)}});
+    }
+}
+
+void dispatcher::send_relayed(
+    const process_id& requester,
+    std::map<process_id, relayed_report> reports_by_origin) {
+    auto* pending = sessions_.pending_for(requester);
+    if (pending == nullptr) {
+        return;
+    }
+    for (auto& [origin, report] : reports_by_origin) {
+        report.origin = origin;
+        log_relayed("sent", requester, report);
+        pending->relayed.push_back(std::move(report));
+    }
+}
+
+void dispatcher::log_relayed(std::string_view direction, const process_id& peer,
+                             const relayed_report& report) const {
+    ports_.observer.count("relayed_reports", direction);
+    ports_.observer.log(
+        log_level::info, "doubt_relayed",
+        {{"direction", std::string(direction)},
+         {"peer", peer.address},
+         {"origin", report.origin.address},
+         {"doubts", std::to_string(report.doubts.size())},
+         {"fences", std::to_string(report.fences.size())},
+         {"job", report.doubts.empty() ? std::string()
+                                       : report.doubts[0].run.task.job}});
+}
+
+void dispatcher::pass_on(const process_id& from, const payload& content) {
+    if (from == settings_.self) {
+        return;
+    }
+    for (const auto& [requester, unheard] : relay_.requests()) {
+        if (requester == from || !sessions_.is_live(requester)) {
+            continue;
+        }
+        std::map<process_id, relayed_report> reports;
+        const bool is_asked_for = relay_.asks_about(requester, from);
+        for (const auto& doubt : content.doubts) {
+            if (ends_all(doubt)) {
+                // One that a slower relay passes on later must not end newer
+                // doubts, so the ended ones are named.
+                for (auto& ended : doubts_.of(from)) {
+                    if (is_asked_for && !is_listed(content.doubts, ended)) {
+                        ended.over = true;
+                        reports[from].doubts.push_back(std::move(ended));
+                    }
+                }
+            } else if (doubt.holder != requester &&
+                       (is_asked_for ||
+                        relay_.asks_about(requester, doubt.holder))) {
+                reports[doubt.holder].doubts.push_back(doubt);
+            }
+        }
+        send_relayed(requester, std::move(reports));
+    }
+}
+
+void dispatcher::answer_request(const process_id& requester) {
+    if (!relay_.requests().contains(requester)) {
+        return;
+    }
+    std::map<process_id, relayed_report> reports;
+    for (auto& doubt : doubts_.all()) {
+        const auto holder = doubt.holder;
+        const bool is_unheard_there =
+            relay_.asks_about(requester, holder) || !sessions_.is_live(holder);
+        if (is_unheard_there && holder != requester &&
+            holder != settings_.self) {
+            reports[holder].doubts.push_back(std::move(doubt));
+        }
+    }
+    send_relayed(requester, std::move(reports));
+}
+
+void dispatcher::record_relayed(const process_id& from,
+                                const relayed_report& report) {
+    // What a process in contact tells itself is newer.
+    relayed_report taken;
+    taken.origin = report.origin;
+    for (const auto& doubt : report.doubts) {
+        if (doubt.holder != settings_.self && !hears(doubt.holder)) {
+            taken.doubts.push_back(doubt);
+        }
+    }
+    if (taken.doubts.empty()) {
+        ports_.observer.count("relayed_reports", "ignored");
+        return;
+    }
+    log_relayed("taken", from, taken);
+    for (const auto& doubt : taken.doubts) {
+        doubts_.record(now_, doubt);
+    }
+}
+
+} // namespace figridge::dispatch
--- a/src/core/dispatch/doubt_ledger.cpp
+++ b/src/core/dispatch/doubt_ledger.cpp
@@ -195,6 +195,16 @@
     return found;
 }
 
+std::vector<start_doubt> doubt_ledger::all() const {
+    std::vector<start_doubt> found;
+    for (const auto& [task, known] : tasks_) {
+        for (const auto& other : known) {
+            found.push_back(other.doubt);
+        }
+    }
+    return found;
+}
+
 std::size_t doubt_ledger::size() const {
     std::size_t count = 0;
     for (const auto& [task, known] : tasks_) {
--- a/src/core/dispatch/doubt_ledger.hpp
+++ b/src/core/dispatch/doubt_ledger.hpp
@@ -56,6 +56,8 @@
     [[nodiscard]] bool is_open_for_job(const std::string& job) const;
     // The open doubts that this holder has told. Not thread-safe.
     [[nodiscard]] std::vector<start_doubt> of(const process_id& holder) const;
+    // All open doubts, told by whomever. Not thread-safe.
+    [[nodiscard]] std::vector<start_doubt> all() const;
     // Number of open doubts. Not thread-safe.
     [[nodiscard]] std::size_t size() const;
 
--- a/src/core/dispatch/messages.cpp
+++ b/src/core/dispatch/messages.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatch/messages.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 
@@ -23,6 +24,10 @@
     return stamp_us >= 0 && stamp_us <= max_stamp_us;
 }
 
+bool is_process(const process_id& id) {
+    return !id.address.empty() && id.incarnation != 0;
+}
+
 bool is_known(update_kind kind) {
     return kind >= update_kind::started && kind <= update_kind::disowned;
 }
@@ -32,6 +37,30 @@
            evidence <= crash_evidence::ended;
 }
 
+absl::Status check_relays(const payload& content) {
+    for (const auto& request : content.relay_requests) {
+        if (!std::all_of(request.unheard.begin(), request.unheard.end(),
+                         is_process)) {
+            return out_of_range("content.relay_requests.unheard");
+        }
+    }
+    for (const auto& report : content.relayed) {
+        if (!is_process(report.origin)) {
+            return out_of_range("content.relayed.origin");
+        }
+        for (const auto& doubt : report.doubts) {
+            if (!is_process(doubt.holder)) {
+                return out_of_range("content.relayed.doubts.holder");
+            }
+            // Only the holder itself ends all that it has told.
+            if (doubt.run.task.job.empty()) {
+                return out_of_range("content.relayed.doubts.run");
+            }
+        }
+    }
+    return absl::OkStatus();
+}
+
 } // namespace
 
 received_envelope read_envelope(const msgpack::object& unpacked) {
@@ -112,7 +141,16 @@
             return out_of_range("content.crashes.evidence");
         }
     }
-    return absl::OkStatus();
+    // These may be passed on to hosts that refuse the same.
+    for (const auto& doubt : content.doubts) {
+        if (!is_process(doubt.holder)) {
+            return out_of_range("content.doubts.holder");
+        }
+        if (doubt.run.task.job.empty() && !doubt.over) {
+            return out_of_range("content.doubts.run");
+        }
+    }
+    return check_relays(content);
 }
 
 absl::Status check_envelope(const envelope& message) {
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -366,6 +366,26 @@
     BOOST_TEST(error_of([](envelope& m) {
                    m.content.updates[0].kind = static_cast<update_kind>(77);
                }) == "content.updates.kind: out of range");
+    BOOST_TEST(error_of([](envelope& m) {
+                   m.content.doubts[0].holder.incarnation = 0;
+               }) == "content.doubts.holder: out of range");
+    BOOST_TEST(error_of([](envelope& m) {
+                   m.content.doubts[0].run.task.job.clear();
+               }) == "content.doubts.run: out of range");
+    BOOST_TEST(error_of([](envelope& m) {
+                   m.content.relay_requests[0].unheard[0].address.clear();
+               }) == "content.relay_requests.unheard: out of range");
+    BOOST_TEST(error_of([](envelope& m) {
+                   m.content.relayed[0].origin.incarnation = 0;
+               }) == "content.relayed.origin: out of range");
+    BOOST_TEST(error_of([](envelope& m) {
+                   m.content.relayed[0].doubts[0].holder.address.clear();
+               }) == "content.relayed.doubts.holder: out of range");
+    BOOST_TEST(error_of([](envelope& m) {
+                   auto& ended = m.content.relayed[0].doubts[0];
+                   ended.run.task.job.clear();
+                   ended.over = true;
+               }) == "content.relayed.doubts.run: out of range");
     BOOST_TEST(error_of([](envelope& m) {
                    m.stream = std::numeric_limits<std::uint64_t>::max();
                }) == "stream: out of range");
@@ -1563,6 +1583,231 @@
     BOOST_TEST(core.gauges(now)["endpoints_held"].get<int>() == 0);
 }
 
+// A host with two peers of its failure domain: `asker` and `teller`.
+struct three_hosts : holding_dispatcher {
+    // Delivers an envelope of a peer that hears this host.
+    void hear(const process_id& from, const payload& content = {}) {
+        envelope message;
+        message.from = from;
+        message.failure_domain = "domain-1";
+        message.to_incarnation = 99;
+        message.stamp_us = now.count();
+        message.echo_us = now.count();
+        message.content_echo_us = now.count();
+        message.ack = last_sequence();
+        message.sequence = content.empty() ? 0 : ++sequences[from];
+        message.content = content;
+        core.handle_envelope(now, message);
+    }
+
+    // Advances the clock while this host hears these peers.
+    void advance_hearing(duration time, const std::vector<process_id>& heard) {
+        for (const auto end = now + time; now < end;) {
+            for (const auto& peer : heard) {
+                hear(peer);
+            }
+            advance(25ms);
+        }
+    }
+
+    void request(const std::vector<process_id>& unheard) {
+        payload content;
+        content.relay_requests = {{unheard}};
+        hear(asker, content);
+        advance(25ms);
+    }
+
+    void tell(const start_doubt& doubt) {
+        payload content;
+        content.doubts = {doubt};
+        hear(teller, content);
+        advance(25ms);
+    }
+
+    // What `asker` passes on of `teller`.
+    void hear_relayed(const std::vector<start_doubt>& doubts) {
+        payload content;
+        content.relayed = {{teller, doubts, {}}};
+        hear(asker, content);
+        advance(25ms);
+    }
+
+    [[nodiscard]] start_doubt make_doubt(bool over = false) const {
+        return {{{"0123456789abcdef", 0, 0}, 1},
+                teller,
+                "endpoint-7",
+                1000,
+                over,
+                false,
+                {},
+                {}};
+    }
+
+    // The payloads sent to the peer, without resent ones.
+    [[nodiscard]] std::vector<payload> sent_to(const process_id& peer) const {
+        std::map<std::uint64_t, payload> sent;
+        for (const auto& [address, message] : peers.sent) {
+            if (address == peer.address && message.sequence > 0) {
+                sent[message.sequence] = message.content;
+            }
+        }
+        std::vector<payload> all;
+        for (auto& [sequence, content] : sent) {
+            all.push_back(std::move(content));
+        }
+        return all;
+    }
+
+    [[nodiscard]] std::vector<relay_request>
+    requests_to(const process_id& peer) const {
+        std::vector<relay_request> all;
+        for (const auto& content : sent_to(peer)) {
+            all.insert(all.end(), content.relay_requests.begin(),
+                       content.relay_requests.end());
+        }
+        return all;
+    }
+
+    [[nodiscard]] std::vector<relayed_report>
+    relayed_to(const process_id& peer) const {
+        std::vector<relayed_report> all;
+        for (const auto& content : sent_to(peer)) {
+            all.insert(all.end(), content.relayed.begin(),
+                       content.relayed.end());
+        }
+        return all;
+    }
+
+    // Whether the task of the doubt is started when its job comes again.
+    bool starts_job() {
+        core.submit(now, 1, make_job("0123456789abcdef"));
+        advance(25ms);
+        return !endpoints.starts.empty();
+    }
+
+    process_id asker{"10.1.0.2:1", 12};
+    process_id teller{"10.1.0.3:1", 13};
+    std::map<process_id, std::uint64_t> sequences;
+};
+
+// Guards against messages that are sent although all hosts hear each other, and
+// against periodic ones about a process that has ended.
+BOOST_FIXTURE_TEST_CASE(peers_are_asked_once_about_a_silent_one, three_hosts) {
+    advance_hearing(3s, {asker, teller});
+    BOOST_TEST(requests_to(asker).empty());
+    BOOST_TEST(requests_to(teller).empty());
+    advance_hearing(10s, {asker});
+    BOOST_REQUIRE_EQUAL(requests_to(asker).size(), 1U);
+    BOOST_TEST((requests_to(asker)[0].unheard == std::vector{teller}));
+    BOOST_REQUIRE_EQUAL(observer.lines["peer_asked_about"].size(), 1U);
+    BOOST_TEST(observer.lines["peer_asked_about"][0]["peers"] ==
+               teller.address);
+    advance_hearing(1s, {asker, teller});
+    BOOST_REQUIRE_EQUAL(requests_to(asker).size(), 2U);
+    BOOST_TEST(requests_to(asker)[1].unheard.empty());
+    BOOST_TEST(requests_to(teller).empty());
+}
+
+// Guards against duplicate runs: the request came after the doubt was told.
+BOOST_FIXTURE_TEST_CASE(open_doubts_are_told_to_a_host_that_asks, three_hosts) {
+    advance_hearing(100ms, {asker, teller});
+    tell(make_doubt());
+    BOOST_TEST(relayed_to(asker).empty());
+    request({teller});
+    BOOST_REQUIRE_EQUAL(relayed_to(asker).size(), 1U);
+    BOOST_TEST((relayed_to(asker)[0].origin == teller));
+    BOOST_REQUIRE_EQUAL(relayed_to(asker)[0].doubts.size(), 1U);
+    BOOST_TEST(relayed_to(asker)[0].doubts[0].endpoint == "endpoint-7");
+}
+
+// Guards against duplicate runs where the doubt is told after the request, and
+// against tasks that wait for a start that is over.
+BOOST_FIXTURE_TEST_CASE(later_doubts_and_their_ends_are_passed_on,
+                        three_hosts) {
+    advance_hearing(100ms, {asker, teller});
+    request({teller});
+    tell(make_doubt());
+    tell(make_doubt(true));
+    const auto relayed = relayed_to(asker);
+    BOOST_REQUIRE_EQUAL(relayed.size(), 2U);
+    BOOST_TEST(!relayed[0].doubts.at(0).over);
+    BOOST_TEST(relayed[1].doubts.at(0).over);
+    request({});
+    tell(make_doubt());
+    BOOST_TEST(relayed_to(asker).size() == 2U);
+}
+
+// Guards against a report that a slow relay passes on after newer doubts and
+// that ends them all.
+BOOST_FIXTURE_TEST_CASE(end_of_all_doubts_is_passed_on_by_name, three_hosts) {
+    advance_hearing(100ms, {asker, teller});
+    tell(make_doubt());
+    request({teller});
+    start_doubt end_all;
+    end_all.holder = teller;
+    end_all.over = true;
+    tell(end_all);
+    const auto relayed = relayed_to(asker);
+    BOOST_REQUIRE_EQUAL(relayed.size(), 2U);
+    BOOST_REQUIRE_EQUAL(relayed[1].doubts.size(), 1U);
+    BOOST_TEST(relayed[1].doubts[0].over);
+    BOOST_TEST((relayed[1].doubts[0].run == make_doubt().run));
+}
+
+// Guards against reports that go round between hosts.
+BOOST_FIXTURE_TEST_CASE(relayed_report_is_not_passed_on_again, three_hosts) {
+    const process_id third{"10.1.0.4:1", 14};
+    advance_hearing(100ms, {asker, teller, third});
+    payload content;
+    content.relay_requests = {{{teller, asker}}};
+    hear(third, content);
+    advance_hearing(600ms, {asker, third});
+    hear_relayed({make_doubt()});
+    BOOST_TEST(observer.counted("relayed_reports") == 1U);
+    BOOST_TEST(relayed_to(third).empty());
+}
+
+// Guards against duplicate runs: the caller sends the job again to a host that
+// does not hear the holder, but a peer that does.
+BOOST_FIXTURE_TEST_CASE(job_with_a_relayed_doubt_is_not_started, three_hosts) {
+    complete_takeover();
+    advance_hearing(100ms, {asker, teller});
+    advance_hearing(600ms, {asker});
+    hear_relayed({make_doubt()});
+    BOOST_TEST(!starts_job());
+    hear_relayed({make_doubt(true)});
+    advance(25ms);
+    BOOST_TEST(!endpoints.starts.empty());
+}
+
+// Guards against a held-up report that reopens what its origin has ended since.
+BOOST_FIXTURE_TEST_CASE(relayed_doubt_of_a_holder_in_contact_is_ignored,
+                        three_hosts) {
+    complete_takeover();
+    advance_hearing(100ms, {asker, teller});
+    hear_relayed({make_doubt()});
+    BOOST_TEST(starts_job());
+}
+
+// Guards against reports of unknown processes, or of this one, that end the
+// process or change its own state.
+BOOST_FIXTURE_TEST_CASE(relayed_report_of_an_odd_origin_does_no_harm,
+                        three_hosts) {
+    complete_takeover();
+    advance_hearing(700ms, {asker});
+    const process_id self{"10.1.0.9:1", 99};
+    auto doubt = make_doubt();
+    doubt.holder = self;
+    payload content;
+    content.relayed = {{self, {doubt}, {{"endpoint-1", 90'000}}},
+                       {{"10.1.0.77:1", 77}, {}, {{"endpoint-77", 1}}}};
+    content.relay_requests = {{{self, asker, {"10.1.0.77:1", 77}}}};
+    hear(asker, content);
+    advance(25ms);
+    BOOST_TEST(core.gauges(now)["endpoints_held"].get<int>() == 1);
+    BOOST_TEST(starts_job());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
