Fences are passed on to a former holder that misses its successor

Callers could see an endpoint over its capacity, or a task run twice: the former holder of an endpoint heard neither its successor nor the store, and went on using the endpoint, which had started again and knew no token. A third host that both hear knew of the adoption.

Hosts that are asked about a silent peer now pass on its fences, and its adoptions as fences; the answer has those of the endpoints that the asker held before, if they have answered under the token of the row. The former holder releases the endpoint as on a direct fence.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -387,14 +387,7 @@
         doubts_.handle_adoption(now_, adoption);
         coordinator_.handle_adoption(now_, from, adoption);
     }
-    for (const auto& fence : content.fences) {
-        record_announced_holder(now_, from,
-                                {fence.endpoint, {}, fence.token, {}, {}});
-        record_tenure(from, fence.endpoint, fence.token);
-        tenures_.fence(fence.endpoint, fence.token, listed_runs_end_by());
-        doubts_.handle_fence(now_, fence);
-    }
-    coordinator_.handle_fences(now_, content.fences, listed_runs_end_by());
+    record_fences(from, content.fences);
     // Before the updates, which may place the tasks again.
     for (const auto& report : content.crashes) {
         crashes_.record(now_, report);
@@ -416,6 +409,18 @@
     }
 }
 
+void dispatcher::record_fences(const process_id& holder,
+                               const std::vector<endpoint_fence>& fences) {
+    for (const auto& fence : fences) {
+        record_announced_holder(now_, holder,
+                                {fence.endpoint, {}, fence.token, {}, {}});
+        record_tenure(holder, fence.endpoint, fence.token);
+        tenures_.fence(fence.endpoint, fence.token, listed_runs_end_by());
+        doubts_.handle_fence(now_, fence);
+    }
+    coordinator_.handle_fences(now_, fences, listed_runs_end_by());
+}
+
 void dispatcher::send_update(const process_id& coordinator,
                              const task_update& update) {
     if (auto* pending = outbox(coordinator)) {
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -203,6 +203,9 @@
     // Applies a report of a process that this host does not hear; ignores that
     // of another one.
     void record_relayed(const process_id& from, const relayed_report& report);
+    // The endpoints have answered the holder under these tokens.
+    void record_fences(const process_id& holder,
+                       const std::vector<endpoint_fence>& fences);
     void deliver_to_self(timestamp now);
     void handle_payload(const process_id& from, const payload& content,
                         bool fresh);
--- a/src/core/dispatch/dispatcher_relay.cpp
+++ b/src/core/dispatch/dispatcher_relay.cpp
@@ -136,6 +136,15 @@
                 reports[doubt.holder].doubts.push_back(doubt);
             }
         }
+        if (is_asked_for) {
+            for (const auto& adoption : content.adoptions) {
+                reports[from].fences.push_back(
+                    {adoption.endpoint, adoption.token});
+            }
+            for (const auto& fence : content.fences) {
+                reports[from].fences.push_back(fence);
+            }
+        }
         send_relayed(requester, std::move(reports));
     }
 }
@@ -154,6 +163,15 @@
             reports[holder].doubts.push_back(std::move(doubt));
         }
     }
+    for (const auto& [id, endpoint] : directory_.endpoints()) {
+        const auto* row = directory_.holder_of(id);
+        // A row alone does not prove that the endpoint has answered.
+        if (row != nullptr && directory_.former_holder_of(id) == requester &&
+            relay_.asks_about(requester, row->holder) &&
+            tenures_.answered_token(id) == row->token) {
+            reports[row->holder].fences.push_back({id, row->token});
+        }
+    }
     send_relayed(requester, std::move(reports));
 }
 
@@ -167,11 +185,15 @@
             taken.doubts.push_back(doubt);
         }
     }
-    if (taken.doubts.empty()) {
+    if (report.origin != settings_.self && !hears(report.origin)) {
+        taken.fences = report.fences;
+    }
+    if (taken.doubts.empty() && taken.fences.empty()) {
         ports_.observer.count("relayed_reports", "ignored");
         return;
     }
     log_relayed("taken", from, taken);
+    record_fences(report.origin, taken.fences);
     for (const auto& doubt : taken.doubts) {
         doubts_.record(now_, doubt);
     }
--- a/src/core/dispatch/tenure_ledger.cpp
+++ b/src/core/dispatch/tenure_ledger.cpp
@@ -134,4 +134,9 @@
                [token](const tenure& open) { return open.token == token; });
 }
 
+std::uint64_t tenure_ledger::answered_token(const std::string& endpoint) const {
+    const auto found = endpoints_.find(endpoint);
+    return found == endpoints_.end() ? 0 : found->second.answered_token;
+}
+
 } // namespace figridge::dispatch
--- a/src/core/dispatch/tenure_ledger.hpp
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -53,6 +53,10 @@
     // is known of the endpoint. Not thread-safe.
     [[nodiscard]] bool may_start_at(const std::string& endpoint,
                                     std::uint64_t token) const;
+    // The highest token under which the endpoint is known to have answered, 0
+    // if there is none. Not thread-safe.
+    [[nodiscard]] std::uint64_t
+    answered_token(const std::string& endpoint) const;
 
 private:
     struct tenure {
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -1625,9 +1625,10 @@
     }
 
     // What `asker` passes on of `teller`.
-    void hear_relayed(const std::vector<start_doubt>& doubts) {
+    void hear_relayed(const std::vector<start_doubt>& doubts,
+                      const std::vector<endpoint_fence>& fences = {}) {
         payload content;
-        content.relayed = {{teller, doubts, {}}};
+        content.relayed = {{teller, doubts, fences}};
         hear(asker, content);
         advance(25ms);
     }
@@ -1754,6 +1755,30 @@
     BOOST_TEST((relayed[1].doubts[0].run == make_doubt().run));
 }
 
+// Guards against an endpoint that two hosts use: its former holder asks after
+// the successor has announced the adoption, or before.
+BOOST_FIXTURE_TEST_CASE(former_holder_that_asks_learns_of_its_successor,
+                        three_hosts) {
+    advance_hearing(100ms, {asker, teller});
+    core.set_holder(now, {"endpoint-1", "domain-1", asker, 5000, 1});
+    core.set_holder(now, {"endpoint-1", "domain-1", teller, 6000, 2});
+    request({teller});
+    BOOST_TEST(relayed_to(asker).empty()); // it has not answered yet
+    payload content;
+    content.adoptions = {{"endpoint-1", asker, 6000, {}, {}}};
+    hear(teller, content);
+    advance(25ms);
+    BOOST_REQUIRE_EQUAL(relayed_to(asker).size(), 1U);
+    request({teller});
+    BOOST_REQUIRE_EQUAL(relayed_to(asker).size(), 2U);
+    for (const auto& report : relayed_to(asker)) {
+        BOOST_TEST((report.origin == teller));
+        BOOST_REQUIRE_EQUAL(report.fences.size(), 1U);
+        BOOST_TEST(report.fences[0].endpoint == "endpoint-1");
+        BOOST_TEST(report.fences[0].token == 6000U);
+    }
+}
+
 // Guards against reports that go round between hosts.
 BOOST_FIXTURE_TEST_CASE(relayed_report_is_not_passed_on_again, three_hosts) {
     const process_id third{"10.1.0.4:1", 14};
@@ -1762,7 +1787,7 @@
     content.relay_requests = {{{teller, asker}}};
     hear(third, content);
     advance_hearing(600ms, {asker, third});
-    hear_relayed({make_doubt()});
+    hear_relayed({make_doubt()}, {{"endpoint-1", 9000}});
     BOOST_TEST(observer.counted("relayed_reports") == 1U);
     BOOST_TEST(relayed_to(third).empty());
 }
@@ -1789,6 +1814,25 @@
     BOOST_TEST(starts_job());
 }
 
+// Guards against an endpoint that two hosts use: its former holder does not
+// hear the successor.
+BOOST_FIXTURE_TEST_CASE(former_holder_releases_an_endpoint_on_a_relayed_fence,
+                        three_hosts) {
+    complete_takeover();
+    const auto token = endpoints.holds.back().target.token;
+    advance_hearing(100ms, {asker, teller});
+    const auto endpoints_held = [this] {
+        return core.gauges(now)["endpoints_held"].get<int>();
+    };
+    hear_relayed({}, {{"endpoint-1", token + 1000}});
+    BOOST_TEST(endpoints_held() == 1); // `teller` tells it itself
+    advance_hearing(600ms, {asker});
+    hear_relayed({}, {{"endpoint-1", token - 1}});
+    BOOST_TEST(endpoints_held() == 1);
+    hear_relayed({}, {{"endpoint-1", token + 1000}});
+    BOOST_TEST(endpoints_held() == 0);
+}
+
 // Guards against reports of unknown processes, or of this one, that end the
 // process or change its own state.
 BOOST_FIXTURE_TEST_CASE(relayed_report_of_an_odd_origin_does_no_harm,
--- a/tests/dispatch/orders/order_scenarios.cpp
+++ b/tests/dispatch/orders/order_scenarios.cpp
@@ -776,6 +776,21 @@
               {2000ms, block, 1},
               {3000ms, heal}},
              5s});
+        // The same failure where the host that is missed is the successor.
+        add({"restarted_endpoint_of_a_former_holder_that_misses_its_successor",
+             4,
+             {1, 1},
+             600,
+             1,
+             false,
+             {{100ms, cut_link, 1, 3},
+              {100ms, cut_link, 3, 1},
+              {100ms, cut_store, 1},
+              {1994ms, crash_unlisted, 0},
+              {2000ms, submit, 0},
+              {2000ms, block, 1},
+              {3000ms, heal}},
+             5s});
         // The same failure where both are cut off from the successor.
         add({"restarted_endpoint_of_a_former_holder_in_a_cut_off_pair",
              4,
