Starts that one failure domain knows of are told to a witness

Callers saw a task run twice: for 250 ms only its holder knows of a start that its endpoint leaves unanswered. If that process coordinates the job too, or the coordinator ends as well, the host to which the caller sends the job again knows of nothing, and a later instance of the endpoint carries the first start out.

Each start whose coordinator is the holder or a host of its failure domain is told to one host of another domain as it is sent (start_notice). If the holder is lost, that witness tells all hosts the starts as doubts of a lost holder. It forgets them once the holder must have told them itself.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -9,8 +9,8 @@
 cd "$(dirname "$0")/.."
 build=${BUILD:-build/release}
 at_once=4
-# A scenario that breaks without a mutation too (KNOWN-RED.txt).
-known_red=late_start_of_a_killed_coordinator_that_holds
+# Scenarios that break without a mutation too (KNOWN-RED.txt).
+known_red=late_start_whose_doubt_one_host_misses,late_start_sent_again_to_a_host_that_missed_it,restarted_endpoint_of_a_former_holder_that_misses_one_host,restarted_endpoint_of_an_isolated_former_holder,restarted_endpoint_of_a_former_holder_in_a_cut_off_pair
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 libraries="$(pkg-config --libs absl_strings absl_status absl_statusor \
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -64,6 +64,7 @@
     const auto gap = now - now_;
     now_ = now;
     late_starts_.clear();
+    witness_choice_.reset();
     if (gap < suspension_gap) {
         if (gap >= delay_gap) {
             ports_.observer.log(log_level::info, "process_delayed",
@@ -98,6 +99,9 @@
     refresh_shared_work(now);
     sessions_.tick(now);
     holder_.tick(now);
+    refresh_start_notices();
+    witness_.tick(
+        [this](const process_id& holder) { return last_stamp(holder); });
     coordinator_.tick(now);
     crashes_.tick(now);
     tenures_.tick(now);
@@ -214,6 +218,7 @@
          {"restarted", restarted ? "yes" : "no"},
          {"holds", std::to_string(directory_.held_by(peer).size())}});
     coordinator_.handle_holder_lost(peer, runs_end_by(restarted));
+    tell_witnessed_starts(peer);
     next_check_ = timestamp{0};
     if (!directory_.held_by(peer).empty()) {
         holder_lost_at_ = now_;
@@ -396,6 +401,7 @@
     for (const auto& doubt : content.doubts) {
         doubts_.record(now_, doubt);
     }
+    record_start_notices(from, content.start_notices);
     for (const auto& update : content.updates) {
         coordinator_.handle_update(now_, from, update);
     }
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -16,6 +16,7 @@
 #define FIGRIDGE_CORE_DISPATCH_DISPATCHER_HPP
 
 #include <functional>
+#include <optional>
 #include <tuple>
 
 #include <nlohmann/json_fwd.hpp>
@@ -26,6 +27,8 @@
 #include "core/dispatch/holder_directory.hpp"
 #include "core/dispatch/job_coordinator.hpp"
 #include "core/dispatch/peer_sessions.hpp"
+#include "core/dispatch/start_teller.hpp"
+#include "core/dispatch/start_witness.hpp"
 #include "core/dispatch/tenure_ledger.hpp"
 
 namespace figridge::dispatch {
@@ -182,6 +185,23 @@
     // Whether a start that the coordinator of a lost holder has told may still
     // be carried out.
     [[nodiscard]] bool is_doubt_open(const start_doubt& doubt) const;
+    // Whether another failure domain knows where the coordinator has placed its
+    // tasks.
+    [[nodiscard]] bool is_known_elsewhere(const process_id& coordinator) const;
+    // The peer to tell of starts for this coordinator, of another failure
+    // domain if one is in contact; null if there is none.
+    [[nodiscard]] const peer_sessions::peer*
+    find_witness(const process_id& coordinator) const;
+    // Tells witnesses which of the starts that they know of are still open.
+    void refresh_start_notices();
+    // As a witness: keeps the starts that the holder has told.
+    void record_start_notices(const process_id& holder,
+                              const std::vector<start_notice>& notices);
+    // As a witness: tells all hosts of the starts that the lost holder may not
+    // have told them of.
+    void tell_witnessed_starts(const process_id& holder);
+    // The last stamp heard of this incarnation of a peer, of its clock.
+    [[nodiscard]] std::int64_t last_stamp(const process_id& peer) const;
     void deliver_to_self(timestamp now);
     void handle_payload(const process_id& from, const payload& content,
                         bool fresh);
@@ -191,6 +211,8 @@
     void announce(const endpoint_adoption& adoption) override;
     void announce_crash(const crash_report& report) override;
     void announce_doubt(const start_doubt& doubt) override;
+    void note_start(const process_id& coordinator, const task_run& run,
+                    const std::string& endpoint, std::uint64_t token) override;
     [[nodiscard]] timestamp
     last_contact(const process_id& coordinator) const override;
     void send_assignment(const process_id& holder,
@@ -230,6 +252,11 @@
         late_starts_;
     crash_ledger crashes_;
     doubt_ledger doubts_;
+    start_witness witness_;
+    start_teller start_teller_;
+    // A coordinator and the witness of its starts (no address: none), as of
+    // this input.
+    std::optional<std::pair<process_id, process_id>> witness_choice_;
     // Whether this host, as a holder, has told any doubt.
     bool has_told_doubts_ = false;
     endpoint_holder holder_;
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -16,9 +16,6 @@
 constexpr duration min_refusal_time = 1s;
 // A task crashes one endpoint at a time, a cut or a lost rack takes more.
 constexpr std::size_t max_crashes_at_once = 2;
-// Most runs of unanswered starts are stopped, and known to be over, within
-// this time; other hosts need not know of them.
-constexpr duration doubt_delay = 250ms;
 
 // Whether the start may be carried out late, or a late one of another task may
 // extend the lease of the run: see `task_update::known_instance`.
@@ -128,6 +125,19 @@
                             {}});
 }
 
+bool endpoint_holder::is_untold_start(const std::string& endpoint,
+                                      std::uint64_t token,
+                                      const task_run& run) const {
+    const auto found = sessions_.find(endpoint);
+    if (found == sessions_.end() || found->second->token() != token) {
+        return false;
+    }
+    const auto& session = *found->second;
+    const auto* entry = session.ledger().find(run);
+    return entry != nullptr && !entry->doubt_told &&
+           may_outlast_lease(session, *entry);
+}
+
 void endpoint_holder::report(const endpoint_session& session,
                              const run_entry& entry, update_kind kind) {
     if (!entry.coordinator.address.empty()) {
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -24,6 +24,10 @@
     virtual void announce_crash(const crash_report& report) = 0;
     // The same with a doubt, or its end.
     virtual void announce_doubt(const start_doubt& doubt) = 0;
+    // A start is sent to the endpoint in this input.
+    virtual void note_start(const process_id& coordinator, const task_run& run,
+                            const std::string& endpoint,
+                            std::uint64_t token) = 0;
     // See `session_events::last_contact`.
     [[nodiscard]] virtual timestamp
     last_contact(const process_id& coordinator) const = 0;
@@ -99,6 +103,11 @@
     [[nodiscard]] const crash_compartment& compartment() const {
         return compartment_;
     }
+    // Whether the start may be carried out late and other hosts were not told
+    // so. Not thread-safe.
+    [[nodiscard]] bool is_untold_start(const std::string& endpoint,
+                                       std::uint64_t token,
+                                       const task_run& run) const;
     [[nodiscard]] std::size_t running_tasks() const;
     // Coordinators with queued or running tasks here.
     [[nodiscard]] std::set<process_id> coordinators() const;
--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -79,6 +79,9 @@
         entry.answer_by = task.answer_by;
         entry.caller_deadline = task.caller_deadline;
         chosen->session->start(now, std::move(entry), *task.payload);
+        events_.note_start(task.coordinator, task.run,
+                           chosen->session->endpoint().id,
+                           chosen->session->token());
         chosen->room = chosen->session->health().is_on_probation()
                            ? resources{}
                            : chosen->session->free_resources();
--- a/src/core/dispatch/messages.cpp
+++ b/src/core/dispatch/messages.cpp
@@ -112,6 +112,16 @@
             return out_of_range("content.crashes.evidence");
         }
     }
+    for (const auto& notice : content.start_notices) {
+        if (notice.job.empty() && !notice.items.empty()) {
+            return out_of_range("content.start_notices.job");
+        }
+        for (const auto& item : notice.items) {
+            if (item.endpoint.empty()) {
+                return out_of_range("content.start_notices.items.endpoint");
+            }
+        }
+    }
     return absl::OkStatus();
 }
 
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -205,7 +205,8 @@
 
 // Starts of one job that the sender is sending to its endpoints. If the sender
 // is lost before it can tell which of them stay unanswered, the receiver tells
-// all hosts of them.
+// all hosts of them. Without a job and items, it ends all that the sender has
+// told the receiver before.
 struct start_notice {
     struct item {
         std::uint32_t step = 0;
--- a/src/core/dispatch/settings.hpp
+++ b/src/core/dispatch/settings.hpp
@@ -6,6 +6,10 @@
 
 namespace figridge::dispatch {
 
+// A holder tells all hosts of a start that stays unanswered for this time. Most
+// runs of unanswered starts are stopped, and known to be over, before.
+constexpr duration doubt_delay = 250ms;
+
 struct dispatch_settings {
     process_id self;
     std::string failure_domain;
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -22,11 +22,23 @@
         doubts.push_back(doubt);
         updates_before_doubt.push_back(updates.size());
     }
+    void note_start(const process_id& coordinator, const task_run& run,
+                    const std::string& endpoint, std::uint64_t token) override {
+        starts.push_back({coordinator, run, endpoint, token});
+    }
     [[nodiscard]] timestamp
     last_contact(const process_id& /*coordinator*/) const override {
         return timestamp::max();
     }
 
+    struct noted_start {
+        process_id coordinator;
+        task_run run;
+        std::string endpoint;
+        std::uint64_t token = 0;
+    };
+
+    std::vector<noted_start> starts;
     std::vector<task_update> updates;
     std::vector<crash_report> crashes;
     std::vector<start_doubt> doubts;
@@ -972,6 +984,35 @@
     BOOST_TEST(events.doubts.size() == 1U);
 }
 
+// Guards against duplicate runs: a witness must know of each start before the
+// holder can tell whether it stays unanswered, and until then.
+BOOST_AUTO_TEST_CASE(start_is_noted_and_untold_until_answered_or_told) {
+    assign("0123456789abcdef", 2);
+    BOOST_REQUIRE_EQUAL(events.starts.size(), 2U);
+    const auto& noted = events.starts.back();
+    const auto call = port.starts.back();
+    BOOST_TEST((noted.coordinator == coordinator));
+    BOOST_TEST((noted.run == call.run));
+    BOOST_TEST(noted.endpoint == call.target.endpoint);
+    BOOST_TEST(noted.token == 1U);
+    const auto is_untold = [this](const start_call& sent) {
+        return holder.is_untold_start(sent.target.endpoint, 1, sent.run);
+    };
+    BOOST_TEST(is_untold(call));
+    BOOST_TEST(!holder.is_untold_start(call.target.endpoint, 2, call.run));
+    BOOST_TEST(!holder.is_untold_start("endpoint-9", 1, call.run));
+    const auto& answered = port.starts.front();
+    holder.handle_start(now, answered.target.endpoint, 1, answered.run,
+                        {call_status::ok, to_ms(now) + 500});
+    BOOST_TEST(!is_untold(answered));
+    leave_start_unanswered();
+    BOOST_TEST(is_untold(call));
+    now += 100ms;
+    holder.tick(now);
+    BOOST_REQUIRE_EQUAL(events.doubts.size(), 1U);
+    BOOST_TEST(!is_untold(call));
+}
+
 // Guards against duplicate runs: the caller of a withdrawn job may send it
 // again to another host.
 BOOST_AUTO_TEST_CASE(unanswered_start_of_a_withdrawn_job_is_told_at_once) {
