A restarted endpoint is not used on while a possible successor is unheard

Cause: only a holder that heard nobody fenced a later instance; one that heard some hosts, but not the successor, used it as its own. And the instance was noticed only after a start on it.

While any peer is lost or out of contact, a later instance is fenced, and the endpoint is taken again through the store under a higher token. A start is sent only in an input in which the known instance has listed its runs; an idle endpoint is asked for a list. A peer that refuses connections has ended, if another one of its failure domain is heard. The instance that answers the first call of a takeover in time is used, whether it is listed or not: it was fenced again and again before. Once all peers are heard, each endpoint is asked for one list, so that its next restart costs nothing. endpoint_fenced says why.

--- a/src/core/dispatch/dispatcher_holding.cpp
+++ b/src/core/dispatch/dispatcher_holding.cpp
@@ -59,7 +59,11 @@
     const bool hears_nobody =
         sessions_.live_count() == 0 && !sessions_.peers().empty();
     if (hears_nobody) {
-        holder_.handle_isolation();
+        holder_.set_unheard_successors(fence_cause::isolated);
+    } else if (sessions_.may_miss_a_peer(now)) {
+        holder_.set_unheard_successors(fence_cause::peer_silent);
+    } else {
+        holder_.set_unheard_successors(std::nullopt);
     }
     const bool isolated = hears_nobody && now - started_at_ < isolation_timeout;
     if (draining_ || !has_endpoints_) {
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -58,6 +58,9 @@
     auto& added = *session;
     sessions_[endpoint.id] = std::move(session);
     added.begin(now);
+    if (unheard_successors_) {
+        added.reject_later_instances(*unheard_successors_);
+    }
 }
 
 void endpoint_holder::release(timestamp now, const std::string& endpoint) {
@@ -322,9 +325,14 @@
     }
 }
 
-void endpoint_holder::handle_isolation() {
+void endpoint_holder::set_unheard_successors(std::optional<fence_cause> why) {
+    unheard_successors_ = why;
     for (auto& [id, session] : sessions_) {
-        session->reject_later_instances();
+        if (why) {
+            session->reject_later_instances(*why);
+        } else {
+            session->accept_later_instances();
+        }
     }
 }
 
@@ -532,7 +540,8 @@
 void endpoint_holder::on_fenced(endpoint_session& session) {
     observer_.log(log_level::warning, "endpoint_fenced",
                   {{"endpoint", session.endpoint().id},
-                   {"token", std::to_string(session.token())}});
+                   {"token", std::to_string(session.token())},
+                   {"why", std::string(to_string(session.fenced_for()))}});
     disown(session);
     fenced_.emplace_back(session.endpoint().id, session.token());
 }
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -67,9 +67,11 @@
     // This process was paused: returns the queued tasks, which other hosts may
     // have placed again, and uses no endpoint before it has answered.
     void handle_process_pause(timestamp now);
-    // This process hears no other host, so one of them may have taken over its
-    // endpoints: later instances of these are fenced.
-    void handle_isolation();
+    // This process does not hear a host that may have taken over its endpoints,
+    // for this reason; empty: it hears all of them. Later instances of the
+    // endpoints are fenced meanwhile, and a start is sent right after an answer
+    // of the known one. Not thread-safe.
+    void set_unheard_successors(std::optional<fence_cause> why);
     // Returns queued tasks that would fit endpoints of other holders now, or
     // that need more than the capacity of each endpoint held here.
     // `free_cpu` is the unused processor share of each of those endpoints, in
@@ -218,7 +220,9 @@
     std::vector<std::pair<std::string, std::uint64_t>> fenced_;
     std::uint64_t sessions_begun_ = 0;
     task_queue queue_;
-    timestamp now_{0};           // of the input being handled
+    timestamp now_{0}; // of the input being handled
+    // Set while a host is not heard; see `set_unheard_successors()`.
+    std::optional<fence_cause> unheard_successors_;
     bool most_are_slow_ = false; // as of the last tick
     // Endpoints that run a suspect, or were lost under one, as of the last
     // start.
--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -17,6 +17,13 @@
 constexpr int min_move_gain = 2;
 constexpr duration move_cost = 80ms;
 
+// Precondition: the need fits.
+void take_room(resources& room, const resources& need) {
+    room.cpu_millis -= need.cpu_millis;
+    room.memory_mb -= need.memory_mb;
+    room.accelerators -= need.accelerators;
+}
+
 } // namespace
 
 std::vector<endpoint_holder::available_endpoint>
@@ -66,6 +73,12 @@
         if (chosen == nullptr || has_run_of(task.run.task)) {
             return false;
         }
+        if (!chosen->session->confirm_instance(now)) {
+            // The answer is an input, after which it is placed again. The room
+            // is kept, so that other endpoints are asked for other tasks.
+            take_room(chosen->room, task.need.room);
+            return false;
+        }
         observer_.record(latency_metric::queue_time, now - task.queued_at);
         if (task.run.run > 1) {
             log_repeated_run(*chosen->session, task);
@@ -182,9 +195,7 @@
     for (auto& option : available) {
         if (option.session->endpoint().pool == pool &&
             fits(need, option.room)) {
-            option.room.cpu_millis -= need.cpu_millis;
-            option.room.memory_mb -= need.memory_mb;
-            option.room.accelerators -= need.accelerators;
+            take_room(option.room, need);
             return true;
         }
     }
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -46,6 +46,13 @@
     {session_phase::fenced, "fenced"},
 }};
 
+constexpr name_table<fence_cause, 4> fence_cause_names{{
+    {fence_cause::refused, "refused"},
+    {fence_cause::paused, "paused"},
+    {fence_cause::isolated, "isolated"},
+    {fence_cause::peer_silent, "peer_silent"},
+}};
+
 // Whether the reply to a call sent then, with this clock, must be from the
 // instance that `known` was read from: the clock of a later one began anew.
 bool is_clock_of_instance(const endpoint_clock& known, timestamp sent_at,
@@ -84,6 +91,10 @@
     return find_name(session_phase_names, phase);
 }
 
+std::string_view to_string(fence_cause why) {
+    return find_name(fence_cause_names, why);
+}
+
 endpoint_session::endpoint_session(const dispatch_settings& settings,
                                    endpoint_port& port, session_events& events,
                                    const endpoint_record& endpoint,
@@ -100,6 +111,7 @@
 }
 
 void endpoint_session::begin(timestamp now) {
+    began_at_ = now;
     poll(now);
 }
 
@@ -107,8 +119,9 @@
     const bool later_instance =
         endpoint.instance_started_ms > endpoint_.instance_started_ms;
     const bool restarted = later_instance && endpoint_.instance_started_ms != 0;
-    if (later_instance && rejects_later_instances()) {
-        fence();
+    const auto rejected_for = rejects_later_instances(now);
+    if (later_instance && rejected_for) {
+        fence(*rejected_for);
     }
     // The platform's list may still show an earlier instance.
     const auto instance_started_ms =
@@ -148,8 +161,43 @@
     poll(now);
 }
 
-bool endpoint_session::rejects_later_instances() const {
-    return suspended_at_call_ || isolated_at_call_;
+void endpoint_session::reject_later_instances(fence_cause why) {
+    isolated_ = true;
+    isolated_for_ = why;
+    isolated_at_call_ = calls_sent_;
+}
+
+void endpoint_session::accept_later_instances() {
+    if (!std::exchange(isolated_, false)) {
+        return;
+    }
+    isolated_at_call_ = calls_sent_;
+    if (phase_ == session_phase::active && !list_call_) {
+        request_list(); // an idle endpoint is polled only rarely
+    }
+}
+
+std::optional<fence_cause>
+endpoint_session::rejects_later_instances(timestamp now) const {
+    if (suspended_at_call_) {
+        return fence_cause::paused;
+    }
+    // The instance that answers a takeover may be one that the platform's list
+    // does not show yet. The first call is too recent for another takeover and
+    // a restart.
+    const bool taken_now =
+        newest_list_ == 0 && now - began_at_ <= settings_.call_timeout;
+    const bool rejects = (isolated_ || isolated_at_call_) && !taken_now;
+    return rejects ? std::optional(isolated_for_) : std::nullopt;
+}
+
+bool endpoint_session::confirm_instance(timestamp now) {
+    const bool confirmed =
+        (!isolated_ && !isolated_at_call_) || answered_at_ == now;
+    if (!confirmed && !list_call_) {
+        request_list();
+    }
+    return confirmed;
 }
 
 bool endpoint_session::accepts_tasks() const {
@@ -282,11 +330,15 @@
                                item.second.stop_answered_at_call;
                     });
     if (due) {
-        list_call_ = ++calls_sent_;
-        port_.hold({target(), 0, std::nullopt, 0, *list_call_});
+        request_list();
     }
 }
 
+void endpoint_session::request_list() {
+    list_call_ = ++calls_sent_;
+    port_.hold({target(), 0, std::nullopt, 0, *list_call_});
+}
+
 bool endpoint_session::is_of_instance(timestamp sent_at) const {
     return (!instance_began_at_ || sent_at > *instance_began_at_) &&
            (!address_began_at_ || sent_at > *address_began_at_);
@@ -303,7 +355,7 @@
                                           bool of_present_instance) {
     switch (reply.status) {
     case call_status::stale_token:
-        fence();
+        fence(fence_cause::refused);
         return false;
     case call_status::other_instance:
         // A former instance may have had another address.
@@ -388,9 +440,11 @@
         unanswered_renewal_ = 0;
     }
     answered_at_address_ |= is_of_instance(reply.number);
-    if (later_instance && rejects_later_instances()) {
-        return fence();
+    const auto rejected_for = rejects_later_instances(now);
+    if (later_instance && rejected_for) {
+        return fence(*rejected_for);
     }
+    answered_at_ = now;
     if (isolated_at_call_ && reply.number > *isolated_at_call_) {
         isolated_at_call_.reset();
     }
@@ -666,10 +720,11 @@
     }
 }
 
-void endpoint_session::fence() {
+void endpoint_session::fence(fence_cause why) {
     if (phase_ == session_phase::fenced) {
         return;
     }
+    fenced_for_ = why;
     phase_ = session_phase::fenced;
     events_.on_fenced(*this);
 }
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -30,6 +30,14 @@
     fenced, // the endpoint has, or may have, another holder
 };
 
+// Why a session was fenced.
+enum class fence_cause {
+    refused,     // the endpoint refused the token
+    paused,      // a later instance was noticed after a pause of the process
+    isolated,    // the same while this process heard no other host
+    peer_silent, // the same while it did not hear one of them
+};
+
 class endpoint_session;
 
 // A run that was, or may be, lost with an instance of its endpoint.
@@ -101,9 +109,19 @@
     // The endpoint gets tasks again only after the known instance has
     // answered. A later instance knows no tokens, so it counts as taken over.
     void suspend(timestamp now);
-    // This process hears no other host, so one of them may have taken the
-    // endpoint over. The known instance stays in use; a later one is fenced.
-    void reject_later_instances() { isolated_at_call_ = calls_sent_; }
+    // This process does not hear one of the hosts, or any, so that one may have
+    // taken the endpoint over. The known instance stays in use; a later one is
+    // fenced, until the known one has answered a call sent after
+    // `accept_later_instances()`. Not thread-safe.
+    void reject_later_instances(fence_cause why = fence_cause::isolated);
+    // This process hears all hosts again. Asks the endpoint for a list of its
+    // runs, so that it is in normal use soon. Not thread-safe.
+    void accept_later_instances();
+    // Whether a start may be sent now: always, unless later instances are
+    // rejected. Then the known instance must have answered in this input; if it
+    // has not, asks it for a list of its runs, whose answer is an input.
+    // Precondition: `accepts_tasks()`. Not thread-safe.
+    bool confirm_instance(timestamp now);
     // Reports the runs on an endpoint that refuses connections as possibly lost
     // by a crash, once.
     void report_suspected_crash();
@@ -134,6 +152,8 @@
     [[nodiscard]] endpoint_health& health() { return health_; }
     [[nodiscard]] const endpoint_health& health() const { return health_; }
     [[nodiscard]] bool is_gone() const { return gone_; }
+    // Precondition: the session is fenced.
+    [[nodiscard]] fence_cause fenced_for() const { return fenced_for_; }
     [[nodiscard]] bool is_unresponsive() const { return failed_calls_ > 0; }
     // Since when the endpoint refuses connections; empty if it does not.
     [[nodiscard]] std::optional<timestamp> refusing_since() const {
@@ -173,14 +193,18 @@
     void check_lease_expiry(timestamp now);
     void check_departure(timestamp now);
     void send_stops(timestamp now);
-    void fence();
+    void fence(fence_cause why);
     // Adds a run to those that may have been lost with this instance.
     void record_lost_run(const run_entry& entry);
     // The instance has answered a call sent after its runs may have been lost.
     void withdraw_suspected_crash();
     // Whether another process may have taken the endpoint over since the known
-    // instance answered. A later instance does not know that one's token.
-    [[nodiscard]] bool rejects_later_instances() const;
+    // instance answered, and why this one would not know; empty if none may
+    // have. A later instance does not know that one's token.
+    [[nodiscard]] std::optional<fence_cause>
+    rejects_later_instances(timestamp now) const;
+    // Precondition: no such call is open.
+    void request_list();
     // Call while `endpoint_` still names the former instance.
     void note_later_instance();
     // The instance has ended, and the runs that it had with it.
@@ -225,6 +249,11 @@
     // to later calls confirm that the instance is the same.
     std::optional<std::uint64_t> suspended_at_call_;
     std::optional<std::uint64_t> isolated_at_call_;
+    bool isolated_ = false; // between reject_ and accept_later_instances()
+    fence_cause isolated_for_ = fence_cause::isolated;
+    fence_cause fenced_for_ = fence_cause::refused;
+    timestamp began_at_{0};
+    timestamp answered_at_{0}; // when the known instance last listed its runs
     timestamp next_poll_{0};
     timestamp idle_since_{0};
     timestamp claims_until_{0};
@@ -259,6 +288,7 @@
 };
 
 std::string_view to_string(session_phase phase);
+std::string_view to_string(fence_cause why);
 
 } // namespace figridge::dispatch
 
--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -14,6 +14,9 @@
 // `suspect_after`.
 constexpr duration lost_heartbeat_interval = 300ms;
 
+// A peer that refuses connections is tried again within 300 ms.
+constexpr duration refusal_validity = 1s;
+
 constexpr name_table<drop_cause, 5> drop_cause_names{{
     {drop_cause::too_many, "too_many"},
     {drop_cause::no_progress, "no_progress"},
@@ -320,11 +323,12 @@
     }
 }
 
-void peer_sessions::handle_link_refused(timestamp /*now*/,
+void peer_sessions::handle_link_refused(timestamp now,
                                         const std::string& address,
                                         timestamp connect_started) {
     const auto found = peers_.find(address);
     if (found != peers_.end() && found->second.heard_at < connect_started) {
+        found->second.refused_at = now;
         mark_lost(found->second, false);
     }
 }
@@ -431,6 +435,28 @@
              found->second.pending.empty());
 }
 
+bool peer_sessions::has_ended(timestamp now, const peer& other) const {
+    if (other.refused_at <= other.heard_at ||
+        now - other.refused_at > refusal_validity) {
+        return false;
+    }
+    return other.heard_at == timestamp{0} ||
+           std::any_of(peers_.begin(), peers_.end(), [&](const auto& item) {
+               return !item.second.lost &&
+                      item.second.failure_domain == other.failure_domain;
+           });
+}
+
+bool peer_sessions::may_miss_a_peer(timestamp now) const {
+    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& item) {
+        const auto& other = item.second;
+        const bool expected = now - std::max(other.heard_at, other.added_at) <=
+                              settings_.forget_after;
+        return (other.lost || other.out_of_contact) && expected &&
+               !has_ended(now, other);
+    });
+}
+
 std::size_t peer_sessions::live_count() const {
     return static_cast<std::size_t>(
         std::count_if(peers_.begin(), peers_.end(),
--- a/src/core/dispatch/peer_sessions.hpp
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -108,6 +108,7 @@
         timestamp payload_at{0}; // when one was last sent or received
         // Since when the peer is active: both sides send frequent heartbeats.
         std::optional<timestamp> active_since;
+        timestamp refused_at{0}; // latest refusal of a connection; 0: none
         bool lost = true;
         bool out_of_contact = true;
         timestamp contact_since{0}; // when it was last restored
@@ -162,6 +163,11 @@
         return peers_;
     }
     [[nodiscard]] std::size_t live_count() const;
+    // Whether a peer that is not in contact may be at work all the same. One
+    // whose connections are refused has ended, if this host hears another one
+    // of its failure domain: a cut may refuse connections to the whole of it.
+    // Not thread-safe.
+    [[nodiscard]] bool may_miss_a_peer(timestamp now) const;
     // The peers that hear this host and have acknowledged no payload for half
     // of `no_progress_limit` although some wait for it.
     [[nodiscard]] std::size_t stalled_count(timestamp now) const;
@@ -202,6 +208,7 @@
     void drop_if_stalled(timestamp now, peer& to);
     void resend(timestamp now, const std::string& address, peer& to);
     void mark_lost(peer& other, bool restarted);
+    [[nodiscard]] bool has_ended(timestamp now, const peer& other) const;
     void erase(const std::string& address);
     void forget_expired_peers(timestamp now);
 
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -180,6 +180,55 @@
     BOOST_TEST(endpoints.holds.back().target.token == 2 * stored_token_stride);
 }
 
+// Guards against a start over the capacity (LIMIT) and against duplicate runs:
+// the silent one of two peers takes the endpoint over, that restarts and knows
+// no token, and this host uses it on. The store decides instead.
+BOOST_AUTO_TEST_CASE(restarted_endpoint_beside_a_silent_peer_is_taken_again) {
+    complete_takeover();
+    const auto hear = [this](const char* address, std::uint64_t incarnation) {
+        envelope message;
+        message.from = {address, incarnation};
+        message.failure_domain = "domain-1";
+        message.to_incarnation = 99;
+        message.stamp_us = now.count();
+        message.echo_us = now.count();
+        core.handle_envelope(now, message);
+    };
+    const auto answer_as_restarted = [this] {
+        const auto call = endpoints.holds.back();
+        hold_reply reply;
+        reply.number = call.number;
+        reply.call = {call_status::ok, to_ms(now) + 500};
+        reply.instance_started_ms = 2000;
+        core.handle_hold(now, call.target, reply);
+    };
+    hear("10.1.0.3:1", 13);
+    for (int i = 0; i < 7; ++i) {
+        hear("10.1.0.2:1", 12);
+        advance(100ms);
+    }
+    hear("10.1.0.2:1", 12);
+    core.submit(now, 1, make_job("0123456789abcdef"));
+    BOOST_TEST(endpoints.starts.empty());
+    answer_as_restarted();
+    BOOST_TEST(endpoints.starts.empty());
+    const auto& fenced = observer.lines["endpoint_fenced"];
+    BOOST_REQUIRE_EQUAL(fenced.size(), 1U);
+    BOOST_TEST(fenced.front().at("why") == "peer_silent");
+    for (int i = 0; i < 15 && store.writes.size() < 2; ++i) {
+        hear("10.1.0.2:1", 12);
+        advance(100ms);
+        answer_as_restarted(); // a probe
+    }
+    BOOST_REQUIRE_EQUAL(store.writes.size(), 2U);
+    core.handle_write_result(now, store.writes.back().first, store_status::ok);
+    BOOST_TEST(endpoints.holds.back().target.token == 2 * stored_token_stride);
+    answer_as_restarted();
+    BOOST_TEST(observer.lines["endpoint_fenced"].size() == 1U);
+    core.submit(now, 2, make_job("0123456789abcd00"));
+    BOOST_TEST(!endpoints.starts.empty());
+}
+
 BOOST_AUTO_TEST_CASE(failed_takeover_is_retried) {
     core.handle_write_result(now, store.writes.back().first,
                              store_status::unavailable);
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -314,6 +314,34 @@
     BOOST_TEST(port.starts.size() == before + 1);
 }
 
+// Guards against a start over the capacity (LIMIT) on an endpoint that has
+// restarted and forgotten the token of its next holder, which is not heard.
+BOOST_AUTO_TEST_CASE(task_beside_a_silent_peer_starts_after_an_answer) {
+    holder.set_unheard_successors(fence_cause::peer_silent);
+    now += 25ms;
+    const auto asked = port.holds.size();
+    assign("0123456789abcdef", 4);
+    BOOST_TEST(port.starts.empty());
+    BOOST_REQUIRE_EQUAL(port.holds.size(), asked + 2); // each endpoint once
+    answer_hold("endpoint-1", {});
+    holder.dispatch(now);
+    BOOST_TEST(runs_on("endpoint-1", 0).size() == 2U);
+    BOOST_TEST(runs_on("endpoint-2", 0).empty());
+    answer_hold("endpoint-2", {});
+    holder.dispatch(now);
+    BOOST_TEST(runs_on("endpoint-2", 0).size() == 2U);
+    // Once all are heard, one more answer of each endpoint is enough.
+    holder.set_unheard_successors(std::nullopt);
+    now += 100ms;
+    answer_starts();
+    end_runs("endpoint-1");
+    end_runs("endpoint-2");
+    now += 100ms;
+    const auto before = port.starts.size();
+    assign("0123456789abcd00", 1);
+    BOOST_TEST(port.starts.size() == before + 1);
+}
+
 // If most endpoints are slow, waiting for a faster one does not help.
 BOOST_AUTO_TEST_CASE(task_starts_on_a_slow_endpoint_if_most_are_slow) {
     assign("0123456789abcdef", 4);
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -733,6 +733,77 @@
     BOOST_TEST(!session->accepts_tasks());
 }
 
+// Guards against a start over the capacity (LIMIT) on an endpoint that has
+// forgotten the successor's token: an answer of the known instance ended the
+// doubt, although a host was still not heard.
+BOOST_AUTO_TEST_CASE(later_instance_is_fenced_as_long_as_a_peer_is_silent) {
+    answer_hold({});
+    session->reject_later_instances(fence_cause::peer_silent);
+    now += 25ms;
+    BOOST_TEST(!session->confirm_instance(now));
+    answer_hold({});
+    now += 25ms;
+    BOOST_TEST(!session->confirm_instance(now));
+    answer_hold({}, {}, 2000);
+    BOOST_TEST(events.fenced == 1);
+    BOOST_TEST((session->fenced_for() == fence_cause::peer_silent));
+}
+
+// Guards against the same: the restart was noticed after the start.
+BOOST_AUTO_TEST_CASE(start_beside_a_silent_peer_needs_an_answer_just_before) {
+    answer_hold({});
+    BOOST_TEST(session->confirm_instance(now));
+    session->reject_later_instances(fence_cause::peer_silent);
+    now += 25ms;
+    const auto before = port.holds.size();
+    BOOST_TEST(!session->confirm_instance(now));
+    BOOST_TEST(!session->confirm_instance(now));
+    BOOST_REQUIRE_EQUAL(port.holds.size(), before + 1); // asked once
+    BOOST_TEST(!port.holds.back().lease_deadline_ms.has_value());
+    answer_hold({});
+    BOOST_TEST(session->confirm_instance(now));
+    now += 1ms;
+    BOOST_TEST(!session->confirm_instance(now));
+}
+
+// Guards against an endpoint that is lost for the rest of a cut: the platform's
+// list may show its restart late, and the instance was fenced after each
+// takeover.
+BOOST_AUTO_TEST_CASE(unlisted_instance_is_used_right_after_its_takeover) {
+    endpoint.instance_started_ms = 1000;
+    const auto take = [&](std::uint64_t token) {
+        session = std::make_unique<endpoint_session>(
+            settings, port, events, endpoint, token, process_id{});
+        session->begin(now);
+        session->reject_later_instances(fence_cause::peer_silent);
+    };
+    take(8);
+    answer_hold({}, {}, 2000);
+    BOOST_TEST(events.fenced == 0);
+    BOOST_TEST(session->accepts_tasks());
+    take(9);
+    now += 450ms; // another host may have taken it over by now
+    answer_hold({}, {}, 2000);
+    BOOST_TEST(events.fenced == 1);
+}
+
+// Guards against endpoints that stop for a second with each restart after a
+// cut.
+BOOST_AUTO_TEST_CASE(later_instance_is_used_once_all_peers_are_heard) {
+    answer_hold({});
+    session->reject_later_instances(fence_cause::peer_silent);
+    const auto before = port.holds.size();
+    session->accept_later_instances();
+    BOOST_TEST(!session->confirm_instance(now + 25ms));
+    BOOST_REQUIRE_EQUAL(port.holds.size(), before + 1);
+    answer_hold({});
+    BOOST_TEST(session->confirm_instance(now + 25ms));
+    start(0);
+    answer_start(0);
+    answer_hold({}, {}, 2000);
+    BOOST_TEST(events.fenced == 0);
+}
+
 // Guards against duplicate runs: renewals for other runs kept the lease of a
 // run whose stop got no answer, past the bound after which its task is placed
 // again.
--- a/tests/dispatch/peer_sessions_test.cpp
+++ b/tests/dispatch/peer_sessions_test.cpp
@@ -551,6 +551,39 @@
     BOOST_TEST(!a.sessions.is_live({"b:1", 2}));
 }
 
+// Guards against two holders of an endpoint that has forgotten the token of the
+// silent one; and against a dead peer that costs as much until it is forgotten.
+BOOST_AUTO_TEST_CASE(silent_peer_may_be_at_work_unless_it_refuses_connections) {
+    BOOST_TEST(!a.sessions.may_miss_a_peer(now));
+    envelope message;
+    message.from = {"c:1", 3};
+    message.failure_domain = "domain-1";
+    message.to_incarnation = 1;
+    message.stamp_us = now.count();
+    message.echo_us = now.count();
+    a.sessions.handle_envelope(now, message);
+    BOOST_TEST(!a.sessions.may_miss_a_peer(now));
+    run_for(600ms);
+    BOOST_TEST(a.sessions.may_miss_a_peer(now));
+    a.sessions.handle_link_refused(now, "c:1", now - 10ms);
+    BOOST_TEST(!a.sessions.may_miss_a_peer(now));
+    run_for(1500ms); // it may have started again
+    BOOST_TEST(a.sessions.may_miss_a_peer(now));
+    a.sessions.handle_link_refused(now, "c:1", now - 10ms);
+    BOOST_TEST(!a.sessions.may_miss_a_peer(now));
+    // A cut may refuse the connections to a whole failure domain.
+    a.sessions.handle_link_refused(now, "b:1", now + 1ms);
+    BOOST_TEST(a.sessions.may_miss_a_peer(now));
+}
+
+// Guards against the same where the peer hears this host no more.
+BOOST_AUTO_TEST_CASE(peer_that_does_not_hear_this_host_may_take_over) {
+    run_for(1s, true);
+    BOOST_TEST(a.sessions.may_miss_a_peer(now));
+    run_for(1s);
+    BOOST_TEST(!a.sessions.may_miss_a_peer(now));
+}
+
 // Guards against a live peer that counts as lost: the attempt that was refused
 // may have begun before its process listened.
 BOOST_AUTO_TEST_CASE(refused_link_counts_only_if_nothing_was_heard_since) {
