Order search: a late start of a holder that has not noticed its cut

A failing test without a change of logic: callers would see a task run twice. A cut-off holder starts the task on an instance that nobody knows of, within the 450 ms in which it has not noticed the cut; the start is carried out 2 s later, when the job has come again on the other side.

--- a/tests/dispatch/orders/order_scenarios.cpp
+++ b/tests/dispatch/orders/order_scenarios.cpp
@@ -798,6 +798,27 @@
               {2100ms, block, 1},
               {3000ms, heal}},
              5s});
+        // Guards against two runs: a cut-off holder starts the task on an
+        // instance that knows no token, before it notices the cut. The start is
+        // carried out late, and the job has come again on the other side, which
+        // the endpoint has not answered.
+        add({"late_start_of_an_isolated_former_holder",
+             3,
+             {1, 1},
+             2500,
+             1,
+             false,
+             {{100ms, cut, 1},
+              {100ms, cut_store, 1},
+              {394ms, crash_unlisted, 0},
+              {400ms, submit, 1},
+              {404ms, cut_endpoint, 0, 0},
+              {404ms, cut_endpoint, 1, 0},
+              {404ms, cut_endpoint, 1, 1},
+              {404ms, cut_endpoint, 2, 0},
+              {420ms, leave},
+              {5000ms, heal}},
+             7s});
         add({"slow_holder",
              3,
              {1, 1},
