--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -196,8 +196,9 @@
     // Tells the requester what this host knows of the processes that it has
     // asked about, if it has.
     void answer_request(const process_id& requester);
-    void send_relayed(const process_id& requester,
-                      std::map<process_id, relayed_report> reports_by_origin);
+    void
+    send_relayed(const process_id& requester,
+                 const std::map<process_id, relayed_report>& reports_by_origin);
     void log_relayed(std::string_view direction, const process_id& peer,
                      const relayed_report& report) const;
     // Applies a report of a process that this host does not hear; ignores that
--- a/src/core/dispatch/dispatcher_relay.cpp
+++ b/src/core/dispatch/dispatcher_relay.cpp
@@ -84,12 +84,13 @@
 
 void dispatcher::send_relayed(
     const process_id& requester,
-    std::map<process_id, relayed_report> reports_by_origin) {
+    const std::map<process_id, relayed_report>& reports_by_origin) {
     auto* pending = sessions_.pending_for(requester);
     if (pending == nullptr) {
         return;
     }
-    for (auto& [origin, report] : reports_by_origin) {
+    for (const auto& [origin, told] : reports_by_origin) {
+        auto report = told;
         report.origin = origin;
         log_relayed("sent", requester, report);
         pending->relayed.push_back(std::move(report));
@@ -145,7 +146,7 @@
                 reports[from].fences.push_back(fence);
             }
         }
-        send_relayed(requester, std::move(reports));
+        send_relayed(requester, reports);
     }
 }
 
@@ -172,7 +173,7 @@
             reports[row->holder].fences.push_back({id, row->token});
         }
     }
-    send_relayed(requester, std::move(reports));
+    send_relayed(requester, reports);
 }
 
 void dispatcher::record_relayed(const process_id& from,
