--- a/tests/dispatch/start_witness_test.cpp
+++ b/tests/dispatch/start_witness_test.cpp
@@ -1,6 +1,7 @@
 // Notices of starts: what a holder tells its witness, what the witness keeps,
 // and what it tells when the holder is lost.
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include "core/dispatch/start_teller.hpp"
 #include "core/dispatch/start_witness.hpp"
