A stopped start of a former clock still extends other leases

Four starts reach an instance that the holder takes for the former one; the one of task 0.1 gets no answer. The present instance answers its stop and lists no such run, so its entry ends as lost, which is right: that run is refused. The refused start still extends the lease of all runs there, though, up to a whole lease, since its deadline is of the former clock. The session forgot that with the entry, and counted the runs of tasks 0.0, 0.2 and 0.3 as over with their lease while the endpoint was cut off; nobody was told of them, and the task was placed again.

The session now keeps the time until which such a start may arrive: gone_limit after it was sent, and one lease. Until then its runs count as those beside an open start of a former clock: no time ends them, and a run that is given up is told to all hosts.

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -216,7 +216,8 @@
 }
 
 bool endpoint_session::awaits_former_start() const {
-    return std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
+    return former_start_until_ ||
+           std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
                        [](const auto& item) {
                            return is_unanswered(item.second) &&
                                   item.second.lease_deadline_ms ==
@@ -903,6 +904,14 @@
 
 void endpoint_session::over(const run_entry& entry, update_kind kind) {
     const run_entry ended = entry;
+    if (kind == update_kind::lost && is_unanswered(ended) &&
+        ended.lease_deadline_ms == unknown_deadline) {
+        // Its stop keeps the run from starting, but the refused start extends
+        // the lease of all runs there as if it had been carried out.
+        former_start_until_ = std::max(
+            former_start_until_.value_or(timestamp{0}),
+            ended.entered_at + settings_.gone_limit + silent_instance_limit());
+    }
     ledger_.remove(ended.run);
     full_since_.reset();
     events_.on_run_finished(*this, ended, kind);
@@ -993,6 +1002,9 @@
     if (full_since_ && now - *full_since_ >= full_retry_delay) {
         full_since_.reset();
     }
+    if (former_start_until_ && now > *former_start_until_) {
+        former_start_until_.reset();
+    }
     check_lease_expiry(now);
     check_departure(now);
     send_stops(now);
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -293,6 +293,9 @@
     // them, and when the former one started.
     std::map<task_run, lost_run> open_losses_;
     std::int64_t former_started_ms_ = 0;
+    // Until when a start of a former instance's clock that is over, but was not
+    // answered, may still be carried out or refused by a later one.
+    std::optional<timestamp> former_start_until_;
     // When a new instance of the endpoint was noticed, if any was.
     std::optional<timestamp> instance_began_at_;
     // The last call sent before that; the former instance may have answered it.
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -496,6 +496,35 @@
     BOOST_TEST((events.ends[0].second == update_kind::lost));
 }
 
+// Guards against duplicate runs: a start of a former instance's clock, proven
+// not to run by its stop, is refused late by the present one and extends the
+// lease of the other runs there.
+BOOST_AUTO_TEST_CASE(stopped_start_of_a_former_clock_extends_other_leases) {
+    answer_hold({});
+    pass(2s);
+    start(0);
+    session->handle_start(now, run_of(0), {call_status::ok, 20});
+    start(1);
+    answer_start(1, call_status::unanswered);
+    answer_hold({run_of(0)}, {}, 2000);
+    // The stop that was sent before the instance was noticed does not count.
+    session->handle_stop(now, run_of(1), {call_status::ok, clock_ms()});
+    pass(25ms);
+    BOOST_REQUIRE_EQUAL(port.stops.size(), 2U);
+    unanswered_stops = port.stops.size();
+    session->handle_stop(now, run_of(1), {call_status::ok, clock_ms()});
+    answer_hold({run_of(0)}, {}, 2000);
+    BOOST_REQUIRE_EQUAL(events.ends.size(), 1U);
+    BOOST_TEST((events.ends[0].first == run_of(1)));
+    BOOST_TEST(session->awaits_former_start());
+    refuse_calls(15s);
+    BOOST_TEST(events.ends.size() == 1U);
+    refuse_calls(2s);
+    BOOST_REQUIRE_EQUAL(events.ends.size(), 2U);
+    BOOST_TEST((events.ends[1].first == run_of(0)));
+    BOOST_TEST(!session->awaits_former_start());
+}
+
 // Guards against a run that stays for good: its endpoint is lost without a
 // trace, so that no call is answered and no connection refused.
 BOOST_AUTO_TEST_CASE(unanswered_start_on_a_gone_and_silent_endpoint_ends) {
