The end of a silence is told again to a peer that missed it

A host that hears all peers again tells so those that it has asked, and forgot them with that. If the payload was dropped (too many waiting, no progress, refused), the peer went on passing on each doubt and fence of a process that the host hears, until the host's next request. The host keeps the empty request as well and sends it again when the peer may have missed it.

Found by reading; missed_end_of_the_silence_is_told_again failed before.

--- a/src/core/dispatch/contact_relay.cpp
+++ b/src/core/dispatch/contact_relay.cpp
@@ -16,11 +16,9 @@
 }
 
 relay_request contact_relay::ask(const process_id& peer) {
-    if (unheard_.empty()) {
-        asked_.erase(peer);
-    } else {
-        asked_[peer] = {unheard_, false};
-    }
+    // An empty request is kept as well: if the peer has missed it, it goes on
+    // passing reports on.
+    asked_[peer] = {unheard_, false};
     return {{unheard_.begin(), unheard_.end()}};
 }
 
--- a/src/core/dispatch/contact_relay.hpp
+++ b/src/core/dispatch/contact_relay.hpp
@@ -64,7 +64,7 @@
     };
 
     std::set<process_id> unheard_;
-    std::map<process_id, sent_request> asked_; // none: nothing is asked
+    std::map<process_id, sent_request> asked_; // none: nothing was asked
     std::map<process_id, std::set<process_id>> requests_;
 };
 
--- a/tests/dispatch/contact_relay_test.cpp
+++ b/tests/dispatch/contact_relay_test.cpp
@@ -62,6 +62,19 @@
     BOOST_TEST(!relay.is_due(peer));
 }
 
+// Guards against a peer that passes reports on for ever because it has missed
+// that all are heard again.
+BOOST_AUTO_TEST_CASE(missed_end_of_the_silence_is_told_again) {
+    relay.set_unheard({silent});
+    (void)relay.ask(peer);
+    relay.set_unheard({});
+    (void)relay.ask(peer);
+    relay.handle_missed(peer);
+    BOOST_TEST(relay.is_due(peer));
+    BOOST_TEST(relay.ask(peer).unheard.empty());
+    BOOST_TEST(!relay.is_due(peer));
+}
+
 // Guards against reports that are passed on to a host that hears their sender.
 BOOST_AUTO_TEST_CASE(request_replaces_the_earlier_one) {
     relay.record_request(peer, {{silent, other}});
