A relayed end counts although the holder is heard again

A task waited to its caller's deadline for a start that is over: its host had the doubt and its end from the holder, lost the holder for a moment, and got the doubt once more from a relay whose own link is slow. The relay passed the end on after the host heard the holder again, when reports about it are ignored; the holder repeats nothing, as it may have heard that host all the time. An end names its run and is final, so it counts at any time.

Found by reading; relayed_end_counts_although_the_holder_is_heard failed before. A doubt whose end the relay learns only after the host has told it that all are heard stays, up to a fence or 10 minutes.

--- a/src/core/dispatch/dispatcher_relay.cpp
+++ b/src/core/dispatch/dispatcher_relay.cpp
@@ -177,11 +177,13 @@
 
 void dispatcher::record_relayed(const process_id& from,
                                 const relayed_report& report) {
-    // What a process in contact tells itself is newer.
+    // What a process in contact tells itself is newer. An end is final, and the
+    // holder need not repeat it: it may have heard this host all the time.
     relayed_report taken;
     taken.origin = report.origin;
     for (const auto& doubt : report.doubts) {
-        if (doubt.holder != settings_.self && !hears(doubt.holder)) {
+        if (doubt.holder != settings_.self &&
+            (doubt.over || !hears(doubt.holder))) {
             taken.doubts.push_back(doubt);
         }
     }
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -1863,6 +1863,21 @@
     BOOST_TEST(starts_job());
 }
 
+// Guards against a task that waits to its caller's deadline: a slow relay passes
+// on a doubt that is over, and its end after the holder is heard again.
+BOOST_FIXTURE_TEST_CASE(relayed_end_counts_although_the_holder_is_heard,
+                        three_hosts) {
+    complete_takeover();
+    advance_hearing(100ms, {asker, teller});
+    advance_hearing(600ms, {asker});
+    hear_relayed({make_doubt()});
+    advance_hearing(100ms, {asker, teller});
+    hear_relayed({make_doubt(true)});
+    starts_job();
+    answer_hold(); // the start needs it right after the silence
+    BOOST_TEST(endpoints.starts.size() == 1U);
+}
+
 // Guards against an endpoint that two hosts use: its former holder does not
 // hear the successor.
 BOOST_FIXTURE_TEST_CASE(former_holder_releases_an_endpoint_on_a_relayed_fence,
