A planned stop is no silence, and a draining witness waits for its holders

By reading, each restart made all hosts ask all others about the stopped one, and call endpoints before starts until its row was removed. A peer that was draining and refuses connections has ended: it takes nothing over, and is not asked about. Unheard peers are looked for every 100 ms, so that those of one cut are asked about together.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -694,9 +694,12 @@
     const bool handed_over = (holder_.sessions().empty() && grants_delivered) ||
                              possible_successors().empty() ||
                              now_ - draining_since_ >= handover_limit;
+    // Holders that are lost meanwhile have their starts told.
+    const bool witnesses =
+        witness_.size() > 0 && now_ - draining_since_ < handover_limit;
     return draining_ && coordinator_.job_count() == 0 &&
            holder_.running_tasks() == 0 && holder_.queue().empty() &&
-           handed_over;
+           handed_over && !witnesses;
 }
 
 bool dispatcher::is_ready(timestamp /*now*/) const {
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -278,6 +278,7 @@
     crash_ledger crashes_;
     doubt_ledger doubts_;
     contact_relay relay_;
+    timestamp next_relay_check_{0};
     start_witness witness_;
     start_teller start_teller_;
     // A coordinator and the witness of its starts (no address: none), as of
--- a/src/core/dispatch/dispatcher_relay.cpp
+++ b/src/core/dispatch/dispatcher_relay.cpp
@@ -8,6 +8,9 @@
 namespace figridge::dispatch {
 namespace {
 
+// The hosts of a failure domain that is cut off fall silent within this time of
+// each other, and are asked about together.
+constexpr duration relay_check_interval = 100ms;
 // Log lines name no more processes than this.
 constexpr std::size_t max_logged_peers = 8;
 
@@ -44,7 +47,7 @@
         settings_.idle_heartbeat_interval + settings_.heartbeat_interval;
     // A process that is heard for the first time has not echoed a stamp yet.
     const auto echoed_at = std::max(peer.echoed_at, peer.first_heard_at);
-    return peer.id.incarnation != 0 &&
+    return peer.id.incarnation != 0 && !peer_sessions::has_stopped(peer) &&
            (peer.lost || now_ - peer.heard_at > limit ||
             (peer.out_of_contact && now_ - echoed_at > limit));
 }
@@ -56,6 +59,10 @@
 }
 
 void dispatcher::ask_about_unheard() {
+    if (now_ < next_relay_check_) {
+        return;
+    }
+    next_relay_check_ = now_ + relay_check_interval;
     std::set<process_id> unheard;
     for (const auto& [address, peer] : sessions_.peers()) {
         if (is_unheard(peer)) {
--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -436,6 +436,9 @@
 }
 
 bool peer_sessions::has_ended(timestamp now, const peer& other) const {
+    if (has_stopped(other)) {
+        return true;
+    }
     if (other.refused_at <= other.heard_at ||
         now - other.refused_at > refusal_validity) {
         return false;
--- a/src/core/dispatch/peer_sessions.hpp
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -168,6 +168,11 @@
     // of its failure domain: a cut may refuse connections to the whole of it.
     // Not thread-safe.
     [[nodiscard]] bool may_miss_a_peer(timestamp now) const;
+    // Whether the peer has stopped as planned: it was draining when it was last
+    // heard, and refuses connections since. Thread-safe.
+    [[nodiscard]] static bool has_stopped(const peer& other) {
+        return other.about.draining && other.refused_at > other.heard_at;
+    }
     // The peers that hear this host and have acknowledged no payload for half
     // of `no_progress_limit` although some wait for it.
     [[nodiscard]] std::size_t stalled_count(timestamp now) const;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -1849,9 +1849,49 @@
     advance_hearing(600ms, {asker});
     hear_relayed({make_doubt()});
     BOOST_TEST(!starts_job());
+    answer_hold(); // which a start needs beside a silent peer
+    BOOST_TEST(endpoints.starts.empty());
     hear_relayed({make_doubt(true)});
     advance(25ms);
-    BOOST_TEST(!endpoints.starts.empty());
+    answer_hold();
+    BOOST_TEST(endpoints.starts.size() == 1U);
+}
+
+// Guards against requests to all hosts about each host that restarts in turn,
+// and against calls before each start meanwhile.
+BOOST_FIXTURE_TEST_CASE(peer_that_has_stopped_as_planned_is_not_asked_about,
+                        three_hosts) {
+    complete_takeover();
+    advance_hearing(100ms, {asker, teller});
+    envelope message;
+    message.from = teller;
+    message.failure_domain = "domain-1";
+    message.to_incarnation = 99;
+    message.stamp_us = now.count();
+    message.echo_us = now.count();
+    message.about.draining = true;
+    core.handle_envelope(now, message);
+    advance(25ms);
+    core.handle_link_refused(now, teller.address, now - 10ms);
+    advance_hearing(700ms, {asker});
+    BOOST_TEST(observer.lines["peer_asked_about"].empty());
+    BOOST_TEST(starts_job());
+}
+
+// Guards against duplicate runs: a witness stops as planned, and its holder is
+// lost right after that.
+BOOST_FIXTURE_TEST_CASE(draining_witness_waits_until_its_holders_have_told,
+                        three_hosts) {
+    advance_hearing(100ms, {asker, teller});
+    payload content;
+    content.start_notices = {
+        {"0123456789abcdef", {{0, 0, 1, "endpoint-7", 1000}}}};
+    hear(teller, content);
+    core.drain(now);
+    advance_hearing(100ms, {asker, teller});
+    BOOST_TEST(!core.is_drained());
+    advance_hearing(500ms, {asker, teller});
+    BOOST_TEST(core.is_drained());
 }
 
 // Guards against a held-up report that reopens what its origin has ended since.
@@ -1863,8 +1903,8 @@
     BOOST_TEST(starts_job());
 }
 
-// Guards against a task that waits to its caller's deadline: a slow relay passes
-// on a doubt that is over, and its end after the holder is heard again.
+// Guards against a task that waits to its caller's deadline: a slow relay
+// passes on a doubt that is over, and its end after the holder is heard again.
 BOOST_FIXTURE_TEST_CASE(relayed_end_counts_although_the_holder_is_heard,
                         three_hosts) {
     complete_takeover();
