An unanswered start is no crash of its endpoint

With one real crash the task had two, and the job was given up.

An unanswered start that no list has shown counts for nothing now. unanswered_start_that_no_instance_lists_has_not_crashed fails without it (one crash reported). run_that_the_next_instance_does_not_list_has_crashed and run_lost_with_one_of_two_instances_counts_once took an unanswered start for a crash; they demand the same of an answered run, and the new test the contrary of an unanswered one.

--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -665,8 +665,10 @@
 }
 
 void endpoint_session::record_lost_run(const run_entry& entry) {
-    // A planned stop of the endpoint is no crash.
-    if (endpoint_.state == endpoint_state::ready && !entry.reported_lost &&
+    // An unanswered start may not have been carried out. A planned stop of the
+    // endpoint is no crash.
+    if (entry.state != run_state::uncertain &&
+        endpoint_.state == endpoint_state::ready && !entry.reported_lost &&
         !open_losses_.contains(entry.run)) {
         auto& lost = lost_runs_[entry.run];
         lost = {entry.run, entry.queue, lost.on_instance || entry.listed};
