--- a/src/core/dispatch/contact_relay.hpp
+++ b/src/core/dispatch/contact_relay.hpp
@@ -6,8 +6,7 @@
 //     relay.set_unheard({silent});
 //     if (relay.is_due(peer)) { send(peer, relay.ask(peer)); }
 //     relay.record_request(peer, request);     // at the peer
-//     relay.requests();                        // what it has to pass on to
-//     whom
+//     for (auto& [requester, unheard] : relay.requests()) { ... }
 #ifndef FIGRIDGE_CORE_DISPATCH_CONTACT_RELAY_HPP
 #define FIGRIDGE_CORE_DISPATCH_CONTACT_RELAY_HPP
 
