--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,6 +3,6 @@
 # case could not run. TROUBLE=0: the same without the disruption.
 set -u
 cd "$(dirname "$0")/../.."
-folder=review/7 scenario=cancels
+folder=review/7 scenario=kinds
 source review/common-2.sh
 play
