--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,6 +3,6 @@
 # case could not run. TROUBLE=0: the same without the disruption.
 set -u
 cd "$(dirname "$0")/../.."
-folder=review/6 scenario=kinds
+folder=review/6 scenario=herd
 source review/common-2.sh
 play
--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -35,7 +35,7 @@
 # Starts the stand-in and six hosts in three zones, waits for the end of the
 # scenario, and exits with its result.
 play() {
-    local hosts=6 trouble=true base i callers="" ready="" result
+    local hosts=6 trouble=true base i callers="" ready="" settings="" result
     [ "${TROUBLE:-1}" != 0 ] || trouble=false
     scratch=$(mktemp -d) || exit 2
     trap end_all EXIT
@@ -47,15 +47,17 @@
     store=127.0.0.1:$((base + 63))
     for ((i = 0; i < hosts; i++)); do
         write_settings "$i" "$base"
+        settings+="${settings:+,}$scratch/host$i.ini"
         callers+="${callers:+,}127.0.0.1:$((base + 4 * i + 1))"
         ready+="${ready:+,}127.0.0.1:$((base + 4 * i + 2))"
     done
+    [ "$scenario" = herd ] || settings=""
     timeout -s KILL 110 "$stand_in" --scenario "$scenario" --trouble=$trouble --store "$store" \
         --hosts "$callers" --ready "$ready" --first_port $((base + 32)) \
-        --record "${RECORD:-$folder/record.txt}" &
+        --settings "$settings" --record "${RECORD:-$folder/record.txt}" &
     player=$!
     sleep 0.3
-    for ((i = 0; i < hosts; i++)); do
+    for ((i = 0; i < hosts && ${#settings} == 0; i++)); do
         target/figridged --config "$scratch/host$i.ini" \
             >"${LOGS:-$scratch}/host$i.log" 2>&1 &
         pids+=("$!")
