A new process places a job of unknown past only on proof

Cause: job_coordinator::submit() placed each job of which no doubt was known. What hosts know of unanswered starts is only in their memory, so in a process that has just started the absence of a report proves nothing.

Ruled out: that the start was told and not told again (no start_in_doubt before the kill, and where it was told those who heard it ended too); that the new holder of the worker starts the task there (two workers).

Change: a process places a job that may have come before only when each endpoint of its pool is proved: it has answered under the token of its newest row, the runs that it listed have ended or are known, and the holders since are heard; or it never had a row. A job may have come before if it arrives within its caller's time-out and resend time of the moment from which the process could serve. No time ends the wait for an endpoint. Such a job is never "not run". Fences say whether the listed runs are resolved (last field, older peers read the ones before).

Why it works: a start under a lower token is refused once the endpoint has answered a higher one, and what an earlier process started its caller had sent before this one could serve.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -24,6 +24,8 @@
 // The end of a doubt is sent to a peer with the next payload, and within this
 // time: one message for each end would be many while hosts are late.
 constexpr duration ended_doubts_interval = 100ms;
+// Lateness of callers and hosts between two submissions of a job.
+constexpr duration resend_delay_limit = 500ms;
 // Longest time that a draining host waits for others to take over its
 // endpoints. It sends grants after a third of this time.
 constexpr duration handover_limit = 1500ms;
@@ -72,6 +74,7 @@
     // Before peers are checked: what they have sent meanwhile is not read yet.
     sessions_.set_lateness(lateness_.at(now));
     late_starts_.clear();
+    unproved_pools_.clear();
     witness_choice_.reset();
     // A process that handles other inputs all the time may still not have read
     // that a caller has gone.
@@ -103,6 +106,9 @@
     deliver_to_self(now);
     own_advert_ = describe_self();
     views_.update(now, settings_.self, settings_.failure_domain, own_advert_);
+    if (!serves_since_ && catalogue_version_ != 0 && !views_.empty()) {
+        serves_since_ = now;
+    }
     inform_peers();
     send_digests();
     send_ended_doubts(now);
@@ -130,6 +136,7 @@
     if (now >= next_check_) {
         next_check_ = now + holder_check_interval;
         check_holders(now);
+        note_proofs();
         if (!holder_.queue().empty()) {
             holder_.return_queued(views_.free_cpu_elsewhere(settings_.self));
         }
@@ -418,6 +425,7 @@
         record_tenure(from, adoption.endpoint, adoption.token);
         tenures_.fence(adoption.endpoint, adoption.token,
                        adoption.running.empty() ? now_ : listed_runs_end_by());
+        tenures_.note_listed(adoption.endpoint, adoption.token);
         // The coordinator claims or awaits the listed runs of this one.
         tenures_.fence_holder(adoption.endpoint, adoption.token,
                               adoption.former, now_);
@@ -452,7 +460,8 @@
         record_announced_holder(now_, holder,
                                 {fence.endpoint, {}, fence.token, {}, {}});
         record_tenure(holder, fence.endpoint, fence.token);
-        tenures_.fence(fence.endpoint, fence.token, listed_runs_end_by());
+        tenures_.fence(fence.endpoint, fence.token,
+                       fence.runs_resolved ? now_ : listed_runs_end_by());
         doubts_.handle_fence(now_, fence);
     }
     coordinator_.handle_fences(now_, fences, listed_runs_end_by());
@@ -486,7 +495,8 @@
     std::vector<endpoint_fence> held;
     for (const auto& [endpoint, session] : holder_.sessions()) {
         if (session->knows_runs()) {
-            held.push_back({endpoint, session->token()});
+            held.push_back(
+                {endpoint, session->token(), session->runs_resolved()});
         }
     }
     std::erase_if(peers_to_inform_, [&](const process_id& id) {
@@ -622,10 +632,41 @@
                                const std::string& endpoint,
                                std::uint64_t token) {
     // The row of an endpoint that is not listed may outlive it.
-    if (directory_.endpoints().contains(endpoint)) {
+    if (!has_endpoints_ || directory_.endpoints().contains(endpoint)) {
         tenures_.set_holder({endpoint, {}, holder, token, 0});
         late_starts_.clear();
+        unproved_pools_.clear();
+    }
+}
+
+// What an earlier process started, a caller sent before this one could serve.
+// Each later submission of the job arrives within its caller's time-out and the
+// time until it is sent again.
+bool dispatcher::may_have_come_before(duration caller_timeout) const {
+    return !serves_since_ ||
+           now_ - *serves_since_ <=
+               caller_timeout + settings_.resend_after + resend_delay_limit;
+}
+
+void dispatcher::note_proofs() {
+    if (!holders_read_ || !has_endpoints_) {
+        return;
+    }
+    // With the fence of an endpoint, or its adoption, a holder has told the
+    // doubts about it, and it tells later ones at once.
+    tenures_.note_proofs(now_, [this](const process_id& holder) {
+        return holder == settings_.self || hears(holder);
+    });
+}
+
+bool dispatcher::is_unproved(const std::string& pool) {
+    const auto [known, added] = unproved_pools_.try_emplace(pool);
+    if (added) {
+        note_proofs();
+        known->second = !holders_read_ || !has_endpoints_ ||
+                        !tenures_.find_unproved(pool).empty();
     }
+    return known->second;
 }
 
 bool dispatcher::tells_doubts(const process_id& holder) const {
@@ -661,7 +702,7 @@
 void dispatcher::set_endpoints(timestamp now,
                                const std::vector<endpoint_record>& listed) {
     begin_input(now);
-    has_endpoints_ = true;
+    const bool is_first_list = !std::exchange(has_endpoints_, true);
     for (const auto& endpoint : listed) {
         directory_.set_endpoint(endpoint);
         tenures_.set_endpoint(endpoint);
@@ -673,6 +714,16 @@
         doubts_.handle_listed(endpoint.id);
         holder_.update_endpoint(now, endpoint);
     }
+    if (is_first_list) {
+        tenures_.forget_unlisted();
+    }
+    end_input(now);
+}
+
+void dispatcher::note_holders_read(timestamp now) {
+    begin_input(now);
+    holders_read_ = true;
+    tenures_.note_rows_read();
     end_input(now);
 }
 
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -68,6 +68,9 @@
     void remove_endpoint(timestamp now, const std::string& endpoint);
     void set_holder(timestamp now, const holder_record& record);
     void remove_holder(timestamp now, const std::string& endpoint);
+    // The rows of all holders, as of some time after the start of this process,
+    // were passed to `set_holder()`. Not thread-safe.
+    void note_holders_read(timestamp now);
     // This host has read the store at this version, so a row of a holder that
     // it does not know has been removed, or was written later. Lower versions
     // than before are ignored.
@@ -181,6 +184,8 @@
     // Whether the process is in contact and has told which of its starts may
     // still be carried out.
     [[nodiscard]] bool tells_doubts(const process_id& holder) const;
+    // Notes which endpoints need not be waited for; see `tenure_ledger`.
+    void note_proofs();
     // Tells peers, once they are in contact, which endpoints have answered this
     // host and which doubts are open, as far as they were not sent this.
     void inform_peers();
@@ -261,6 +266,9 @@
                      const job_recall& recall) override;
     void send_claim(const process_id& holder,
                     const adoption_claim& claim) override;
+    [[nodiscard]] bool
+    may_have_come_before(duration caller_timeout) const override;
+    [[nodiscard]] bool is_unproved(const std::string& pool) override;
     [[nodiscard]] bool may_start_late(const process_id& holder,
                                       const std::string& pool,
                                       const std::string& label) const override;
@@ -288,6 +296,8 @@
     // Results of `may_start_late()` in this input: many tasks ask the same.
     mutable std::map<std::tuple<process_id, std::string, std::string>, bool>
         late_starts_;
+    // The same for `is_unproved()`.
+    std::map<std::string, bool> unproved_pools_;
     crash_ledger crashes_;
     doubt_ledger doubts_;
     admission_control admission_;
@@ -310,6 +320,10 @@
     timestamp now_{0};
     timestamp started_at_{0};
     timestamp ticked_at_{0};
+    // When this process could first serve jobs; empty before. What was sent to
+    // endpoints before it may not have been told to it.
+    std::optional<timestamp> serves_since_;
+    bool holders_read_ = false;
     // Whether jobs were given up since the tick is overdue.
     bool gave_up_jobs_ = false;
     local_lateness lateness_;
--- a/src/core/dispatch/doubt_ledger.cpp
+++ b/src/core/dispatch/doubt_ledger.cpp
@@ -183,6 +183,14 @@
     return first != tasks_.end() && first->first.job == job;
 }
 
+bool doubt_ledger::is_listed(timestamp now, const task_key& task) const {
+    return std::any_of(answers_.begin(), answers_.end(), [&](const auto& item) {
+        const auto& answer = item.second;
+        return answer.running && answer.running->contains(task) &&
+               now < answer.at + run_limit();
+    });
+}
+
 std::vector<start_doubt> doubt_ledger::of(const process_id& holder) const {
     std::vector<start_doubt> found;
     for (const auto& [task, known] : tasks_) {
--- a/src/core/dispatch/doubt_ledger.hpp
+++ b/src/core/dispatch/doubt_ledger.hpp
@@ -54,6 +54,9 @@
     [[nodiscard]] bool is_open(const task_key& task) const;
     // Whether that holds for any task of the job. Not thread-safe.
     [[nodiscard]] bool is_open_for_job(const std::string& job) const;
+    // Whether an endpoint has listed a run of the task, whoever sent it, that
+    // may still go on. Not thread-safe.
+    [[nodiscard]] bool is_listed(timestamp now, const task_key& task) const;
     // The open doubts that this holder has told. Not thread-safe.
     [[nodiscard]] std::vector<start_doubt> of(const process_id& holder) const;
     // All open doubts, told by whomever. Not thread-safe.
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -226,6 +226,14 @@
                        });
 }
 
+bool endpoint_session::runs_resolved() const {
+    return phase_ == session_phase::active &&
+           std::none_of(ledger_.entries().begin(), ledger_.entries().end(),
+                        [](const auto& item) {
+                            return item.second.state == run_state::unclaimed;
+                        });
+}
+
 std::int64_t
 endpoint_session::latest_lease(timestamp now,
                                const process_id& coordinator) const {
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -148,6 +148,9 @@
         return phase_ == session_phase::claiming ||
                phase_ == session_phase::active;
     }
+    // Whether that holds, and each run that was found at the takeover has
+    // ended or was claimed.
+    [[nodiscard]] bool runs_resolved() const;
     // Zero for a while after a start was refused for room.
     [[nodiscard]] resources free_resources() const {
         return full_since_ ? resources{} : ledger_.free();
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -115,36 +115,42 @@
         views_.empty() && now - *no_holder_since_ < settings_.takeover_limit;
     // A refusal would tell the caller that the job has not run.
     const bool in_doubt = doubts_.is_open_for_job(id);
+    const bool may_have_come_before =
+        !former_runs_.contains(id) &&
+        events_.may_have_come_before(submission.caller_timeout);
+    const bool unproved =
+        may_have_come_before && events_.is_unproved(submission.queue.pool);
+    // Such a job may have run as well, but all may be such jobs.
+    const auto rejection =
+        unproved ? job_outcome::gave_up : job_outcome::refused;
     if (views_.empty() && !takeover_pending && !in_doubt) {
-        return refuse(
-            now, token, submission,
-            {job_outcome::refused, "no_endpoints", retry_after_takeover});
+        return refuse(now, token, submission,
+                      {rejection, "no_endpoints", retry_after_takeover});
     }
     // A job that has runs may have run: see `in_doubt`.
     if (!in_doubt && !former_runs_.contains(id) && !events_.admit_job()) {
-        return refuse(
-            now, token, submission,
-            {job_outcome::refused, "host_overloaded", retry_after_overload});
+        return refuse(now, token, submission,
+                      {rejection, "host_overloaded", retry_after_overload});
     }
     duration total_estimate{0};
     const auto min_time = min_job_time(submission.work);
     for (const auto& step : submission.work.steps) {
         if (!takeover_pending && !in_doubt &&
             !views_.fits_any_endpoint(step.need)) {
-            return refuse(now, token, submission,
-                          {job_outcome::refused, "task_fits_no_endpoint",
-                           retry_after_takeover});
+            return refuse(
+                now, token, submission,
+                {rejection, "task_fits_no_endpoint", retry_after_takeover});
         }
         total_estimate += std::chrono::milliseconds(step.need.estimate_ms);
     }
     const auto wait = views_.min_queue_wait(submission.queue.priority);
     if (min_time > submission.caller_timeout && !in_doubt) {
         return refuse(now, token, submission,
-                      {job_outcome::refused, "too_little_time", wait});
+                      {rejection, "too_little_time", wait});
     }
     if (wait + min_time > submission.caller_timeout && !in_doubt) {
         return refuse(now, token, submission,
-                      {job_outcome::refused, "queue_too_long", wait});
+                      {rejection, "queue_too_long", wait});
     }
     auto& state = jobs_[id];
     state.token = token;
@@ -154,7 +160,7 @@
                          scale_wait(total_estimate, submission.queue.stretch));
     state.caller_deadline = now + submission.caller_timeout;
     const auto former = former_runs_.find(id);
-    state.never_sent = former == former_runs_.end() && !in_doubt;
+    state.never_sent = former == former_runs_.end() && !in_doubt && !unproved;
     const auto first_run =
         former == former_runs_.end() ? 1 : former->second.highest_run + 1;
     if (former != former_runs_.end()) {
@@ -169,6 +175,8 @@
         }
         state.steps.push_back(std::move(fresh));
     }
+    state.may_have_come_before = may_have_come_before;
+    state.proved = !may_have_come_before;
     state.submission = std::move(submission);
     job_of_caller_[token] = id;
     unblock_steps(state);
@@ -194,7 +202,7 @@
 }
 
 void job_coordinator::place(timestamp now, job_state& state) {
-    if (state.recalled && state.never_sent) {
+    if ((state.recalled && state.never_sent) || hold_unproved(state)) {
         return;
     }
     const auto& submission = state.submission;
@@ -208,7 +216,10 @@
             }
             const task_key key{submission.work.id, s, i};
             const auto crashes = crashes_.of(key);
-            if (hold_back(key, task, crashes) || hold_in_doubt(key, task)) {
+            const bool is_listed =
+                state.may_have_come_before && doubts_.is_listed(now, key);
+            if (is_listed || hold_back(key, task, crashes) ||
+                hold_in_doubt(key, task)) {
                 continue;
             }
             const auto& need = submission.work.steps[s].need;
@@ -318,6 +329,24 @@
     return in_doubt;
 }
 
+bool job_coordinator::hold_unproved(job_state& state) {
+    if (state.proved) {
+        return false;
+    }
+    const auto& submission = state.submission;
+    state.proved = !events_.is_unproved(submission.queue.pool);
+    if (state.proved == state.awaits_proof) {
+        state.awaits_proof = !state.proved;
+        observer_.log(log_level::info,
+                      state.proved ? "job_proved" : "job_awaits_endpoints",
+                      {{"job", submission.work.id},
+                       {"request", submission.request_id},
+                       {"queue", submission.queue.name},
+                       {"pool", submission.queue.pool}});
+    }
+    return !state.proved;
+}
+
 void job_coordinator::note_doubts(job_state& state) const {
     if (doubts_.is_open_for_job(state.submission.work.id)) {
         state.never_sent = false;
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -41,6 +41,14 @@
     [[nodiscard]] virtual bool may_start_late_at(const process_id& holder,
                                                  const std::string& endpoint,
                                                  std::uint64_t token) const = 0;
+    // Whether a process that ended before this one could hear of it may have
+    // had the job, whose caller waits that long for an answer to each
+    // submission. Not thread-safe.
+    [[nodiscard]] virtual bool
+    may_have_come_before(duration caller_timeout) const = 0;
+    // Whether a start may still be carried out at an endpoint of the pool that
+    // a process sent of which this host was never told. Not thread-safe.
+    [[nodiscard]] virtual bool is_unproved(const std::string& pool) = 0;
     // Whether this host has the processor time for one more job. Each call
     // counts as one. Not thread-safe.
     [[nodiscard]] virtual bool admit_job() = 0;
@@ -168,6 +176,11 @@
         timestamp caller_deadline{0};
         std::vector<step_state> steps;
         bool any_started = false;
+        // A process that has ended may have sent runs of the job to endpoints.
+        bool may_have_come_before = false;
+        // Such runs can't be started any more, or the job is a new one.
+        bool proved = true;
+        bool awaits_proof = false; // and that was logged
         // No run of the job was sent to an endpoint, as far as is known.
         bool never_sent = true;
         // The holders were asked to return the tasks, since the job can't be
@@ -221,6 +234,9 @@
     // Whether the task must not be placed because an unanswered start of it may
     // still be carried out.
     bool hold_in_doubt(const task_key& key, task_state& task);
+    // Whether the job must not be placed because processes that have ended may
+    // have started its tasks. Logs when that changes.
+    bool hold_unproved(job_state& state);
     // An open doubt about a task shows that the job was sent to an endpoint.
     void note_doubts(job_state& state) const;
     // Tells all hosts of the starts of a job that is given up which no holder
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -188,7 +188,11 @@
 struct endpoint_fence {
     std::string endpoint;
     std::uint64_t token = 0;
-    MSGPACK_DEFINE(endpoint, token);
+    // The runs that the endpoint listed then have ended, or their coordinators
+    // have claimed them. Last, so that older peers can read the fields before
+    // it.
+    bool runs_resolved = false;
+    MSGPACK_DEFINE(endpoint, token, runs_resolved);
 };
 
 // The processes that the sender does not hear. The receiver passes on what they
--- a/src/core/dispatch/tenure_ledger.cpp
+++ b/src/core/dispatch/tenure_ledger.cpp
@@ -6,6 +6,7 @@
 
 void tenure_ledger::set_holder(const holder_record& record) {
     auto& known = endpoints_[record.endpoint];
+    known.newest_token = std::max(known.newest_token, record.token);
     const bool outdated =
         !known.tenures.empty() && known.tenures.back().token >= record.token;
     if (outdated || record.holder.address.empty()) {
@@ -35,6 +36,7 @@
         return;
     }
     auto& known = found->second;
+    known.runs_known &= token == known.answered_token;
     known.earlier_runs_end_by =
         token == known.answered_token
             ? std::min(known.earlier_runs_end_by, runs_end_by)
@@ -63,11 +65,32 @@
     }
 }
 
+void tenure_ledger::note_listed(const std::string& endpoint,
+                                std::uint64_t token) {
+    const auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end() && token == found->second.answered_token) {
+        found->second.runs_known = true;
+    }
+}
+
 void tenure_ledger::set_endpoint(const endpoint_record& endpoint) {
     auto& known = endpoints_[endpoint.id];
     known.pool = endpoint.pool;
     known.labels = endpoint.labels;
     known.gone_by.reset();
+    known.tenures_known |= rows_read_ && known.newest_token == 0;
+}
+
+void tenure_ledger::note_rows_read() {
+    rows_read_ = true;
+    for (auto& [id, known] : endpoints_) {
+        known.tenures_known |= known.newest_token == 0;
+    }
+}
+
+void tenure_ledger::forget_unlisted() {
+    std::erase_if(endpoints_,
+                  [](const auto& item) { return item.second.pool.empty(); });
 }
 
 void tenure_ledger::remove_endpoint(const std::string& endpoint,
@@ -102,6 +125,27 @@
     }
 }
 
+void tenure_ledger::note_proofs(
+    timestamp now, const std::function<bool(const process_id&)>& tells) {
+    for (auto& [id, known] : endpoints_) {
+        if (known.proved) {
+            continue;
+        }
+        known.tenures_known |= known.has_answered(now);
+        const bool all_over = std::all_of(
+            known.tenures.begin(), known.tenures.end(),
+            [&](const tenure& open) {
+                return (open.ends_by && known.runs_known) || tells(open.holder);
+            });
+        known.proved = known.tenures_known && all_over;
+    }
+}
+
+bool tenure_ledger::known_endpoint::has_answered(timestamp now) const {
+    return answered_token >= newest_token &&
+           (runs_known || now >= earlier_runs_end_by);
+}
+
 bool tenure_ledger::may_start(const process_id& process,
                               const std::string& pool,
                               const std::string& label) const {
@@ -134,6 +178,17 @@
                [token](const tenure& open) { return open.token == token; });
 }
 
+std::vector<std::string>
+tenure_ledger::find_unproved(const std::string& pool) const {
+    std::vector<std::string> found;
+    for (const auto& [id, known] : endpoints_) {
+        if (known.pool == pool && !known.proved) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
 std::uint64_t tenure_ledger::answered_token(const std::string& endpoint) const {
     const auto found = endpoints_.find(endpoint);
     return found == endpoints_.end() ? 0 : found->second.answered_token;
--- a/src/core/dispatch/tenure_ledger.hpp
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -7,9 +7,12 @@
 //     tenures.set_holder(row);                 // each known holder
 //     tenures.fence(endpoint, token, now);     // an adoption was announced
 //     tenures.may_start(lost_holder, pool, label);
+//     tenures.note_proofs(now, tells);
+//     tenures.find_unproved(pool);             // of processes never heard
 #ifndef FIGRIDGE_CORE_DISPATCH_TENURE_LEDGER_HPP
 #define FIGRIDGE_CORE_DISPATCH_TENURE_LEDGER_HPP
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -34,14 +37,31 @@
     // called for this endpoint and token.
     void fence_holder(const std::string& endpoint, std::uint64_t token,
                       const process_id& holder, timestamp runs_end_by);
+    // This host knows the runs that the endpoint listed under this token.
+    // Precondition: `fence()` was called for this endpoint and token. Not
+    // thread-safe.
+    void note_listed(const std::string& endpoint, std::uint64_t token);
     // The platform lists the endpoint (again). Not thread-safe.
     void set_endpoint(const endpoint_record& endpoint);
     // The platform does not list the endpoint any more: what was sent to it
     // has ended by `runs_end_by`, unless it is listed again before. Not
     // thread-safe.
     void remove_endpoint(const std::string& endpoint, timestamp runs_end_by);
+    // The rows of all endpoints were passed to `set_holder()`: one without a
+    // row was never held. Not thread-safe.
+    void note_rows_read();
+    // Forgets the endpoints that are not listed. Not thread-safe.
+    void forget_unlisted();
     // Forgets the tenures that have ended. Not thread-safe.
     void tick(timestamp now);
+    // Notes which endpoints are proved: no start that any process sent before
+    // can be carried out there, nor its run go on, that the process does not
+    // tell this host. Processes may have ended that no row names any more. A
+    // proved endpoint stays so: this host is told of later losses. Runs that an
+    // adoption has listed don't count. `tells` says whether a holder is heard.
+    // Precondition: the rows and the endpoints were read. Not thread-safe.
+    void note_proofs(timestamp now,
+                     const std::function<bool(const process_id&)>& tells);
 
     // Whether a start that the process sent may still be carried out, or its
     // run go on, at an endpoint of the pool that has the label (any endpoint
@@ -53,6 +73,10 @@
     // is known of the endpoint. Not thread-safe.
     [[nodiscard]] bool may_start_at(const std::string& endpoint,
                                     std::uint64_t token) const;
+    // The endpoints of the pool that are not proved. Labels don't count, as an
+    // earlier instance may have had others. Not thread-safe.
+    [[nodiscard]] std::vector<std::string>
+    find_unproved(const std::string& pool) const;
     // The highest token under which the endpoint is known to have answered, 0
     // if there is none. Not thread-safe.
     [[nodiscard]] std::uint64_t
@@ -76,12 +100,24 @@
         std::uint64_t answered_token = 0;
         timestamp earlier_runs_end_by{0};
         std::optional<timestamp> gone_by;
+        // Whether this host knows the runs that it listed then.
+        bool runs_known = false;
+        // The highest token of a tenure, and whether `tenures` has all that are
+        // not fenced.
+        std::uint64_t newest_token = 0;
+        bool tenures_known = false;
+        bool proved = false;
+
+        // Whether the endpoint has answered under its newest row, and the runs
+        // that it listed then have ended or are known.
+        [[nodiscard]] bool has_answered(timestamp now) const;
     };
 
     // Notes a time at which `tick()` has something to forget.
     void note_end(timestamp ends_by);
 
     std::map<std::string, known_endpoint> endpoints_;
+    bool rows_read_ = false;
     std::optional<timestamp> next_end_; // of a tenure or an endpoint
 };
 
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -1112,10 +1112,12 @@
         coordinator.core.add_member(now, "10.1.0.2:1");
         holder.core.add_member(now, "10.1.0.9:1");
         run_for(500ms);
-        holder.core.set_endpoints(now,
-                                  {quiet_dispatcher::make_endpoint(endpoint)});
-        holder.core.set_holder(
-            now, {endpoint, "domain-1", {"10.1.0.2:1", 12}, 4, 5});
+        for (auto* host : {&coordinator, &holder}) {
+            host->core.set_endpoints(
+                now, {quiet_dispatcher::make_endpoint(endpoint)});
+            host->core.set_holder(
+                now, {endpoint, "domain-1", {"10.1.0.2:1", 12}, 4, 5});
+        }
         run_for(500ms);
     }
 
@@ -2287,4 +2289,88 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+// A process that has started after all hosts ended at once: endpoint-1 was held
+// by its predecessor, endpoint-2 by another host that has not started again.
+struct restarted_dispatcher : quiet_dispatcher {
+    restarted_dispatcher() : quiet_dispatcher(make_settings(), false) {
+        core.set_catalogue(1, "one");
+        core.set_endpoints(
+            now, {make_endpoint("endpoint-1"), make_endpoint("endpoint-2")});
+    }
+
+    void read_holders() {
+        core.set_holder(
+            now, {"endpoint-1", "domain-1", {"10.1.0.9:1", 98}, 1000, 1});
+        core.set_holder(
+            now, {"endpoint-2", "domain-1", {"10.1.0.3:1", 13}, 1000, 1});
+        core.note_holders_read(now);
+    }
+
+    // Advances the clock; writes are stored, and the endpoint answers calls.
+    void advance_with(const std::set<std::string>& answering, duration time) {
+        for (const auto end = now + time; now < end;) {
+            advance(25ms);
+            for (const auto& [request, rows] :
+                 std::exchange(store.writes, {})) {
+                core.handle_write_result(now, request, store_status::ok);
+            }
+            for (const auto& call : std::exchange(endpoints.holds, {})) {
+                hold_reply reply;
+                reply.number = call.number;
+                if (answering.contains(call.target.endpoint)) {
+                    reply.call = {call_status::ok, to_ms(now) + 500};
+                    reply.instance_started_ms = 1000;
+                }
+                core.handle_hold(now, call.target, reply);
+            }
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(restarted_dispatcher_test, restarted_dispatcher)
+
+// Guards against two runs of a task at the same time: all hosts ended, and an
+// endpoint that answers nobody carries out what it was sent before.
+BOOST_AUTO_TEST_CASE(job_waits_for_the_endpoints_of_processes_never_heard) {
+    read_holders();
+    advance_with({"endpoint-1"}, 1s);
+    auto job = make_job("0123456789abcdef");
+    job.caller_timeout = 12s;
+    core.submit(now, 1, job);
+    advance_with({"endpoint-1"}, 4s);
+    BOOST_TEST(endpoints.starts.empty());
+    BOOST_TEST(callers.answers.empty());
+    advance_with({"endpoint-1", "endpoint-2"}, 1s);
+    BOOST_TEST(endpoints.starts.size() == 1U);
+}
+
+// The same where the store can't be read, but a peer gives the host work.
+BOOST_AUTO_TEST_CASE(job_waits_while_the_holders_of_endpoints_are_unknown) {
+    core.submit(now, 1, make_job("0123456789abcdef"));
+    advance_with({"endpoint-1", "endpoint-2"}, 1s);
+    BOOST_TEST(endpoints.starts.empty());
+    read_holders();
+    advance_with({"endpoint-1", "endpoint-2"}, 400ms);
+    BOOST_TEST(endpoints.starts.size() == 1U);
+}
+
+// Guards against a pool that stands still because one endpoint is silent: what
+// was sent to it before can't be a job that comes only now.
+BOOST_AUTO_TEST_CASE(job_too_late_to_be_an_earlier_one_does_not_wait) {
+    read_holders();
+    advance_with({"endpoint-1"}, 1s);
+    core.submit(now, 1, make_job("0123456789abcdef"));
+    BOOST_TEST(endpoints.starts.empty());
+    advance_with({"endpoint-1"}, 4s);
+    BOOST_TEST(endpoints.starts.empty());
+    core.submit(now, 2, make_job("0123456789abcd00"));
+    BOOST_TEST(endpoints.starts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace figridge::dispatch
--- a/tests/dispatch/fleet/virtual_fleet.cpp
+++ b/tests/dispatch/fleet/virtual_fleet.cpp
@@ -751,6 +751,7 @@
             for (const auto& [id, row] : rows_) {
                 core.set_holder(now_, row);
             }
+            core.note_holders_read(now_);
             core.set_endpoints(now_, listed);
             for (const auto& id : unlisted) {
                 core.remove_endpoint(now_, id);
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -54,6 +54,13 @@
                    const std::string& /*label*/) const override {
         return starts_open_of.contains(holder);
     }
+    [[nodiscard]] bool
+    may_have_come_before(duration /*caller_timeout*/) const override {
+        return may_be_resent;
+    }
+    [[nodiscard]] bool is_unproved(const std::string& /*pool*/) override {
+        return has_unproved_endpoint;
+    }
     [[nodiscard]] bool admit_job() override { return has_processor_time; }
     void announce_doubt(const start_doubt& doubt) override {
         told.push_back(doubt);
@@ -149,6 +156,8 @@
     std::vector<std::pair<process_id, adoption_claim>> claims;
     std::vector<std::pair<process_id, job_recall>> recalls;
     std::set<process_id> starts_open_of; // holders
+    bool may_be_resent = false;
+    bool has_unproved_endpoint = false;
     bool has_processor_time = true;
     // Whether holders know the instances on which they report runs; never of
     // those that they disown.
@@ -441,6 +450,55 @@
     BOOST_TEST(assignments.back().second.items[0].run.run == 2U);
 }
 
+// Guards against two runs of a task at the same time: all hosts have ended, an
+// endpoint that was sent the start carries it out seconds later, and the caller
+// sends the job again to a process that was told nothing.
+BOOST_AUTO_TEST_CASE(job_of_unknown_past_waits_until_its_endpoints_answered) {
+    may_be_resent = true;
+    has_unproved_endpoint = true;
+    submit(2, 3, 60s);
+    advance(20s);
+    BOOST_TEST(placements() == 0U);
+    BOOST_TEST(observer.lines["job_awaits_endpoints"].size() == 1U);
+    has_unproved_endpoint = false;
+    advance(25ms);
+    BOOST_TEST(placements() == 2U);
+    // Later losses are those of holders that this host has heard.
+    has_unproved_endpoint = true;
+    update(holder_a, 0, update_kind::failed);
+    BOOST_TEST(placements() == 3U);
+}
+
+// Guards against a wait for endpoints that can't have got a job that is new.
+BOOST_AUTO_TEST_CASE(job_that_can_not_have_come_before_is_placed_at_once) {
+    has_unproved_endpoint = true;
+    submit(1);
+    BOOST_TEST(placements() == 1U);
+}
+
+// Guards against the answer "not run" for a job that may run: it is refused
+// without an open start that this host knows of.
+BOOST_AUTO_TEST_CASE(job_of_unknown_past_is_not_said_not_to_have_run) {
+    may_be_resent = true;
+    has_unproved_endpoint = true;
+    has_processor_time = false;
+    submit(1);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::gave_up));
+    BOOST_TEST(answers[0].reason == "host_overloaded");
+}
+
+// Guards against two runs at a time: an endpoint has answered its new holder,
+// and listed the run of an earlier submission.
+BOOST_AUTO_TEST_CASE(listed_run_of_a_job_of_unknown_past_is_waited_for) {
+    may_be_resent = true;
+    doubts.handle_adoption(now, {"endpoint-1", holder_b, 8, {run_of(0)}, {}});
+    submit(2, 3, 60s);
+    BOOST_TEST(placements() == 1U);
+    advance(2s);
+    BOOST_TEST(placements() == 2U);
+}
+
 // Guards against a log that grows with each tick of a wait, and against waits
 // that leave no trace.
 BOOST_AUTO_TEST_CASE(wait_for_the_endpoints_of_a_lost_holder_is_logged_once) {
--- a/tests/dispatch/orders/lost_host_scenarios.cpp
+++ b/tests/dispatch/orders/lost_host_scenarios.cpp
@@ -1,6 +1,8 @@
 // A start on an instance that nobody knows, carried out late, whose holder and
 // another host that could know of it are lost; and former holders beside an
 // endpoint that starts again more than once.
+#include <algorithm>
+
 #include "order_model.hpp"
 
 namespace figridge::dispatch::orders {
@@ -40,6 +42,25 @@
     return plan;
 }
 
+// All hosts end after the start, one every `apart`, and are started again
+// 500 ms after the first one ended.
+scenario with_all_hosts_killed(const std::string& name, duration apart,
+                               std::vector<scenario_step> others = {}) {
+    constexpr std::size_t hosts = 3;
+    for (std::size_t host = 0; host < hosts; ++host) {
+        others.push_back({356ms + apart * host, kill, host});
+        others.push_back({856ms + apart * host, start, host});
+    }
+    std::stable_sort(others.begin(), others.end(),
+                     [](const scenario_step& one, const scenario_step& other) {
+                         return one.at < other.at;
+                     });
+    auto plan = late_start(name, hosts, 1, 0, others);
+    plan.run_ms = 3600;
+    plan.length = 9s;
+    return plan;
+}
+
 } // namespace
 
 void add_lost_host_scenarios(std::vector<scenario>& all) {
@@ -70,6 +91,13 @@
         plan.steps.insert(plan.steps.begin() + 5, {1000ms, crash_unlisted, 0});
         all.push_back(plan);
     }
+    // Guards against two runs where the memory of all hosts is lost: a process
+    // that has just started is told of no start of its predecessors.
+    all.push_back(with_all_hosts_killed("late_start_of_hosts_that_all_end", 0ms,
+                                        {{5500ms, heal}}));
+    // The same failure where they end one after the other.
+    all.push_back(with_all_hosts_killed(
+        "late_start_of_hosts_that_end_one_by_one", 300ms, {{5500ms, heal}}));
     // Guards against a witness that is lost together with those it would speak
     // for.
     all.push_back(with_remote_witness("late_start_known_to_a_witness", 4, {}));
--- a/tests/dispatch/orders/order_model.cpp
+++ b/tests/dispatch/orders/order_model.cpp
@@ -1466,6 +1466,7 @@
                         for (const auto& [id, row] : rows_) {
                             core.set_holder(now_, row);
                         }
+                        core.note_holders_read(now_);
                         core.set_endpoints(now_, listed);
                     });
         });
--- a/tests/dispatch/quiet_dispatcher.hpp
+++ b/tests/dispatch/quiet_dispatcher.hpp
@@ -47,12 +47,17 @@
     std::vector<std::pair<caller_token, job_answer>> answers;
 };
 
-// A host of domain-1. It receives only what the test passes to it.
+// A host of domain-1. It receives only what the test passes to it. By default
+// it has read the rows of holders, of which there are none.
 struct quiet_dispatcher {
     explicit quiet_dispatcher(
-        const dispatch_settings& settings = make_settings())
+        const dispatch_settings& settings = make_settings(),
+        bool holders_read = true)
         : core(settings, {peers, endpoints, store, callers, observer}) {
         core.start(now);
+        if (holders_read) {
+            core.note_holders_read(now);
+        }
     }
 
     static dispatch_settings make_settings() {
--- a/tests/dispatch/tenure_ledger_test.cpp
+++ b/tests/dispatch/tenure_ledger_test.cpp
@@ -32,7 +32,17 @@
         return tenures.may_start(holder, "pool", label);
     }
 
+    // The endpoints that are not proved, where the host hears `heard`.
+    [[nodiscard]] std::vector<std::string>
+    unproved(const std::string& pool = "pool") {
+        tenures.note_proofs(now, [this](const process_id& holder) {
+            return std::find(heard.begin(), heard.end(), holder) != heard.end();
+        });
+        return tenures.find_unproved(pool);
+    }
+
     timestamp now{10s};
+    std::vector<process_id> heard;
     tenure_ledger tenures;
 };
 
@@ -138,6 +148,80 @@
     BOOST_TEST(!tenures.may_start_at("endpoint-1", 8));
 }
 
+// Guards against two runs at a time: the only row that can be read is that of
+// a holder that has not called the endpoint yet, and the one before it has
+// ended.
+BOOST_AUTO_TEST_CASE(newest_row_of_a_silent_endpoint_hides_earlier_holders) {
+    hold("endpoint-1", holder_b, 8);
+    tenures.note_rows_read();
+    heard = {holder_a, holder_b};
+    BOOST_TEST(unproved() == std::vector<std::string>{"endpoint-1"});
+    tenures.fence("endpoint-1", 8, now);
+    BOOST_TEST(unproved().empty());
+}
+
+// Guards against two runs at a time: the endpoint has answered a holder that
+// has ended since.
+BOOST_AUTO_TEST_CASE(holder_that_was_never_heard_leaves_no_proof) {
+    tenures.note_rows_read();
+    tenures.fence("endpoint-1", 4, now);
+    BOOST_TEST(unproved() == std::vector<std::string>{"endpoint-1"});
+    heard = {holder_a};
+    BOOST_TEST(unproved().empty());
+}
+
+// Guards against waits for a holder that is lost later, as its doubts were
+// told.
+BOOST_AUTO_TEST_CASE(proved_endpoint_stays_proved) {
+    tenures.note_rows_read();
+    tenures.fence("endpoint-1", 4, now);
+    heard = {holder_a};
+    BOOST_TEST(unproved().empty());
+    heard.clear();
+    hold("endpoint-1", holder_b, 8);
+    BOOST_TEST(unproved().empty());
+}
+
+// Guards against jobs that wait without need, and against two runs at a time: a
+// silent endpoint of the pool may have had another label.
+BOOST_AUTO_TEST_CASE(all_endpoints_of_the_pool_need_a_proof) {
+    tenures.note_rows_read();
+    BOOST_TEST(unproved() == std::vector<std::string>{"endpoint-1"});
+    BOOST_TEST(unproved("other-pool").empty());
+}
+
+// Guards against jobs that wait without need where a deployment starts: its
+// endpoints have never been held.
+BOOST_AUTO_TEST_CASE(endpoint_that_was_never_held_needs_no_proof) {
+    tenures.note_rows_read();
+    tenures.fence("endpoint-1", 8, now);
+    tenures.tick(now);
+    list("endpoint-2");
+    BOOST_TEST(unproved().empty());
+    hold("endpoint-2", holder_b, 8);
+    heard = {holder_b};
+    BOOST_TEST(unproved().empty());
+}
+
+// Guards against a second run beside one that a holder found, and whose task
+// this host does not know: it was told the fence, not the list.
+BOOST_AUTO_TEST_CASE(fence_without_a_list_counts_once_its_runs_have_ended) {
+    tenures.note_rows_read();
+    tenures.fence("endpoint-1", 8, now + 1s);
+    BOOST_TEST(unproved() == std::vector<std::string>{"endpoint-1"});
+    tenures.note_listed("endpoint-1", 8);
+    BOOST_TEST(unproved().empty());
+}
+
+// The same where the list was not told at all.
+BOOST_AUTO_TEST_CASE(fence_counts_once_unknown_runs_have_ended) {
+    tenures.note_rows_read();
+    tenures.fence("endpoint-1", 8, now + 1s);
+    now += 1s;
+    tenures.tick(now);
+    BOOST_TEST(unproved().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/platform/accepted_input_test.cpp
+++ b/tests/platform/accepted_input_test.cpp
@@ -38,6 +38,9 @@
 struct accepting_host : dispatch::quiet_dispatcher {
     accepting_host() {
         core.set_catalogue(1, "one");
+        core.set_endpoints(now, {make_endpoint("endpoint-1")});
+        core.set_holder(
+            now, {"endpoint-1", "domain-1", {"10.1.0.2:1", 12}, 1000, 1});
         advance(100ms);
         hear_peer();
     }
--- a/tests/platform/row_host.hpp
+++ b/tests/platform/row_host.hpp
@@ -56,6 +56,7 @@
         rows.apply_host_snapshot(rows_of(host_table));
         rows.apply_endpoint_snapshot(host.now, rows_of(endpoint_table));
         rows.apply_holder_rows(rows_of(holder_table));
+        host.core.note_holders_read(host.now);
     }
 
     // Advances the clock; writes are carried out, and calls answered, within a
@@ -87,7 +88,8 @@
         return host.core.gauges(host.now).at(name).get<double>();
     }
 
-    dispatch::quiet_dispatcher host;
+    dispatch::quiet_dispatcher host{dispatch::quiet_dispatcher::make_settings(),
+                                    false};
     row_handler rows{"10.1.0.9:1", *this};
     std::map<std::tuple<std::string, std::string, std::string>, stored_row>
         stored;
