Jobs wait for the endpoints of hosts that ended together

What callers saw: three of four hosts are killed at once; the caller sends its job again to the one that goes on, and it runs twice at a time (TWICE).

Rules 2 and 5 of starts.md have a start known to one host that is not its holder. If that one ends with the holder, a host that goes on was told nothing.

Change: when a second host ends within 10 s without a planned stop, the endpoints that these held are not proved any more in the hosts that go on, and jobs that may have come before wait for them as in a new process. One host alone is covered by rules 2 and 5, and changes nothing. A host that is silent, as in a cut, doesn't count: cut-off domains go on serving.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -24,6 +24,10 @@
 // The end of a doubt is sent to a peer with the next payload, and within this
 // time: one message for each end would be many while hosts are late.
 constexpr duration ended_doubts_interval = 100ms;
+// A host that ends this long after another one may have been the only one that
+// knew of a start of that one: jobs wait for the endpoints of a lost holder,
+// and tell of them when they are given up.
+constexpr duration joint_end_window = 10s;
 // Lateness of callers and hosts between two submissions of a job.
 constexpr duration resend_delay_limit = 500ms;
 // Longest time that a draining host waits for others to take over its
@@ -136,6 +140,7 @@
     if (now >= next_check_) {
         next_check_ = now + holder_check_interval;
         check_holders(now);
+        note_ended_peers();
         note_proofs();
         if (!holder_.queue().empty()) {
             holder_.return_queued(views_.free_cpu_elsewhere(settings_.self));
@@ -256,6 +261,9 @@
          {"restarted", restarted ? "yes" : "no"},
          {"holds", std::to_string(directory_.held_by(peer).size())}});
     coordinator_.handle_holder_lost(peer, runs_end_by(restarted));
+    if (!sessions_.peers().at(peer.address).about.draining) {
+        lost_peers_[peer.address] = peer;
+    }
     tell_witnessed_starts(peer);
     next_check_ = timestamp{0};
     if (!directory_.held_by(peer).empty()) {
@@ -267,6 +275,10 @@
     ports_.observer.log(log_level::info, "peer_heard",
                         {{"peer", peer.address}});
     peers_to_inform_.insert(peer);
+    if (const auto lost = lost_peers_.find(peer.address);
+        lost != lost_peers_.end() && lost->second == peer) {
+        lost_peers_.erase(lost);
+    }
     if (!sessions_.peers().at(peer.address).hears_stream) {
         forget_told(peer);
     }
@@ -643,9 +655,47 @@
 // Each later submission of the job arrives within its caller's time-out and the
 // time until it is sent again.
 bool dispatcher::may_have_come_before(duration caller_timeout) const {
-    return !serves_since_ ||
-           now_ - *serves_since_ <=
-               caller_timeout + settings_.resend_after + resend_delay_limit;
+    const auto since = std::max(serves_since_, joint_end_at_);
+    return !serves_since_ || now_ - *since <= caller_timeout +
+                                                  settings_.resend_after +
+                                                  resend_delay_limit;
+}
+
+void dispatcher::note_ended_peers() {
+    std::erase_if(ended_peers_, [this](const auto& item) {
+        return now_ - item.second > joint_end_window;
+    });
+    std::erase_if(lost_peers_, [this](const auto& item) {
+        const auto peer = sessions_.peers().find(item.first);
+        if (peer == sessions_.peers().end()) {
+            return true;
+        }
+        const bool restarted = peer->second.id != item.second;
+        // A cut within the own failure domain is rarer than a lost host.
+        const bool refused_nearby =
+            peer->second.failure_domain == settings_.failure_domain &&
+            peer->second.refused_at > peer->second.heard_at;
+        if (restarted || refused_nearby ||
+            sessions_.has_ended(now_, peer->second)) {
+            note_ended(item.second);
+        }
+        return restarted;
+    });
+}
+
+void dispatcher::note_ended(const process_id& peer) {
+    if (!ended_peers_.try_emplace(peer, now_).second ||
+        ended_peers_.size() < 2) {
+        return;
+    }
+    joint_end_at_ = now_;
+    for (const auto& [ended, at] : ended_peers_) {
+        tenures_.withdraw_proofs(ended);
+    }
+    unproved_pools_.clear();
+    ports_.observer.log(log_level::warning, "peers_ended_together",
+                        {{"peers", std::to_string(ended_peers_.size())},
+                         {"last", peer.address}});
 }
 
 void dispatcher::note_proofs() {
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -186,6 +186,10 @@
     [[nodiscard]] bool tells_doubts(const process_id& holder) const;
     // Notes which endpoints need not be waited for; see `tenure_ledger`.
     void note_proofs();
+    // Notices which lost peers have ended. What one of them knew of the starts
+    // of another is lost if both end soon after each other.
+    void note_ended_peers();
+    void note_ended(const process_id& peer);
     // Tells peers, once they are in contact, which endpoints have answered this
     // host and which doubts are open, as far as they were not sent this.
     void inform_peers();
@@ -324,6 +328,12 @@
     // endpoints before it may not have been told to it.
     std::optional<timestamp> serves_since_;
     bool holders_read_ = false;
+    // By address: the processes that are lost, without a planned stop.
+    std::map<std::string, process_id> lost_peers_;
+    // Those that have ended, and when that was noticed.
+    std::map<process_id, timestamp> ended_peers_;
+    // When two were noticed to have ended soon after each other.
+    std::optional<timestamp> joint_end_at_;
     // Whether jobs were given up since the tick is overdue.
     bool gave_up_jobs_ = false;
     local_lateness lateness_;
--- a/src/core/dispatch/tenure_ledger.cpp
+++ b/src/core/dispatch/tenure_ledger.cpp
@@ -141,6 +141,14 @@
     }
 }
 
+void tenure_ledger::withdraw_proofs(const process_id& process) {
+    for (auto& [id, known] : endpoints_) {
+        known.proved &= std::none_of(
+            known.tenures.begin(), known.tenures.end(),
+            [&process](const tenure& open) { return open.holder == process; });
+    }
+}
+
 bool tenure_ledger::known_endpoint::has_answered(timestamp now) const {
     return answered_token >= newest_token &&
            (runs_known || now >= earlier_runs_end_by);
--- a/src/core/dispatch/tenure_ledger.hpp
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -73,6 +73,11 @@
     // is known of the endpoint. Not thread-safe.
     [[nodiscard]] bool may_start_at(const std::string& endpoint,
                                     std::uint64_t token) const;
+    // The process has ended, and others that would have told of its starts may
+    // have ended as well: the endpoints that it may have sent starts to are not
+    // proved any more. Not thread-safe.
+    void withdraw_proofs(const process_id& process);
+
     // The endpoints of the pool that are not proved. Labels don't count, as an
     // earlier instance may have had others. Not thread-safe.
     [[nodiscard]] std::vector<std::string>
--- a/tests/dispatch/orders/lost_host_scenarios.cpp
+++ b/tests/dispatch/orders/lost_host_scenarios.cpp
@@ -98,6 +98,22 @@
     // The same failure where they end one after the other.
     all.push_back(with_all_hosts_killed(
         "late_start_of_hosts_that_end_one_by_one", 300ms, {{5500ms, heal}}));
+    // The same failure where one host goes on, which was told of nothing: the
+    // holder's coordinator is in another failure domain.
+    {
+        auto plan = late_start("late_start_of_hosts_that_end_but_one", 4, 2, 0,
+                               {{356ms, kill, 0},
+                                {356ms, kill, 3},
+                                {356ms, kill, 2},
+                                {856ms, start, 0},
+                                {856ms, start, 3},
+                                {856ms, start, 2},
+                                {5500ms, heal}});
+        plan.remote_coordinator = true;
+        plan.run_ms = 3600;
+        plan.length = 9s;
+        all.push_back(plan);
+    }
     // Guards against a witness that is lost together with those it would speak
     // for.
     all.push_back(with_remote_witness("late_start_known_to_a_witness", 4, {}));
--- a/tests/dispatch/tenure_ledger_test.cpp
+++ b/tests/dispatch/tenure_ledger_test.cpp
@@ -203,6 +203,24 @@
     BOOST_TEST(unproved().empty());
 }
 
+// Guards against two runs at a time: two hosts end at once, and one of them was
+// the only one that knew of a start of the other.
+BOOST_AUTO_TEST_CASE(withdrawn_proof_needs_an_answer_to_another_holder) {
+    list("endpoint-2");
+    hold("endpoint-2", holder_b, 8);
+    tenures.note_rows_read();
+    tenures.fence("endpoint-1", 4, now);
+    tenures.fence("endpoint-2", 8, now);
+    heard = {holder_a, holder_b};
+    BOOST_TEST(unproved().empty());
+    heard.clear();
+    tenures.withdraw_proofs(holder_a);
+    BOOST_TEST(unproved() == std::vector<std::string>{"endpoint-1"});
+    tenures.fence("endpoint-1", 12, now);
+    tenures.note_listed("endpoint-1", 12);
+    BOOST_TEST(unproved().empty());
+}
+
 // Guards against a second run beside one that a holder found, and whose task
 // this host does not know: it was told the fence, not the list.
 BOOST_AUTO_TEST_CASE(fence_without_a_list_counts_once_its_runs_have_ended) {
