A cut doesn't count as the end of hosts

Cause: a peer that refused counted as ended while another host of its failure domain was heard, and that one was cut off in the same moment, but not noticed to be silent yet.

Change: it counts only if a host of its failure domain (any host, for the own one) is heard 100 ms or more after it was lost.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -28,6 +28,8 @@
 // knew of a start of that one: jobs wait for the endpoints of a lost holder,
 // and tell of them when they are given up.
 constexpr duration joint_end_window = 10s;
+// Messages that were sent before a cut are read within this time.
+constexpr duration cut_notice_limit = 100ms;
 // Lateness of callers and hosts between two submissions of a job.
 constexpr duration resend_delay_limit = 500ms;
 // Longest time that a draining host waits for others to take over its
@@ -262,7 +264,7 @@
          {"holds", std::to_string(directory_.held_by(peer).size())}});
     coordinator_.handle_holder_lost(peer, runs_end_by(restarted));
     if (!sessions_.peers().at(peer.address).about.draining) {
-        lost_peers_[peer.address] = peer;
+        lost_peers_[peer.address] = {peer, now_};
     }
     tell_witnessed_starts(peer);
     next_check_ = timestamp{0};
@@ -276,7 +278,7 @@
                         {{"peer", peer.address}});
     peers_to_inform_.insert(peer);
     if (const auto lost = lost_peers_.find(peer.address);
-        lost != lost_peers_.end() && lost->second == peer) {
+        lost != lost_peers_.end() && lost->second.first == peer) {
         lost_peers_.erase(lost);
     }
     if (!sessions_.peers().at(peer.address).hears_stream) {
@@ -666,23 +668,33 @@
         return now_ - item.second > joint_end_window;
     });
     std::erase_if(lost_peers_, [this](const auto& item) {
+        const auto& [process, lost_at] = item.second;
         const auto peer = sessions_.peers().find(item.first);
         if (peer == sessions_.peers().end()) {
             return true;
         }
-        const bool restarted = peer->second.id != item.second;
-        // A cut within the own failure domain is rarer than a lost host.
-        const bool refused_nearby =
-            peer->second.failure_domain == settings_.failure_domain &&
-            peer->second.refused_at > peer->second.heard_at;
-        if (restarted || refused_nearby ||
-            sessions_.has_ended(now_, peer->second)) {
-            note_ended(item.second);
+        const bool restarted = peer->second.id != process;
+        if (restarted || has_refused(peer->second, lost_at)) {
+            note_ended(process);
         }
         return restarted;
     });
 }
 
+bool dispatcher::has_refused(const peer_sessions::peer& lost,
+                             timestamp lost_at) const {
+    const auto& peers = sessions_.peers();
+    return lost.refused_at > lost.heard_at &&
+           std::any_of(peers.begin(), peers.end(), [&](const auto& item) {
+               const auto& other = item.second;
+               const bool in_same_cut =
+                   lost.failure_domain != settings_.failure_domain &&
+                   lost.failure_domain != other.failure_domain;
+               return !in_same_cut &&
+                      other.heard_at > lost_at + cut_notice_limit;
+           });
+}
+
 void dispatcher::note_ended(const process_id& peer) {
     if (!ended_peers_.try_emplace(peer, now_).second ||
         ended_peers_.size() < 2) {
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -190,6 +190,11 @@
     // of another is lost if both end soon after each other.
     void note_ended_peers();
     void note_ended(const process_id& peer);
+    // Whether the lost peer refuses connections, and no cut explains that: a
+    // host of its failure domain is heard since, or any host if that is the own
+    // one.
+    [[nodiscard]] bool has_refused(const peer_sessions::peer& lost,
+                                   timestamp lost_at) const;
     // Tells peers, once they are in contact, which endpoints have answered this
     // host and which doubts are open, as far as they were not sent this.
     void inform_peers();
@@ -328,8 +333,9 @@
     // endpoints before it may not have been told to it.
     std::optional<timestamp> serves_since_;
     bool holders_read_ = false;
-    // By address: the processes that are lost, without a planned stop.
-    std::map<std::string, process_id> lost_peers_;
+    // By address: the processes that are lost, without a planned stop, and
+    // since when.
+    std::map<std::string, std::pair<process_id, timestamp>> lost_peers_;
     // Those that have ended, and when that was noticed.
     std::map<process_id, timestamp> ended_peers_;
     // When two were noticed to have ended soon after each other.
--- a/src/core/dispatch/peer_sessions.hpp
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -191,13 +191,10 @@
         return peers_;
     }
     [[nodiscard]] std::size_t live_count() const;
-    // Whether the process of the peer has ended: it has stopped as planned, or
-    // refuses connections while this host hears another one of its failure
-    // domain, as a cut may refuse connections to the whole of it. Not
-    // thread-safe.
-    [[nodiscard]] bool has_ended(timestamp now, const peer& other) const;
-    // Whether a peer that is not in contact may be at work all the same. Not
-    // thread-safe.
+    // Whether a peer that is not in contact may be at work all the same. One
+    // whose connections are refused has ended, if this host hears another one
+    // of its failure domain: a cut may refuse connections to the whole of it.
+    // Not thread-safe.
     [[nodiscard]] bool may_miss_a_peer(timestamp now) const;
     // Whether the peer has stopped as planned: it was draining when it was last
     // heard, and refuses connections since. Thread-safe.
@@ -259,6 +256,7 @@
     // Forgets the payloads to the peer, sent or pending.
     static void clear_payloads(peer& to);
     void mark_lost(peer& other, bool restarted);
+    [[nodiscard]] bool has_ended(timestamp now, const peer& other) const;
     void erase(const std::string& address);
     void forget_expired_peers(timestamp now);
 
