A later instance of an endpoint gets no tasks before its entry is read

Cause: endpoint_session took a later instance from its answers and kept the labels, state and capacity of the entry of the one before. In the other direction update() applied an entry of a former instance that was read late, and only kept the later start time.

Ruled out: that the restart is noticed late (the starts come after endpoint_instance_began); a shorter pause between lists leaves the gap.

Change: an instance that answers before its entry is read gets no tasks, and has no labels. The list is read at once, and every 200 ms until it shows the instance. Entries of former instances are ignored; one that names a start in the future, whose instance never answered, counts as before. If the list can't be read for 1,500 ms, the instance gets tasks that require no label: rack and room stay with the machine (PROTOCOL.md, Machines).

Why it works: a task starts only where the answers and the entry are of the same instance.

unlisted_instance_is_used_right_after_its_takeover: the instance has to be used without an entry where the list can't be read, and is not fenced, as before; that it is used before that is the fault.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -18,6 +18,7 @@
 // endpoints.
 constexpr duration successor_window = 3s;
 constexpr duration catalogue_request_interval = 300ms;
+constexpr duration entry_request_interval = 200ms;
 // A holder in contact for this long has told which of its starts may still be
 // carried out.
 constexpr duration doubt_settle_time = 500ms;
@@ -107,6 +108,7 @@
 }
 
 void dispatcher::end_input(timestamp now) {
+    await_entries();
     deliver_to_self(now);
     holder_.dispatch(now);
     deliver_to_self(now);
@@ -131,6 +133,7 @@
     sessions_.tick(now);
     ask_about_unheard();
     holder_.tick(now);
+    holder_.use_without_entries(now, endpoints_read_at_);
     refresh_start_notices();
     witness_.tick(
         [this](const process_id& holder) { return last_stamp(holder); });
@@ -782,6 +785,28 @@
     end_input(now);
 }
 
+void dispatcher::note_endpoints_read(timestamp at) {
+    endpoints_read_at_ = std::max(endpoints_read_at_, at);
+}
+
+void dispatcher::await_entries() {
+    bool wanted = false;
+    for (const auto& [id, instance_started_ms] : holder_.awaited_entries()) {
+        // It may have been read before the instance answered.
+        const auto listed = directory_.endpoints().find(id);
+        if (listed != directory_.endpoints().end() &&
+            listed->second.instance_started_ms == instance_started_ms) {
+            holder_.update_endpoint(now_, listed->second);
+        } else {
+            wanted = true;
+        }
+    }
+    if (wanted && on_entries_wanted && now_ >= next_entry_request_) {
+        next_entry_request_ = now_ + entry_request_interval;
+        on_entries_wanted();
+    }
+}
+
 void dispatcher::note_holders_read(timestamp now) {
     begin_input(now);
     holders_read_ = true;
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -66,6 +66,8 @@
                        const std::vector<endpoint_record>& listed);
     void set_endpoint(timestamp now, const endpoint_record& endpoint);
     void remove_endpoint(timestamp now, const std::string& endpoint);
+    // The list of endpoints was read then, changed or not. Not thread-safe.
+    void note_endpoints_read(timestamp at);
     void set_holder(timestamp now, const holder_record& record);
     void remove_holder(timestamp now, const std::string& endpoint);
     // The rows of all holders, as of some time after the start of this process,
@@ -82,6 +84,10 @@
     // Called with the text of a newer catalogue version received from a peer.
     std::function<void(const std::string& text)> on_catalogue_text;
 
+    // Called when the list of endpoints should be read at once: it has not
+    // shown an instance that has answered. Repeated until it has.
+    std::function<void()> on_entries_wanted;
+
     // Called with the address of a host that was not heard for
     // `forget_after` and so counts as replaced.
     std::function<void(const std::string& address)> on_member_forgotten;
@@ -184,6 +190,9 @@
     // Whether the process is in contact and has told which of its starts may
     // still be carried out.
     [[nodiscard]] bool tells_doubts(const process_id& holder) const;
+    // Has the entries read of instances that have answered before they were
+    // listed.
+    void await_entries();
     // Notes which endpoints need not be waited for; see `tenure_ledger`.
     void note_proofs();
     // Notices which lost peers have ended. What one of them knew of the starts
@@ -345,6 +354,8 @@
     local_lateness lateness_;
     timestamp next_check_{0};
     timestamp next_shared_work_refresh_{0};
+    timestamp next_entry_request_{0};
+    timestamp endpoints_read_at_{0};
     payload to_self_;
     advert own_advert_; // as of the end of the last input
     // Inputs from which `endpoints_to_take_` was last computed.
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -14,6 +14,8 @@
 // Shorter refusals are more often cuts than crashes, after which the platform
 // needs seconds to start an endpoint again.
 constexpr duration min_refusal_time = 1s;
+// The platform's list is read again within this time if it can be read.
+constexpr duration list_read_limit = 1500ms;
 // A task crashes one endpoint at a time, a cut or a lost rack takes more.
 constexpr std::size_t max_crashes_at_once = 2;
 
@@ -160,6 +162,27 @@
     }
 }
 
+std::vector<std::pair<std::string, std::int64_t>>
+endpoint_holder::awaited_entries() const {
+    std::vector<std::pair<std::string, std::int64_t>> found;
+    for (const auto& [id, session] : sessions_) {
+        if (session->awaits_entry()) {
+            found.emplace_back(id, session->endpoint().instance_started_ms);
+        }
+    }
+    return found;
+}
+
+void endpoint_holder::use_without_entries(timestamp now,
+                                          timestamp list_read_at) {
+    for (auto& [id, session] : sessions_) {
+        if (session->awaits_entry() && now - list_read_at > list_read_limit &&
+            now - session->entry_awaited_since() > list_read_limit) {
+            session->use_without_entry();
+        }
+    }
+}
+
 void endpoint_holder::mark_gone(timestamp now, const std::string& endpoint) {
     now_ = now;
     if (const auto found = sessions_.find(endpoint); found != sessions_.end()) {
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -48,6 +48,13 @@
     void release(timestamp now, const std::string& endpoint);
     void update_endpoint(timestamp now, const endpoint_record& endpoint);
     void mark_gone(timestamp now, const std::string& endpoint);
+    // The endpoints whose present instance the platform's list has not shown,
+    // and when that instance started. Not thread-safe.
+    [[nodiscard]] std::vector<std::pair<std::string, std::int64_t>>
+    awaited_entries() const;
+    // The platform's list was last read then. Once it can't be read, awaited
+    // instances get tasks that require no label. Not thread-safe.
+    void use_without_entries(timestamp now, timestamp list_read_at);
     [[nodiscard]] bool holds(const std::string& endpoint) const;
     [[nodiscard]] std::uint64_t token_of(const std::string& endpoint) const;
     [[nodiscard]] const std::map<std::string,
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -102,7 +102,8 @@
                                    std::uint64_t token, process_id former,
                                    std::uint64_t calls_before)
     : settings_(settings), port_(port), events_(events), endpoint_(endpoint),
-      token_(token), former_(std::move(former)), clock_(settings.clock_drift),
+      entry_started_ms_(endpoint.instance_started_ms), token_(token),
+      former_(std::move(former)), clock_(settings.clock_drift),
       calls_before_(calls_before), calls_sent_(calls_before) {
     ledger_.set_capacity(endpoint.capacity);
 }
@@ -117,6 +118,13 @@
 }
 
 void endpoint_session::update(timestamp now, const endpoint_record& endpoint) {
+    gone_ = false;
+    const bool of_former_instance =
+        endpoint.instance_started_ms != 0 &&
+        endpoint.instance_started_ms < endpoint_.instance_started_ms;
+    if (of_former_instance) {
+        return;
+    }
     const bool later_instance =
         endpoint.instance_started_ms > endpoint_.instance_started_ms;
     const bool restarted = later_instance && endpoint_.instance_started_ms != 0;
@@ -124,7 +132,6 @@
     if (later_instance && rejected_for) {
         fence(*rejected_for);
     }
-    // The platform's list may still show an earlier instance.
     const auto instance_started_ms =
         std::max(endpoint.instance_started_ms, endpoint_.instance_started_ms);
     const bool moved = endpoint.address != endpoint_.address;
@@ -132,8 +139,8 @@
         note_later_instance();
     }
     endpoint_ = endpoint;
-    endpoint_.instance_started_ms = instance_started_ms;
-    gone_ = false;
+    entry_started_ms_ = endpoint.instance_started_ms;
+    set_instance(now, instance_started_ms);
     if (endpoint.capacity != ledger_.capacity()) {
         full_since_.reset();
     }
@@ -146,6 +153,29 @@
     }
 }
 
+void endpoint_session::set_instance(timestamp now,
+                                    std::int64_t instance_started_ms) {
+    endpoint_.instance_started_ms = instance_started_ms;
+    used_without_entry_ = false;
+    const bool of_former_instance = entry_started_ms_ < instance_started_ms ||
+                                    entry_started_ms_ == answered_started_ms_;
+    const bool entry_known = entry_started_ms_ == 0 ||
+                             entry_started_ms_ == instance_started_ms ||
+                             !of_former_instance;
+    if (entry_known) {
+        entry_awaited_since_.reset();
+        return;
+    }
+    if (!entry_awaited_since_) {
+        entry_awaited_since_ = now;
+    }
+    endpoint_.labels.clear();
+}
+
+void endpoint_session::use_without_entry() {
+    used_without_entry_ = true;
+}
+
 void endpoint_session::mark_gone(timestamp now) {
     if (!gone_) {
         gone_since_ = now;
@@ -205,6 +235,7 @@
 bool endpoint_session::accepts_tasks() const {
     return phase_ == session_phase::active && !gone_ && failed_calls_ == 0 &&
            !suspended_at_call_ && clock_.is_known() &&
+           (!awaits_entry() || used_without_entry_) &&
            endpoint_.state == endpoint_state::ready;
 }
 
@@ -478,10 +509,11 @@
             note_later_instance();
             begin_instance(now);
         }
-        endpoint_.instance_started_ms = reply.instance_started_ms;
+        set_instance(now, reply.instance_started_ms);
     } else if (reply.number > lost_runs_at_call_) {
         withdraw_suspected_crash();
     }
+    answered_started_ms_ = reply.instance_started_ms;
     const bool first_of_instance = !clock_.is_known();
     process_call_reply(now, reply.call, true);
     if (first_of_instance) {
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -7,7 +7,9 @@
 // and returns the ended runs.
 //
 // An endpoint that restarts under the same id is a new instance; it knows
-// neither the runs nor the tokens of the former one.
+// neither the runs nor the tokens of the former one, and may have other labels.
+// Its own answers show that it began, its entry in the platform's list what it
+// is: tasks wait for both.
 #ifndef FIGRIDGE_CORE_DISPATCH_ENDPOINT_SESSION_HPP
 #define FIGRIDGE_CORE_DISPATCH_ENDPOINT_SESSION_HPP
 
@@ -88,6 +90,8 @@
 
     // --- inputs ---
     void begin(timestamp now);
+    // Applies the entry of the platform's list, unless it is of an instance
+    // before the present one. Not thread-safe.
     void update(timestamp now, const endpoint_record& endpoint);
     void handle_hold(timestamp now, const hold_reply& reply);
     void handle_start(timestamp now, const task_run& run,
@@ -127,6 +131,9 @@
     // has not, asks it for a list of its runs, whose answer is an input.
     // Precondition: `accepts_tasks()`. Not thread-safe.
     bool confirm_instance(timestamp now);
+    // The list can't be read: uses the present instance as the former one was,
+    // but for its labels. Precondition: `awaits_entry()`. Not thread-safe.
+    void use_without_entry();
     // Reports the runs on an endpoint that refuses connections as possibly lost
     // by a crash, once.
     void report_suspected_crash();
@@ -136,6 +143,14 @@
     [[nodiscard]] std::uint64_t token() const { return token_; }
     [[nodiscard]] session_phase phase() const { return phase_; }
     [[nodiscard]] bool accepts_tasks() const;
+    // Whether the platform's list has not shown the present instance yet.
+    [[nodiscard]] bool awaits_entry() const {
+        return entry_awaited_since_.has_value();
+    }
+    // Since when. Precondition: `awaits_entry()`.
+    [[nodiscard]] timestamp entry_awaited_since() const {
+        return *entry_awaited_since_;
+    }
     // Whether a revoked run may still run. The lease is not extended then,
     // neither by renewals nor by starts.
     [[nodiscard]] bool awaits_revocation() const;
@@ -227,6 +242,9 @@
     void request_list(timestamp now);
     // Call while `endpoint_` still names the former instance.
     void note_later_instance();
+    // The present instance is the one that began then; its entry may not have
+    // been read.
+    void set_instance(timestamp now, std::int64_t instance_started_ms);
     // The instance has ended, and the runs that it had with it.
     void confirm_crash();
     // Removes a run from the ledger and reports its end.
@@ -246,7 +264,14 @@
     const dispatch_settings& settings_;
     endpoint_port& port_;
     session_events& events_;
+    // Of the present instance: it may be a later one than that of the entry.
     endpoint_record endpoint_;
+    // When the instances of the entry and of the last answer started, 0 if
+    // unknown. An odd entry may name a start in the future.
+    std::int64_t entry_started_ms_;
+    std::int64_t answered_started_ms_ = 0;
+    std::optional<timestamp> entry_awaited_since_;
+    bool used_without_entry_ = false;
     std::uint64_t token_;
     process_id former_;
     session_phase phase_ = session_phase::adopting;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -344,6 +344,128 @@
     BOOST_TEST(!endpoints.starts.empty());
 }
 
+namespace {
+
+// Endpoint-1 is held, and requires a label; it has answered as the instance of
+// its entry.
+struct labelled_endpoint : holding_dispatcher {
+    labelled_endpoint() {
+        complete_takeover();
+        listed = make_endpoint("endpoint-1");
+        listed.instance_started_ms = 1000;
+        listed.labels = {"kind-a"};
+        core.set_endpoint(now, listed);
+        core.on_entries_wanted = [this] { ++entry_requests; };
+    }
+
+    // The endpoint has restarted, and answers the call that reads its clock.
+    void answer_as_later_instance() {
+        advance(20s);
+        const auto call = endpoints.holds.back();
+        hold_reply reply;
+        reply.number = call.number;
+        reply.call = {call_status::ok, 500};
+        reply.instance_started_ms = 2000;
+        core.handle_hold(now, call.target, reply);
+    }
+
+    void list_later_instance() {
+        listed.instance_started_ms = 2000;
+        listed.labels = {"kind-b"};
+        core.set_endpoint(now, listed);
+    }
+
+    void submit(caller_token token, const std::string& label) {
+        auto job = make_job("0123456789abcde" + std::to_string(token));
+        job.work.steps[0].need.required_label = label;
+        core.submit(now, token, job);
+    }
+
+    endpoint_record listed;
+    int entry_requests = 0;
+};
+
+} // namespace
+
+// Guards against a start on an endpoint without the label that the task
+// requires (ROUTE): it had restarted as another kind, and its former entry was
+// used on.
+BOOST_FIXTURE_TEST_CASE(task_waits_for_the_entry_of_a_restarted_endpoint,
+                        labelled_endpoint) {
+    answer_as_later_instance();
+    submit(1, "kind-a");
+    submit(2, "kind-b");
+    BOOST_TEST(endpoints.starts.empty());
+    list_later_instance();
+    advance(25ms);
+    BOOST_REQUIRE_EQUAL(endpoints.starts.size(), 1U);
+    BOOST_TEST(endpoints.starts[0].run.task.job == "0123456789abcde2");
+}
+
+// Guards against a restarted endpoint that is not used until the list is read
+// anyway.
+BOOST_FIXTURE_TEST_CASE(missing_entry_is_asked_for_until_it_is_read,
+                        labelled_endpoint) {
+    answer_as_later_instance();
+    BOOST_TEST(entry_requests == 1);
+    advance(400ms);
+    BOOST_TEST(entry_requests == 3);
+    list_later_instance();
+    advance(1s);
+    BOOST_TEST(entry_requests == 3);
+}
+
+// Guards against an endpoint that is lost: its entry was read before it
+// answered, and named an earlier start, as its clock had been set back.
+BOOST_FIXTURE_TEST_CASE(entry_read_before_its_instance_answers_is_applied,
+                        labelled_endpoint) {
+    listed.instance_started_ms = 900;
+    listed.labels = {"kind-b"};
+    core.set_endpoint(now, listed);
+    advance(20s);
+    const auto call = endpoints.holds.back();
+    hold_reply reply;
+    reply.number = call.number;
+    reply.call = {call_status::ok, 500};
+    reply.instance_started_ms = 900;
+    core.handle_hold(now, call.target, reply);
+    submit(1, "kind-b");
+    advance(25ms);
+    BOOST_TEST(endpoints.starts.size() == 1U);
+    BOOST_TEST(entry_requests == 0);
+}
+
+// Guards against endpoints that are lost while the store is away, and against
+// tasks that run there without the label that they require.
+BOOST_FIXTURE_TEST_CASE(restarted_endpoint_serves_without_labels_and_store,
+                        labelled_endpoint) {
+    answer_as_later_instance();
+    core.note_endpoints_read(now - 1s);
+    submit(1, "kind-a");
+    submit(2, "");
+    advance(1s);
+    BOOST_TEST(endpoints.starts.empty());
+    submit(3, "");
+    advance(600ms);
+    BOOST_REQUIRE(!endpoints.starts.empty());
+    for (const auto& call : endpoints.starts) {
+        BOOST_TEST(call.run.task.job != "0123456789abcde1");
+    }
+}
+
+// Guards against a start without the label where only the worker is late to
+// write its entry.
+BOOST_FIXTURE_TEST_CASE(restarted_endpoint_waits_while_the_list_is_read,
+                        labelled_endpoint) {
+    answer_as_later_instance();
+    for (int i = 0; i < 30; ++i) {
+        core.note_endpoints_read(now);
+        submit(static_cast<caller_token>(i % 10), "");
+        advance(100ms);
+    }
+    BOOST_TEST(endpoints.starts.empty());
+}
+
 BOOST_AUTO_TEST_CASE(failed_takeover_is_retried) {
     core.handle_write_result(now, store.writes.back().first,
                              store_status::unavailable);
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -5,6 +5,9 @@
 namespace figridge::dispatch {
 namespace {
 
+// An idle endpoint is polled after this.
+constexpr duration clock_reading_pause = 20s;
+
 BOOST_FIXTURE_TEST_SUITE(endpoint_session_test, session_fixture)
 
 BOOST_AUTO_TEST_CASE(first_call_renews_no_lease) {
@@ -878,6 +881,8 @@
     take(8);
     answer_hold({}, {}, 2000);
     BOOST_TEST(events.fenced == 0);
+    BOOST_TEST(session->awaits_entry());
+    session->use_without_entry();
     BOOST_TEST(session->accepts_tasks());
     take(9);
     now += 450ms; // another host may have taken it over by now
@@ -1234,6 +1239,86 @@
     BOOST_TEST(port.stops.empty());
 }
 
+// Guards against a start without the label that it requires (ROUTE), over the
+// capacity (LIMIT) or on an endpoint that leaves (DRAIN): an instance was used
+// with the entry of the one before it.
+BOOST_AUTO_TEST_CASE(later_instance_gets_tasks_once_its_entry_is_read) {
+    endpoint.instance_started_ms = 1000;
+    endpoint.labels = {"kind-a"};
+    session->update(now, endpoint);
+    answer_hold({});
+    BOOST_TEST(session->accepts_tasks());
+    pass(clock_reading_pause);
+    answer_hold({}, {}, 2000);
+    BOOST_TEST(session->awaits_entry());
+    BOOST_TEST(!session->accepts_tasks());
+    // A list that is read late.
+    session->update(now, endpoint);
+    BOOST_TEST(!session->accepts_tasks());
+    auto later = endpoint;
+    later.instance_started_ms = 2000;
+    later.labels = {"kind-b"};
+    later.capacity.cpu_millis = 8'000;
+    session->update(now, later);
+    BOOST_TEST(!session->awaits_entry());
+    BOOST_TEST(session->accepts_tasks());
+    BOOST_TEST(session->endpoint().labels == later.labels);
+    BOOST_TEST(session->free_resources().cpu_millis == 8'000U);
+    later.state = endpoint_state::draining;
+    session->update(now, later);
+    BOOST_TEST(!session->accepts_tasks());
+}
+
+// The same where the entry of the former instance is read once more.
+BOOST_AUTO_TEST_CASE(entry_of_a_former_instance_is_ignored) {
+    endpoint.instance_started_ms = 1000;
+    endpoint.labels = {"kind-a"};
+    session->update(now, endpoint);
+    answer_hold({});
+    auto later = endpoint;
+    later.instance_started_ms = 2000;
+    later.labels = {"kind-b"};
+    later.capacity.cpu_millis = 8'000;
+    session->update(now, later);
+    answer_hold({}, {}, 1000); // to a call sent before
+    answer_hold({}, {}, 2000);
+    session->update(now, endpoint);
+    BOOST_TEST(session->accepts_tasks());
+    BOOST_TEST(session->endpoint().labels == later.labels);
+    BOOST_TEST(session->free_resources().cpu_millis == 8'000U);
+}
+
+// The same where the clock of the endpoint was set back before it restarted.
+BOOST_AUTO_TEST_CASE(instance_with_an_earlier_start_waits_for_its_entry) {
+    endpoint.instance_started_ms = 2000;
+    endpoint.labels = {"kind-a"};
+    session->update(now, endpoint);
+    answer_hold({}, {}, 2000);
+    pass(clock_reading_pause);
+    answer_hold({}, {}, 1000);
+    BOOST_TEST(!session->accepts_tasks());
+    endpoint.instance_started_ms = 1000;
+    endpoint.labels = {"kind-b"};
+    session->update(now, endpoint);
+    BOOST_TEST(session->accepts_tasks());
+    BOOST_TEST(session->endpoint().labels == endpoint.labels);
+}
+
+// Guards against endpoints that are lost while the list can't be read: rack and
+// room stay with the machine, labels may not.
+BOOST_AUTO_TEST_CASE(instance_without_an_entry_has_no_labels) {
+    endpoint.instance_started_ms = 1000;
+    endpoint.labels = {"kind-a"};
+    session->update(now, endpoint);
+    answer_hold({});
+    pass(clock_reading_pause);
+    answer_hold({}, {}, 2000);
+    session->use_without_entry();
+    BOOST_TEST(session->accepts_tasks());
+    BOOST_TEST(session->endpoint().labels.empty());
+    BOOST_TEST(session->free_resources().cpu_millis == 16'000U);
+}
+
 // Guards against duplicate runs: the caller of a coordinator that ended resends
 // its job 1.3 s later, while the lease was renewed until 700 ms after that end.
 BOOST_AUTO_TEST_CASE(
