A lost holder's task waits for endpoints that had its label before

What callers could see: a task that requires a label runs twice at a time. Its lost holder had sent the start to an endpoint that then restarted as another kind, and carries it out late all the same.

Change: a tenure keeps the labels that its endpoint had before.

--- a/src/core/dispatch/tenure_ledger.cpp
+++ b/src/core/dispatch/tenure_ledger.cpp
@@ -76,7 +76,13 @@
 void tenure_ledger::set_endpoint(const endpoint_record& endpoint) {
     auto& known = endpoints_[endpoint.id];
     known.pool = endpoint.pool;
-    known.labels = endpoint.labels;
+    if (known.labels != endpoint.labels) {
+        for (auto& open : known.tenures) {
+            open.former_labels.insert(open.former_labels.end(),
+                                      known.labels.begin(), known.labels.end());
+        }
+        known.labels = endpoint.labels;
+    }
     known.gone_by.reset();
     known.tenures_known |= rows_read_ && known.newest_token == 0;
 }
@@ -157,18 +163,19 @@
 bool tenure_ledger::may_start(const process_id& process,
                               const std::string& pool,
                               const std::string& label) const {
+    const auto has_label = [&label](const std::vector<std::string>& labels) {
+        return std::find(labels.begin(), labels.end(), label) != labels.end();
+    };
     return std::any_of(
         endpoints_.begin(), endpoints_.end(), [&](const auto& item) {
             const auto& known = item.second;
-            const bool suits =
-                known.pool == pool &&
-                (label.empty() ||
-                 std::find(known.labels.begin(), known.labels.end(), label) !=
-                     known.labels.end());
-            return suits &&
+            return known.pool == pool &&
                    std::any_of(known.tenures.begin(), known.tenures.end(),
-                               [&process](const tenure& open) {
-                                   return open.holder == process;
+                               [&](const tenure& open) {
+                                   return open.holder == process &&
+                                          (label.empty() ||
+                                           has_label(known.labels) ||
+                                           has_label(open.former_labels));
                                });
         });
 }
--- a/src/core/dispatch/tenure_ledger.hpp
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -93,6 +93,9 @@
         std::uint64_t token = 0;
         // When its last run has ended; empty until it is fenced.
         std::optional<timestamp> ends_by;
+        // Labels that the endpoint had before in this tenure: it may have
+        // restarted as another kind.
+        std::vector<std::string> former_labels;
 
         void end_by(timestamp runs_end_by);
     };
--- a/tests/dispatch/tenure_ledger_test.cpp
+++ b/tests/dispatch/tenure_ledger_test.cpp
@@ -60,6 +60,16 @@
     BOOST_TEST(!may_start({holder_a.address, 12}));
 }
 
+// Guards against two runs at a time: an endpoint that a lost holder sent a
+// start has restarted as another kind, and carries it out all the same.
+BOOST_AUTO_TEST_CASE(endpoint_may_start_what_its_former_labels_suited) {
+    list("endpoint-1", {"ssd"});
+    BOOST_TEST(may_start(holder_a, "gpu"));
+    BOOST_TEST(may_start(holder_a, "ssd"));
+    hold("endpoint-1", holder_b, 8);
+    BOOST_TEST(!may_start(holder_b, "gpu"));
+}
+
 // Guards against two runs at a time: a row or an endpoint's answer under the
 // holder's own token, or a lower one, proves nothing about its starts.
 BOOST_AUTO_TEST_CASE(only_an_answer_under_a_higher_token_fences_a_tenure) {
