A new process is not ready while it waits for endpoints

Cause: it reported ready as soon as it knew the catalogue and any holder.

Change: for up to 3 s it is not ready while an endpoint is not proved.

Evidence: host_that_waits_for_endpoints_is_not_ready_for_a_while, host_is_ready_once_all_endpoints_have_answered.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -31,6 +31,9 @@
 constexpr duration joint_end_window = 10s;
 // Messages that were sent before a cut are read within this time.
 constexpr duration cut_notice_limit = 100ms;
+// Longest time that a new process sends callers elsewhere since it waits for
+// endpoints. Most callers give up sooner.
+constexpr duration max_unready_time = 3s;
 // Lateness of callers and hosts between two submissions of a job.
 constexpr duration resend_delay_limit = 500ms;
 // Longest time that a draining host waits for others to take over its
@@ -910,8 +913,13 @@
            handed_over && !witnesses;
 }
 
-bool dispatcher::is_ready(timestamp /*now*/) const {
-    return !draining_ && catalogue_version_ != 0 && !views_.empty();
+bool dispatcher::is_ready(timestamp now) const {
+    // Other hosts may not have to wait for the endpoints.
+    const bool awaits_endpoints = serves_since_ &&
+                                  now - *serves_since_ < max_unready_time &&
+                                  tenures_.has_unproved();
+    return !draining_ && catalogue_version_ != 0 && !views_.empty() &&
+           !awaits_endpoints;
 }
 
 bool dispatcher::follows_endpoints(timestamp now) const {
--- a/src/core/dispatch/tenure_ledger.cpp
+++ b/src/core/dispatch/tenure_ledger.cpp
@@ -204,6 +204,11 @@
     return found;
 }
 
+bool tenure_ledger::has_unproved() const {
+    return std::any_of(endpoints_.begin(), endpoints_.end(),
+                       [](const auto& item) { return !item.second.proved; });
+}
+
 std::uint64_t tenure_ledger::answered_token(const std::string& endpoint) const {
     const auto found = endpoints_.find(endpoint);
     return found == endpoints_.end() ? 0 : found->second.answered_token;
--- a/src/core/dispatch/tenure_ledger.hpp
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -82,6 +82,8 @@
     // earlier instance may have had others. Not thread-safe.
     [[nodiscard]] std::vector<std::string>
     find_unproved(const std::string& pool) const;
+    // Whether any endpoint is not proved. Not thread-safe.
+    [[nodiscard]] bool has_unproved() const;
     // The highest token under which the endpoint is known to have answered, 0
     // if there is none. Not thread-safe.
     [[nodiscard]] std::uint64_t
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -2480,6 +2480,24 @@
     BOOST_TEST(endpoints.starts.size() == 1U);
 }
 
+// Guards against callers that wait at a host that has just started, while other
+// hosts need not wait.
+BOOST_AUTO_TEST_CASE(host_that_waits_for_endpoints_is_not_ready_for_a_while) {
+    read_holders();
+    advance_with({"endpoint-1"}, 1s);
+    BOOST_TEST(endpoints.starts.empty());
+    BOOST_TEST(!core.is_ready(now));
+    advance_with({"endpoint-1"}, 3s);
+    BOOST_TEST(core.is_ready(now));
+}
+
+// The same, against a host that is not used without need.
+BOOST_AUTO_TEST_CASE(host_is_ready_once_all_endpoints_have_answered) {
+    read_holders();
+    advance_with({"endpoint-1", "endpoint-2"}, 1s);
+    BOOST_TEST(core.is_ready(now));
+}
+
 // Guards against a pool that stands still because one endpoint is silent: what
 // was sent to it before can't be a job that comes only now.
 BOOST_AUTO_TEST_CASE(job_too_late_to_be_an_earlier_one_does_not_wait) {
