A job given up while it waited waits again when it comes again

What callers could see: a job of unknown past waits for a silent endpoint, is given up at its deadline, comes a third time to the same host and is placed at once beside its first start (TWICE).

Cause: the host took its own former runs of the job for all that there are. Likewise two hosts that stay away were noted as ended anew every 10 s.

Change: a job that was given up without a proof still needs it; each end is noted once.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -679,11 +679,12 @@
         if (peer == sessions_.peers().end()) {
             return true;
         }
-        const bool restarted = peer->second.id != process;
-        if (restarted || has_refused(peer->second, lost_at)) {
+        const bool has_ended =
+            peer->second.id != process || has_refused(peer->second, lost_at);
+        if (has_ended) {
             note_ended(process);
         }
-        return restarted;
+        return has_ended;
     });
 }
 
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -115,9 +115,11 @@
         views_.empty() && now - *no_holder_since_ < settings_.takeover_limit;
     // A refusal would tell the caller that the job has not run.
     const bool in_doubt = doubts_.is_open_for_job(id);
+    const auto former = former_runs_.find(id);
     const bool may_have_come_before =
-        !former_runs_.contains(id) &&
-        events_.may_have_come_before(submission.caller_timeout);
+        former == former_runs_.end()
+            ? events_.may_have_come_before(submission.caller_timeout)
+            : !former->second.proved;
     const bool unproved =
         may_have_come_before && events_.is_unproved(submission.queue.pool);
     // Such a job may have run as well, but all may be such jobs.
@@ -128,7 +130,7 @@
                       {rejection, "no_endpoints", retry_after_takeover});
     }
     // A job that has runs may have run: see `in_doubt`.
-    if (!in_doubt && !former_runs_.contains(id) && !events_.admit_job()) {
+    if (!in_doubt && former == former_runs_.end() && !events_.admit_job()) {
         return refuse(now, token, submission,
                       {rejection, "host_overloaded", retry_after_overload});
     }
@@ -159,7 +161,6 @@
         now + limit_wait(submission.queue.latency_target +
                          scale_wait(total_estimate, submission.queue.stretch));
     state.caller_deadline = now + submission.caller_timeout;
-    const auto former = former_runs_.find(id);
     state.never_sent = former == former_runs_.end() && !in_doubt && !unproved;
     const auto first_run =
         former == former_runs_.end() ? 1 : former->second.highest_run + 1;
@@ -762,6 +763,7 @@
                                          const job_state& state) {
     auto& kept = former_runs_[state.submission.work.id];
     kept.expires_at = now + former_runs_retention;
+    kept.proved = state.proved;
     for (const auto& step : state.steps) {
         for (const auto& task : step.tasks) {
             kept.highest_run = std::max(kept.highest_run, task.run);
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -197,6 +197,7 @@
     struct former_runs {
         std::uint32_t highest_run = 0;
         timestamp expires_at{0};
+        bool proved = true; // see `job_state`
     };
 
     struct recent_adoption {
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -469,6 +469,23 @@
     BOOST_TEST(placements() == 3U);
 }
 
+// The same where it was given up while it waited, and its caller sends it a
+// third time.
+BOOST_AUTO_TEST_CASE(job_given_up_while_it_waited_waits_again) {
+    may_be_resent = true;
+    has_unproved_endpoint = true;
+    submit(1);
+    advance(1600ms);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::gave_up));
+    may_be_resent = false;
+    submit(1);
+    BOOST_TEST(placements() == 0U);
+    has_unproved_endpoint = false;
+    advance(25ms);
+    BOOST_TEST(placements() == 1U);
+}
+
 // Guards against a wait for endpoints that can't have got a job that is new.
 BOOST_AUTO_TEST_CASE(job_that_can_not_have_come_before_is_placed_at_once) {
     has_unproved_endpoint = true;
