--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -25,9 +25,9 @@
 // The end of a doubt is sent to a peer with the next payload, and within this
 // time: one message for each end would be many while hosts are late.
 constexpr duration ended_doubts_interval = 100ms;
-// A host that ends this long after another one may have been the only one that
-// knew of a start of that one: jobs wait for the endpoints of a lost holder,
-// and tell of them when they are given up.
+// A host that ends within this time after another one may have been the only
+// one that knew of a start of that one: a job waits for the endpoints of a lost
+// holder, and other hosts are told of its tasks when it is given up.
 constexpr duration joint_end_window = 10s;
 // Messages that were sent before a cut are read within this time.
 constexpr duration cut_notice_limit = 100ms;
@@ -651,7 +651,8 @@
 void dispatcher::record_tenure(const process_id& holder,
                                const std::string& endpoint,
                                std::uint64_t token) {
-    // The row of an endpoint that is not listed may outlive it.
+    // The row of an endpoint that is not listed may outlive it. Before the list
+    // is read, any may be listed.
     if (!has_endpoints_ || directory_.endpoints().contains(endpoint)) {
         tenures_.set_holder({endpoint, {}, holder, token, 0});
         late_starts_.clear();
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -122,7 +122,8 @@
             : !former->second.proved;
     const bool unproved =
         may_have_come_before && events_.is_unproved(submission.queue.pool);
-    // Such a job may have run as well, but all may be such jobs.
+    // Such a job may have run, so it is not told that it has not. It passes the
+    // same checks, since after a restart of all hosts most jobs are such.
     const auto rejection =
         unproved ? job_outcome::gave_up : job_outcome::refused;
     if (views_.empty() && !takeover_pending && !in_doubt) {
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -41,13 +41,14 @@
     [[nodiscard]] virtual bool may_start_late_at(const process_id& holder,
                                                  const std::string& endpoint,
                                                  std::uint64_t token) const = 0;
-    // Whether a process that ended before this one could hear of it may have
-    // had the job, whose caller waits that long for an answer to each
-    // submission. Not thread-safe.
+    // Whether a job that arrives now may have been submitted before to a
+    // process that has ended and could not tell this one of its starts. The
+    // caller waits for `caller_timeout` for the answer to each submission. Not
+    // thread-safe.
     [[nodiscard]] virtual bool
     may_have_come_before(duration caller_timeout) const = 0;
-    // Whether a start may still be carried out at an endpoint of the pool that
-    // a process sent of which this host was never told. Not thread-safe.
+    // Whether a start of which this host was never told may still be carried
+    // out at an endpoint of the pool; see `tenure_ledger`. Not thread-safe.
     [[nodiscard]] virtual bool is_unproved(const std::string& pool) = 0;
     // Whether this host has the processor time for one more job. Each call
     // counts as one. Not thread-safe.
--- a/src/core/dispatch/tenure_ledger.hpp
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -54,12 +54,13 @@
     void forget_unlisted();
     // Forgets the tenures that have ended. Not thread-safe.
     void tick(timestamp now);
-    // Notes which endpoints are proved: no start that any process sent before
-    // can be carried out there, nor its run go on, that the process does not
-    // tell this host. Processes may have ended that no row names any more. A
-    // proved endpoint stays so: this host is told of later losses. Runs that an
-    // adoption has listed don't count. `tells` says whether a holder is heard.
-    // Precondition: the rows and the endpoints were read. Not thread-safe.
+    // Notes which endpoints are proved: no start of which this host was never
+    // told can be carried out there, nor its run go on. The endpoint has
+    // answered under its newest row, as earlier rows can't be read any more,
+    // and the holder of each open tenure is heard (`tells`). Runs that an
+    // adoption has listed don't count. A proved endpoint stays so, as this host
+    // is told of later starts. Precondition: the rows and the endpoints were
+    // read. Not thread-safe.
     void note_proofs(timestamp now,
                      const std::function<bool(const process_id&)>& tells);
 
