Instances that need no proof: jobs wait less for hosts that ended together

Callers saw: 19 of 32 hosts end while the store is away, and for four seconds the 13 others serve nobody: each job that may have come before waits until each endpoint of the ended hosts has answered under a higher token, which takes a write to the store.

A start is carried out late only on an instance that began after its holder last read the endpoint's clock. So an endpoint needs no proof for a job if its present instance, heard after the holder ended, began 22.15 s before the job can have been sent first, or the holder had told of it by then. Holders tell all hosts of each instance that they use; hosts that are to take an endpoint over ask it anyway. A process that can't read the rows gives such jobs up at once instead of holding them, and is not ready. event=endpoints_unproved names what is waited for.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <absl/strings/str_join.h>
+
 namespace figridge::dispatch {
 namespace {
 
@@ -36,6 +38,14 @@
 constexpr duration max_unready_time = 3s;
 // Lateness of callers and hosts between two submissions of a job.
 constexpr duration resend_delay_limit = 500ms;
+// Jobs of most callers were first sent this long before they arrive, at most.
+constexpr duration usual_job_age = 5s;
+// A new process that has not read the rows by then will not for a while, as the
+// store is away.
+constexpr duration first_read_limit = 400ms;
+// While jobs wait for endpoints, these are logged this often.
+constexpr duration unproved_log_interval = 1s;
+constexpr std::size_t max_logged_endpoints = 4;
 // Longest time that a draining host waits for others to take over its
 // endpoints. It sends grants after a third of this time.
 constexpr duration handover_limit = 1500ms;
@@ -150,6 +160,7 @@
         check_holders(now);
         note_ended_peers();
         note_proofs();
+        forget_instances(now);
         if (!holder_.queue().empty()) {
             holder_.return_queued(views_.free_cpu_elsewhere(settings_.self));
         }
@@ -463,6 +474,7 @@
         doubts_.record(now_, doubt);
     }
     record_start_notices(from, content.start_notices);
+    record_instance_ages(from, content.instance_ages);
     record_relayed(from, content.relayed);
     // After the doubts, so that the answer has those of the same payload.
     for (const auto& request : content.relay_requests) {
@@ -528,9 +540,16 @@
         if (peer->second.out_of_contact || !peer->second.hears_stream) {
             return false;
         }
-        auto& fences = sessions_.pending_for(id)->fences;
+        auto& content = *sessions_.pending_for(id);
         for (auto& missed : briefing_.take_missed(id, held)) {
-            fences.push_back(std::move(missed));
+            if (const auto used = used_instances_.find(missed.endpoint);
+                used != used_instances_.end()) {
+                content.instance_ages.push_back(with_age(used->second));
+            }
+            content.fences.push_back(std::move(missed));
+        }
+        for (const auto& [endpoint, heard] : heard_instances_) {
+            content.instance_ages.push_back(with_age(heard));
         }
         if (briefing_.take_missed_doubts(id)) {
             repeat_doubts(id);
@@ -704,6 +723,7 @@
 }
 
 void dispatcher::note_ended(const process_id& peer) {
+    noticed_ends_.try_emplace(peer, now_);
     if (!ended_peers_.try_emplace(peer, now_).second ||
         ended_peers_.size() < 2) {
         return;
@@ -713,6 +733,9 @@
         tenures_.withdraw_proofs(ended);
     }
     unproved_pools_.clear();
+    for (const auto& [endpoint, instance] : heard_instances_) {
+        announce_instance(endpoint);
+    }
     ports_.observer.log(log_level::warning, "peers_ended_together",
                         {{"peers", std::to_string(ended_peers_.size())},
                          {"last", peer.address}});
@@ -729,14 +752,182 @@
     });
 }
 
-bool dispatcher::is_unproved(const std::string& pool) {
+// A start of the job was sent no earlier than the job.
+bool dispatcher::is_unproved(const std::string& pool, timestamp arrived,
+                             duration caller_timeout) {
     const auto [known, added] = unproved_pools_.try_emplace(pool);
     if (added) {
         note_proofs();
-        known->second = !holders_read_ || !has_endpoints_ ||
-                        !tenures_.find_unproved(pool).empty();
+        known->second = !holders_read_ || !has_endpoints_
+                            ? timestamp::max()
+                            : tenures_.needs_no_proof_from(pool);
+    }
+    const auto first_sent =
+        arrived - caller_timeout - settings_.resend_after - resend_delay_limit;
+    const bool unproved = known->second > first_sent;
+    if (unproved && now_ >= next_unproved_log_) {
+        next_unproved_log_ = now_ + unproved_log_interval;
+        log_unproved(pool, first_sent);
+    }
+    return unproved;
+}
+
+bool dispatcher::may_prove_soon() const {
+    return !serves_since_ || (holders_read_ && has_endpoints_) ||
+           now_ - *serves_since_ < first_read_limit;
+}
+
+void dispatcher::log_unproved(const std::string& pool,
+                              timestamp first_sent) const {
+    const auto unproved = tenures_.find_unproved(pool, first_sent);
+    std::vector<std::string> first;
+    for (const auto& endpoint : unproved) {
+        if (first.size() < max_logged_endpoints) {
+            first.push_back(tenures_.describe_instance(now_, endpoint));
+        }
+    }
+    ports_.observer.log(log_level::info, "endpoints_unproved",
+                        {{"pool", pool},
+                         {"count", std::to_string(unproved.size())},
+                         {"first", absl::StrJoin(first, ",")},
+                         {"asked", std::to_string(pending_probes_.size())},
+                         {"heard", std::to_string(heard_instances_.size())},
+                         {"rows_read", holders_read_ ? "yes" : "no"}});
+}
+
+std::optional<timestamp> dispatcher::record_instance(timestamp now,
+                                                     const call_target& target,
+                                                     const hold_reply& reply) {
+    if (reply.call.status != call_status::ok || reply.call.clock_ms < 0 ||
+        reply.instance_started_ms <= 0) {
+        return std::nullopt;
+    }
+    // The endpoint's clock counts from the start of its instance.
+    const auto began_by =
+        now - limit_wait(std::chrono::milliseconds(std::min<std::int64_t>(
+                  reply.call.clock_ms, to_ms(max_wait))));
+    tenures_.note_instance(now, target.endpoint, reply.instance_started_ms,
+                           began_by, settings_.self, target.token);
+    unproved_pools_.clear();
+    return began_by;
+}
+
+std::optional<timestamp>
+dispatcher::end_noticed_at(const process_id& process) const {
+    if (const auto found = noticed_ends_.find(process);
+        found != noticed_ends_.end()) {
+        return found->second;
+    }
+    if (!has_ended(process)) {
+        return std::nullopt;
+    }
+    return process.address == settings_.self.address
+               ? started_at_
+               : sessions_.peers().at(process.address).first_heard_at;
+}
+
+void dispatcher::record_probed_instance(timestamp now,
+                                        const call_target& target,
+                                        const hold_reply& reply) {
+    const auto* row = directory_.holder_of(target.endpoint);
+    const auto sent = probe_sent_at_.find(target.endpoint);
+    if (row == nullptr || row->token != target.token ||
+        sent == probe_sent_at_.end()) {
+        return;
+    }
+    // A call that was sent before may have been answered before the end.
+    const auto ended = end_noticed_at(row->holder);
+    if (!ended || sent->second < *ended) {
+        return;
+    }
+    const auto began_by = record_instance(now, target, reply);
+    if (!began_by) {
+        return;
+    }
+    auto& heard = heard_instances_[target.endpoint];
+    if (heard.told.instance_started_ms != reply.instance_started_ms ||
+        heard.told.token != target.token) {
+        heard = {{target.endpoint, reply.instance_started_ms, 0, target.token},
+                 *began_by,
+                 now,
+                 false};
+    }
+    heard.began_by = std::min(heard.began_by, *began_by);
+    heard.heard_at = now;
+    const bool has_just_started =
+        !serves_since_ || now - *serves_since_ < joint_end_window;
+    if (has_just_started || ended_peers_.size() >= 2) {
+        announce_instance(target.endpoint);
+    }
+}
+
+// A peer that knows since when this host has read the clock of the present
+// instance need not wait for the endpoint once this host has ended.
+void dispatcher::note_used_instance(timestamp now, const call_target& target,
+                                    const hold_reply& reply) {
+    const auto found = holder_.sessions().find(target.endpoint);
+    if (found == holder_.sessions().end() || !found->second->knows_runs() ||
+        found->second->token() != target.token ||
+        found->second->endpoint().instance_started_ms !=
+            reply.instance_started_ms) {
+        return;
+    }
+    auto& used = used_instances_[target.endpoint];
+    if (used.told.instance_started_ms == reply.instance_started_ms &&
+        used.told.token == target.token) {
+        return;
+    }
+    if (const auto began_by = record_instance(now, target, reply)) {
+        used = {{target.endpoint, reply.instance_started_ms, 0, target.token},
+                *began_by,
+                now,
+                true};
+        tell_instance(with_age(used));
+    }
+}
+
+instance_age dispatcher::with_age(const heard_instance& heard) const {
+    auto told = heard.told;
+    told.age_ms = static_cast<std::uint64_t>(
+        std::max<std::int64_t>(0, to_ms(now_ - heard.began_by)));
+    return told;
+}
+
+void dispatcher::tell_instance(const instance_age& told) {
+    for (const auto& [address, peer] : sessions_.peers()) {
+        if (auto* pending = sessions_.pending_for(peer.id);
+            pending != nullptr && !peer.lost) {
+            pending->instance_ages.push_back(told);
+        }
+    }
+}
+
+void dispatcher::announce_instance(const std::string& endpoint) {
+    auto& heard = heard_instances_.at(endpoint);
+    if (!std::exchange(heard.announced, true)) {
+        tell_instance(with_age(heard));
+    }
+}
+
+void dispatcher::forget_instances(timestamp now) {
+    std::erase_if(heard_instances_, [now](const auto& item) {
+        return now - item.second.heard_at > joint_end_window;
+    });
+    std::erase_if(noticed_ends_, [this, now](const auto& item) {
+        return now - item.second > settings_.forget_after;
+    });
+}
+
+void dispatcher::record_instance_ages(const process_id& from,
+                                      const std::vector<instance_age>& ages) {
+    for (const auto& told : ages) {
+        tenures_.note_instance(now_, told.endpoint, told.instance_started_ms,
+                               now_ - wait_from_ms(told.age_ms), from,
+                               told.token);
+    }
+    if (!ages.empty()) {
+        unproved_pools_.clear();
     }
-    return known->second;
 }
 
 bool dispatcher::tells_doubts(const process_id& holder) const {
@@ -824,6 +1015,7 @@
     directory_.remove_endpoint(endpoint);
     tenures_.remove_endpoint(endpoint, now + settings_.gone_limit);
     briefing_.forget_endpoint(endpoint);
+    used_instances_.erase(endpoint);
     crashes_.handle_removed(endpoint);
     doubts_.handle_removed(now, endpoint);
     holder_.mark_gone(now, endpoint);
@@ -845,8 +1037,9 @@
     ports_.observer.count("hold_replies", to_string(reply.call.status));
     if (holder_.token_of(target.endpoint) == target.token) {
         holder_.handle_hold(now, target.endpoint, target.token, reply);
+        note_used_instance(now, target, reply);
     } else {
-        record_probe_reply(now, target, reply.call.status);
+        record_probe_reply(now, target, reply);
     }
     if (pending_probes_.erase(target.endpoint) > 0 && pending_probes_.empty()) {
         check_holders(now);
@@ -919,7 +1112,8 @@
     // Other hosts may not have to wait for the endpoints.
     const bool awaits_endpoints = serves_since_ &&
                                   now - *serves_since_ < max_unready_time &&
-                                  tenures_.has_unproved();
+                                  (!holders_read_ || !has_endpoints_ ||
+                                   tenures_.has_unproved(now - usual_job_age));
     return !draining_ && catalogue_version_ != 0 && !views_.empty() &&
            !awaits_endpoints;
 }
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -158,7 +158,41 @@
                         rows_by_domain);
     // Handles the reply to a probe of an endpoint before a takeover.
     void record_probe_reply(timestamp now, const call_target& target,
-                            call_status status);
+                            const hold_reply& reply);
+    // An instance that has answered this host, and whether the peers were told.
+    struct heard_instance {
+        instance_age told;     // but for its age
+        timestamp began_by{0}; // at the latest
+        timestamp heard_at{0};
+        bool announced = false;
+    };
+
+    // Records since when the instance that has answered is there. Returns the
+    // latest time at which it can have begun, if the reply says.
+    std::optional<timestamp> record_instance(timestamp now,
+                                             const call_target& target,
+                                             const hold_reply& reply);
+    // The same for the answer to a probe that was sent after the holder of the
+    // endpoint had ended. Tells the peers if they may wait for the endpoint:
+    // hosts have ended together, or this process has just started.
+    void record_probed_instance(timestamp now, const call_target& target,
+                                const hold_reply& reply);
+    // When the end of the process was noticed; empty if it was not.
+    [[nodiscard]] std::optional<timestamp>
+    end_noticed_at(const process_id& process) const;
+    void announce_instance(const std::string& endpoint);
+    // Tells the peers of each instance whose clock this host, as its holder,
+    // reads from now on.
+    void note_used_instance(timestamp now, const call_target& target,
+                            const hold_reply& reply);
+    void tell_instance(const instance_age& told);
+    [[nodiscard]] instance_age with_age(const heard_instance& heard) const;
+    // Logs the endpoints that jobs of the pool wait for.
+    void log_unproved(const std::string& pool, timestamp first_sent) const;
+    // Forgets the instances that nobody waits for any more.
+    void forget_instances(timestamp now);
+    void record_instance_ages(const process_id& from,
+                              const std::vector<instance_age>& ages);
     // Whether another incarnation is known at the process's address.
     [[nodiscard]] bool has_ended(const process_id& process) const;
     // Result of `holder_directory::endpoints_to_take()`, computed again only
@@ -286,7 +320,9 @@
                     const adoption_claim& claim) override;
     [[nodiscard]] bool
     may_have_come_before(duration caller_timeout) const override;
-    [[nodiscard]] bool is_unproved(const std::string& pool) override;
+    [[nodiscard]] bool may_prove_soon() const override;
+    [[nodiscard]] bool is_unproved(const std::string& pool, timestamp arrived,
+                                   duration caller_timeout) override;
     [[nodiscard]] bool may_start_late(const process_id& holder,
                                       const std::string& pool,
                                       const std::string& label) const override;
@@ -314,8 +350,9 @@
     // Results of `may_start_late()` in this input: many tasks ask the same.
     mutable std::map<std::tuple<process_id, std::string, std::string>, bool>
         late_starts_;
-    // The same for `is_unproved()`.
-    std::map<std::string, bool> unproved_pools_;
+    // The same for `tenure_ledger::needs_no_proof_from()`.
+    std::map<std::string, timestamp> unproved_pools_;
+    timestamp next_unproved_log_{0};
     crash_ledger crashes_;
     doubt_ledger doubts_;
     admission_control admission_;
@@ -379,6 +416,13 @@
     std::map<std::string, refused_token> refused_probes_;
     std::set<std::string> pending_probes_;
     std::map<std::string, probe_answers> probe_answers_;
+    // By endpoint: instances that have answered probes.
+    std::map<std::string, heard_instance> heard_instances_;
+    // The same for the instances of held endpoints.
+    std::map<std::string, heard_instance> used_instances_;
+    // The processes that have ended without a planned stop, and when that was
+    // noticed.
+    std::map<process_id, timestamp> noticed_ends_;
     std::uint64_t next_request_ = 1;
     std::uint64_t store_version_ = 0;
     std::uint64_t catalogue_version_ = 0;
--- a/src/core/dispatch/dispatcher_holding.cpp
+++ b/src/core/dispatch/dispatcher_holding.cpp
@@ -152,7 +152,9 @@
 }
 
 void dispatcher::record_probe_reply(timestamp now, const call_target& target,
-                                    call_status status) {
+                                    const hold_reply& reply) {
+    record_probed_instance(now, target, reply);
+    const auto status = reply.call.status;
     if (status == call_status::stale_token) {
         auto& refused = refused_probes_[target.endpoint];
         if (refused.token < target.token) {
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -121,11 +121,17 @@
             ? events_.may_have_come_before(submission.caller_timeout)
             : !former->second.proved;
     const bool unproved =
-        may_have_come_before && events_.is_unproved(submission.queue.pool);
+        may_have_come_before && events_.is_unproved(submission.queue.pool, now,
+                                                    submission.caller_timeout);
     // Such a job may have run, so it is not told that it has not. It passes the
     // same checks, since after a restart of all hosts most jobs are such.
     const auto rejection =
         unproved ? job_outcome::gave_up : job_outcome::refused;
+    // The caller comes again, to a host that need not wait.
+    if (unproved && !events_.may_prove_soon()) {
+        return refuse(now, token, submission,
+                      {job_outcome::gave_up, "past_unknown", {}});
+    }
     if (views_.empty() && !takeover_pending && !in_doubt) {
         return refuse(now, token, submission,
                       {rejection, "no_endpoints", retry_after_takeover});
@@ -336,7 +342,8 @@
         return false;
     }
     const auto& submission = state.submission;
-    state.proved = !events_.is_unproved(submission.queue.pool);
+    state.proved = !events_.is_unproved(submission.queue.pool, state.arrived,
+                                        submission.caller_timeout);
     if (state.proved == state.awaits_proof) {
         state.awaits_proof = !state.proved;
         observer_.log(log_level::info,
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -48,8 +48,15 @@
     [[nodiscard]] virtual bool
     may_have_come_before(duration caller_timeout) const = 0;
     // Whether a start of which this host was never told may still be carried
-    // out at an endpoint of the pool; see `tenure_ledger`. Not thread-safe.
-    [[nodiscard]] virtual bool is_unproved(const std::string& pool) = 0;
+    // out at an endpoint of the pool, for a job that arrived then and whose
+    // caller waits for `caller_timeout`; see `tenure_ledger`. Not thread-safe.
+    [[nodiscard]] virtual bool is_unproved(const std::string& pool,
+                                           timestamp arrived,
+                                           duration caller_timeout) = 0;
+    // Whether an endpoint that is not proved may be so within a caller's
+    // time-out: false in a new process that can't read the rows. Not
+    // thread-safe.
+    [[nodiscard]] virtual bool may_prove_soon() const = 0;
     // Whether this host has the processor time for one more job. Each call
     // counts as one. Not thread-safe.
     [[nodiscard]] virtual bool admit_job() = 0;
--- a/src/core/dispatch/messages.cpp
+++ b/src/core/dispatch/messages.cpp
@@ -165,6 +165,14 @@
             }
         }
     }
+    for (const auto& told : content.instance_ages) {
+        if (told.endpoint.empty()) {
+            return out_of_range("content.instance_ages.endpoint");
+        }
+        if (told.instance_started_ms <= 0) {
+            return out_of_range("content.instance_ages.instance_started_ms");
+        }
+    }
     return check_relays(content);
 }
 
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -228,6 +228,18 @@
     MSGPACK_DEFINE(job, items);
 };
 
+// The present instance of an endpoint, which began `age_ms` or more before this
+// was sent. Sent by the holder under `token`, which reads the clock of this
+// instance from now on; or by a host that the instance has answered after the
+// holder under `token` had ended.
+struct instance_age {
+    std::string endpoint;
+    std::int64_t instance_started_ms = 0; // as the instance says
+    std::uint64_t age_ms = 0;
+    std::uint64_t token = 0;
+    MSGPACK_DEFINE(endpoint, instance_started_ms, age_ms, token);
+};
+
 struct catalogue_query {
     std::uint64_t known_version = 0;
     MSGPACK_DEFINE(known_version);
@@ -256,6 +268,7 @@
     std::vector<relay_request> relay_requests;
     std::vector<relayed_report> relayed;
     std::vector<start_notice> start_notices;
+    std::vector<instance_age> instance_ages;
 
     [[nodiscard]] bool empty() const {
         return catalogue_queries.empty() && catalogues.empty() &&
@@ -263,11 +276,13 @@
                adoptions.empty() && claims.empty() && updates.empty() &&
                grants.empty() && crashes.empty() && recalls.empty() &&
                doubts.empty() && fences.empty() && relay_requests.empty() &&
-               relayed.empty() && start_notices.empty();
+               relayed.empty() && start_notices.empty() &&
+               instance_ages.empty();
     }
     MSGPACK_DEFINE(catalogue_queries, catalogues, assignments, withdrawals,
                    adoptions, claims, updates, grants, crashes, recalls, doubts,
-                   fences, relay_requests, relayed, start_notices);
+                   fences, relay_requests, relayed, start_notices,
+                   instance_ages);
 };
 
 // `sequence` numbers the payload, 0 if there is none; payloads before
--- a/src/core/dispatch/tenure_ledger.cpp
+++ b/src/core/dispatch/tenure_ledger.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <absl/strings/str_cat.h>
+
 namespace figridge::dispatch {
 
 void tenure_ledger::set_holder(const holder_record& record) {
@@ -85,6 +87,61 @@
     }
     known.gone_by.reset();
     known.tenures_known |= rows_read_ && known.newest_token == 0;
+    if (endpoint.instance_started_ms > known.instance_started_ms) {
+        known.instance_started_ms = endpoint.instance_started_ms;
+        known.began_by = timestamp::max();
+        known.heard_after_token = 0;
+    }
+}
+
+void tenure_ledger::note_instance(timestamp now, const std::string& endpoint,
+                                  std::int64_t instance_started_ms,
+                                  timestamp began_by, const process_id& by,
+                                  std::uint64_t token) {
+    const auto found = endpoints_.find(endpoint);
+    if (found == endpoints_.end()) {
+        return;
+    }
+    auto& known = found->second;
+    if (instance_started_ms < known.instance_started_ms) {
+        known.began_by = timestamp::max();
+        known.heard_after_token = 0;
+        known.used_since = timestamp::max();
+        return;
+    }
+    if (instance_started_ms > known.instance_started_ms) {
+        known.instance_started_ms = instance_started_ms;
+        known.began_by = timestamp::max();
+        known.heard_after_token = 0;
+    }
+    known.began_by = std::min(known.began_by, began_by);
+    const bool is_holder = std::any_of(
+        known.tenures.begin(), known.tenures.end(), [&](const tenure& open) {
+            return open.token == token && open.holder == by;
+        });
+    if (!is_holder) {
+        known.heard_after_token = std::max(known.heard_after_token, token);
+    } else if (known.used_instance_ms != instance_started_ms ||
+               known.used_token != token) {
+        known.used_instance_ms = instance_started_ms;
+        known.used_token = token;
+        known.used_since = now;
+    }
+}
+
+timestamp tenure_ledger::known_endpoint::safe_from() const {
+    if (proved) {
+        return timestamp::min();
+    }
+    if (heard_after_token == 0 || heard_after_token < newest_token) {
+        return timestamp::max();
+    }
+    const auto by_age = began_by == timestamp::max()
+                            ? began_by
+                            : began_by + clock_reading_limit;
+    const bool is_used =
+        used_token == newest_token && used_instance_ms == instance_started_ms;
+    return is_used ? std::min(by_age, used_since) : by_age;
 }
 
 void tenure_ledger::note_rows_read() {
@@ -194,19 +251,51 @@
 }
 
 std::vector<std::string>
-tenure_ledger::find_unproved(const std::string& pool) const {
+tenure_ledger::find_unproved(const std::string& pool,
+                             timestamp first_sent) const {
     std::vector<std::string> found;
     for (const auto& [id, known] : endpoints_) {
-        if (known.pool == pool && !known.proved) {
+        if (known.pool == pool && known.safe_from() > first_sent) {
             found.push_back(id);
         }
     }
     return found;
 }
 
-bool tenure_ledger::has_unproved() const {
+std::string
+tenure_ledger::describe_instance(timestamp now,
+                                 const std::string& endpoint) const {
+    const auto found = endpoints_.find(endpoint);
+    if (found == endpoints_.end()) {
+        return endpoint;
+    }
+    const auto& known = found->second;
+    const auto since = [now](timestamp at) {
+        return at == timestamp::max() ? std::string("unknown")
+                                      : absl::StrCat(to_ms(now - at));
+    };
+    return absl::StrCat(endpoint, "/token:", known.newest_token,
+                        "/heard_after:", known.heard_after_token,
+                        "/age_ms:", since(known.began_by),
+                        "/used_under:", known.used_token,
+                        "/used_ms:", since(known.used_since));
+}
+
+timestamp tenure_ledger::needs_no_proof_from(const std::string& pool) const {
+    auto latest = timestamp::min();
+    for (const auto& [id, known] : endpoints_) {
+        if (known.pool == pool) {
+            latest = std::max(latest, known.safe_from());
+        }
+    }
+    return latest;
+}
+
+bool tenure_ledger::has_unproved(timestamp first_sent) const {
     return std::any_of(endpoints_.begin(), endpoints_.end(),
-                       [](const auto& item) { return !item.second.proved; });
+                       [first_sent](const auto& item) {
+                           return item.second.safe_from() > first_sent;
+                       });
 }
 
 std::uint64_t tenure_ledger::answered_token(const std::string& endpoint) const {
--- a/src/core/dispatch/tenure_ledger.hpp
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -8,7 +8,8 @@
 //     tenures.fence(endpoint, token, now);     // an adoption was announced
 //     tenures.may_start(lost_holder, pool, label);
 //     tenures.note_proofs(now, tells);
-//     tenures.find_unproved(pool);             // of processes never heard
+//     tenures.note_instance(now, endpoint, instance, began_by, by, token);
+//     tenures.find_unproved(pool, first_sent); // of processes never heard
 #ifndef FIGRIDGE_CORE_DISPATCH_TENURE_LEDGER_HPP
 #define FIGRIDGE_CORE_DISPATCH_TENURE_LEDGER_HPP
 
@@ -22,6 +23,11 @@
 
 namespace figridge::dispatch {
 
+// A holder sends starts to an endpoint only if it has read its clock within
+// this time, 20 s and a call, before. 2 s are for answers that it reads late: a
+// process that is later than that has given up its jobs.
+constexpr duration clock_reading_limit = 20s + 150ms + 2s;
+
 // Owned by a `dispatcher`. Not thread-safe.
 class tenure_ledger {
 public:
@@ -78,13 +84,38 @@
     // have ended as well: the endpoints that it may have sent starts to are not
     // proved any more. Not thread-safe.
     void withdraw_proofs(const process_id& process);
+    // The instance of the endpoint that began at `instance_started_ms` of its
+    // own clock, and at `began_by` at the latest, is the present one. `by` is
+    // the holder under `token`, which reads no clock of an earlier instance
+    // from `now` on; or it has heard the instance after that holder had ended.
+    // Where another instance is known that began later, either may be the
+    // present one, as the endpoint's time of day may have gone back: nothing
+    // counts as known then. Precondition: `instance_started_ms` is above 0. Not
+    // thread-safe.
+    void note_instance(timestamp now, const std::string& endpoint,
+                       std::int64_t instance_started_ms, timestamp began_by,
+                       const process_id& by, std::uint64_t token);
 
-    // The endpoints of the pool that are not proved. Labels don't count, as an
-    // earlier instance may have had others. Not thread-safe.
+    // The endpoints of the pool that are not proved for starts sent at
+    // `first_sent` or later; see `needs_no_proof_from()`. Labels don't count,
+    // as an earlier instance may have had others. Not thread-safe.
     [[nodiscard]] std::vector<std::string>
-    find_unproved(const std::string& pool) const;
-    // Whether any endpoint is not proved. Not thread-safe.
-    [[nodiscard]] bool has_unproved() const;
+    find_unproved(const std::string& pool, timestamp first_sent) const;
+    // What is known of the endpoint's present instance, for logs. Not
+    // thread-safe.
+    [[nodiscard]] std::string
+    describe_instance(timestamp now, const std::string& endpoint) const;
+    // No start that was sent at this time or later is carried out late at an
+    // endpoint of the pool; the highest time if that is not known, the lowest
+    // if all are proved. The present instance must have been heard after the
+    // holder under the newest token had ended. A start whose sender has read
+    // the clock of this instance has a deadline on it. That is so if the
+    // instance began `clock_reading_limit` before the start, or that holder had
+    // told of it by then: earlier holders are refused there. Not thread-safe.
+    [[nodiscard]] timestamp needs_no_proof_from(const std::string& pool) const;
+    // Whether any endpoint is not proved for starts sent at `first_sent` or
+    // later. Not thread-safe.
+    [[nodiscard]] bool has_unproved(timestamp first_sent) const;
     // The highest token under which the endpoint is known to have answered, 0
     // if there is none. Not thread-safe.
     [[nodiscard]] std::uint64_t
@@ -118,6 +149,21 @@
         std::uint64_t newest_token = 0;
         bool tenures_known = false;
         bool proved = false;
+        // The present instance as it says itself, 0 if it is not known, and the
+        // latest time at which it can have begun.
+        std::int64_t instance_started_ms = 0;
+        timestamp began_by = timestamp::max();
+        // The instance whose clock the holder under `used_token` reads, and
+        // since when.
+        std::int64_t used_instance_ms = 0;
+        std::uint64_t used_token = 0;
+        timestamp used_since = timestamp::max();
+        // The highest token whose holder had ended when the present instance
+        // was heard; 0 if there is none.
+        std::uint64_t heard_after_token = 0;
+
+        // See `needs_no_proof_from()`.
+        [[nodiscard]] timestamp safe_from() const;
 
         // Whether the endpoint has answered under its newest row, and the runs
         // that it listed then have ended or are known.
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -2442,13 +2442,60 @@
                 hold_reply reply;
                 reply.number = call.number;
                 if (answering.contains(call.target.endpoint)) {
-                    reply.call = {call_status::ok, to_ms(now) + 500};
+                    reply.call = {call_status::ok, clock_ms()};
                     reply.instance_started_ms = 1000;
                 }
                 core.handle_hold(now, call.target, reply);
             }
         }
     }
+
+    // Of an endpoint that began `endpoint_age` ago, as its clock counts from
+    // then.
+    [[nodiscard]] std::int64_t clock_ms() const {
+        return to_ms(endpoint_age + (now - timestamp{100s}));
+    }
+
+    duration endpoint_age = 10s;
+};
+
+// The same, where endpoint-2 was held by the predecessor too and is in a failure
+// domain none of whose hosts is there, so that it is taken over later.
+struct restarted_beside_a_lost_domain : restarted_dispatcher {
+    restarted_beside_a_lost_domain() {
+        auto remote = make_endpoint("endpoint-2");
+        remote.failure_domain = "domain-2";
+        core.set_endpoints(now, {remote});
+        core.set_holder(
+            now, {"endpoint-1", "domain-1", {"10.1.0.9:1", 98}, 1000, 1});
+        core.set_holder(
+            now, {"endpoint-2", "domain-2", {"10.1.0.9:1", 98}, 1000, 1});
+        core.note_holders_read(now);
+    }
+
+    static envelope make_envelope(timestamp now, const payload& content) {
+        envelope message;
+        message.from = {"10.1.0.4:1", 14};
+        message.failure_domain = "domain-1";
+        message.to_incarnation = 99;
+        message.sequence = content.empty() ? 0 : 1;
+        message.first_sequence = 1;
+        message.stamp_us = now.count();
+        message.echo_us = now.count();
+        message.content_echo_us = now.count();
+        message.content = content;
+        return message;
+    }
+
+    // What the peer was told of instances.
+    [[nodiscard]] std::vector<instance_age> told_ages() const {
+        std::vector<instance_age> told;
+        for (const auto& [address, message] : peers.sent) {
+            told.insert(told.end(), message.content.instance_ages.begin(),
+                        message.content.instance_ages.end());
+        }
+        return told;
+    }
 };
 
 } // namespace
@@ -2480,6 +2527,68 @@
     BOOST_TEST(endpoints.starts.size() == 1U);
 }
 
+// Guards against jobs that wait for a takeover of an endpoint that can't carry
+// out an earlier start late: its instance is older than any start of the job.
+BOOST_FIXTURE_TEST_CASE(job_does_not_wait_for_an_instance_older_than_it,
+                        restarted_beside_a_lost_domain) {
+    endpoint_age = 30s;
+    advance_with({"endpoint-1", "endpoint-2"}, 1s);
+    core.submit(now, 1, make_job("0123456789abcdef"));
+    BOOST_TEST(endpoints.starts.size() == 1U);
+}
+
+// Guards against two runs of a task at the same time: the instance has begun
+// after a start was sent whose deadline is on the clock of an earlier one.
+BOOST_FIXTURE_TEST_CASE(job_waits_for_an_instance_that_may_be_younger,
+                        restarted_beside_a_lost_domain) {
+    endpoint_age = 20s;
+    advance_with({"endpoint-1", "endpoint-2"}, 1s);
+    core.submit(now, 1, make_job("0123456789abcdef"));
+    BOOST_TEST(endpoints.starts.empty());
+}
+
+// Guards against jobs that wait at each host until it has asked all endpoints
+// itself, and against messages at each probe.
+BOOST_FIXTURE_TEST_CASE(age_of_an_instance_is_told_to_peers_once,
+                        restarted_beside_a_lost_domain) {
+    core.handle_envelope(now, make_envelope(now, {}));
+    endpoint_age = 30s;
+    advance_with({"endpoint-1", "endpoint-2"}, 500ms);
+    core.handle_envelope(now, make_envelope(now, {}));
+    advance_with({"endpoint-1", "endpoint-2"}, 500ms);
+    std::map<std::string, std::size_t> told;
+    for (const auto& item : told_ages()) {
+        ++told[item.endpoint];
+        BOOST_TEST(item.instance_started_ms == 1000);
+        BOOST_TEST(item.age_ms >= 30'000U);
+        BOOST_TEST(item.age_ms <= 31'000U);
+    }
+    BOOST_TEST(told["endpoint-2"] >= 1U);
+    BOOST_TEST(told["endpoint-2"] <= 2U); // again when it is in contact
+}
+
+// The same at the host that is told.
+BOOST_FIXTURE_TEST_CASE(job_does_not_wait_for_an_instance_a_peer_has_heard,
+                        restarted_beside_a_lost_domain) {
+    advance_with({"endpoint-1"}, 1s);
+    core.submit(now, 1, make_job("0123456789abcdef"));
+    BOOST_TEST(endpoints.starts.empty());
+    payload content;
+    content.instance_ages = {{"endpoint-1", 1000, 40'000, 1000},
+                             {"endpoint-2", 1000, 40'000, 1000}};
+    core.handle_envelope(now, make_envelope(now, content));
+    advance_with({"endpoint-1"}, 100ms);
+    BOOST_TEST(endpoints.starts.size() == 1U);
+}
+
+// Guards against callers that are sent to a host that knows of no endpoint,
+// while others serve them.
+BOOST_AUTO_TEST_CASE(host_that_has_not_read_the_rows_is_not_ready) {
+    core.set_catalogue(1, "one");
+    advance_with({"endpoint-1", "endpoint-2"}, 100ms);
+    BOOST_TEST(!core.is_ready(now));
+}
+
 // Guards against callers that wait at a host that has just started, while other
 // hosts need not wait.
 BOOST_AUTO_TEST_CASE(host_that_waits_for_endpoints_is_not_ready_for_a_while) {
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -58,7 +58,10 @@
     may_have_come_before(duration /*caller_timeout*/) const override {
         return may_be_resent;
     }
-    [[nodiscard]] bool is_unproved(const std::string& /*pool*/) override {
+    [[nodiscard]] bool may_prove_soon() const override { return can_read_rows; }
+    [[nodiscard]] bool is_unproved(const std::string& /*pool*/,
+                                   timestamp /*arrived*/,
+                                   duration /*caller_timeout*/) override {
         return has_unproved_endpoint;
     }
     [[nodiscard]] bool admit_job() override { return has_processor_time; }
@@ -158,6 +161,7 @@
     std::set<process_id> starts_open_of; // holders
     bool may_be_resent = false;
     bool has_unproved_endpoint = false;
+    bool can_read_rows = true;
     bool has_processor_time = true;
     // Whether holders know the instances on which they report runs; never of
     // those that they disown.
@@ -486,6 +490,20 @@
     BOOST_TEST(placements() == 1U);
 }
 
+// Guards against a caller that is kept to its time-out by a process that has
+// started while the store is away, though other hosts could serve it: a job
+// whose past can't become known is answered at once, not as "not run".
+BOOST_AUTO_TEST_CASE(job_of_unknown_past_is_not_held_while_rows_are_not_read) {
+    may_be_resent = true;
+    has_unproved_endpoint = true;
+    can_read_rows = false;
+    submit(1);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::gave_up));
+    BOOST_TEST(answers[0].reason == "past_unknown");
+    BOOST_TEST(placements() == 0U);
+}
+
 // Guards against a wait for endpoints that can't have got a job that is new.
 BOOST_AUTO_TEST_CASE(job_that_can_not_have_come_before_is_placed_at_once) {
     has_unproved_endpoint = true;
--- a/tests/dispatch/quiet_dispatcher.hpp
+++ b/tests/dispatch/quiet_dispatcher.hpp
@@ -156,6 +156,7 @@
         {{"10.1.0.3:1", 13}, content.doubts, {{"endpoint-2", 7}}}};
     content.start_notices = {
         {"0123456789abcdef", {{0, 1, 2, "endpoint-1", 4}}}};
+    content.instance_ages = {{"endpoint-1", 1000, 30'000, 4}};
     message.first_sequence = 1;
     message.stream = 4'000'000;
     message.ack_stream =
--- a/tests/dispatch/tenure_ledger_test.cpp
+++ b/tests/dispatch/tenure_ledger_test.cpp
@@ -7,6 +7,7 @@
 
 const process_id holder_a{"10.1.0.1:1", 11};
 const process_id holder_b{"10.1.0.2:1", 12};
+const process_id prober{"10.1.0.3:1", 13};
 
 struct tenure_fixture {
     tenure_fixture() {
@@ -32,13 +33,23 @@
         return tenures.may_start(holder, "pool", label);
     }
 
-    // The endpoints that are not proved, where the host hears `heard`.
+    // The endpoints that are not proved, where the host hears `heard`, for
+    // starts that were sent at `first_sent` or later.
     [[nodiscard]] std::vector<std::string>
-    unproved(const std::string& pool = "pool") {
+    unproved(const std::string& pool = "pool",
+             timestamp first_sent = timestamp::min()) {
         tenures.note_proofs(now, [this](const process_id& holder) {
             return std::find(heard.begin(), heard.end(), holder) != heard.end();
         });
-        return tenures.find_unproved(pool);
+        return tenures.find_unproved(pool, first_sent);
+    }
+
+    // A host has heard the instance after the holder under the token had ended,
+    // or that holder has told of it.
+    void note_instance(const std::string& id, std::int64_t started_ms,
+                       timestamp began_by, const process_id& by = prober,
+                       std::uint64_t token = 4) {
+        tenures.note_instance(now, id, started_ms, began_by, by, token);
     }
 
     timestamp now{10s};
@@ -250,6 +261,96 @@
     BOOST_TEST(unproved().empty());
 }
 
+// Guards against jobs that wait for a takeover while the store is down, though
+// no start that is carried out late can be accepted: the instance was there
+// when the start was sent.
+BOOST_AUTO_TEST_CASE(instance_that_began_before_the_start_needs_no_proof) {
+    tenures.note_rows_read();
+    note_instance("endpoint-1", 1000, 4s);
+    const auto safe_from = 4s + clock_reading_limit;
+    BOOST_TEST(unproved("pool", safe_from).empty());
+    BOOST_TEST(unproved("pool", safe_from - 1ms) ==
+               std::vector<std::string>{"endpoint-1"});
+    BOOST_TEST(!tenures.has_unproved(safe_from));
+    BOOST_TEST((tenures.needs_no_proof_from("pool") == safe_from));
+}
+
+// Guards against the same where a later answer was read late.
+BOOST_AUTO_TEST_CASE(earliest_reading_of_an_instance_counts) {
+    note_instance("endpoint-1", 1000, 4s);
+    note_instance("endpoint-1", 1000, 5s);
+    BOOST_TEST(
+        (tenures.needs_no_proof_from("pool") == 4s + clock_reading_limit));
+}
+
+// Guards against two runs at a time: the endpoint has restarted since its age
+// was read, so that it accepts starts of before.
+BOOST_AUTO_TEST_CASE(later_instance_is_as_young_as_it_says) {
+    note_instance("endpoint-1", 1000, 4s);
+    note_instance("endpoint-1", 2000, 9s);
+    BOOST_TEST(
+        (tenures.needs_no_proof_from("pool") == 9s + clock_reading_limit));
+    endpoint_record listed;
+    listed.id = "endpoint-1";
+    listed.pool = "pool";
+    listed.instance_started_ms = 3000;
+    tenures.set_endpoint(listed);
+    BOOST_TEST((tenures.needs_no_proof_from("pool") == timestamp::max()));
+}
+
+// Guards against two runs at a time: the time of day of an endpoint has gone
+// back, so that its later instance names the lower start.
+BOOST_AUTO_TEST_CASE(instance_with_an_earlier_start_may_be_the_later_one) {
+    note_instance("endpoint-1", 2000, 4s, holder_a);
+    note_instance("endpoint-1", 1000, 9s, holder_a);
+    BOOST_TEST((tenures.needs_no_proof_from("pool") == timestamp::max()));
+}
+
+// Guards against two runs at a time: one endpoint of the pool was not heard.
+BOOST_AUTO_TEST_CASE(unheard_endpoint_leaves_its_pool_unproved) {
+    list("endpoint-2");
+    note_instance("endpoint-1", 1000, 4s);
+    BOOST_TEST((tenures.needs_no_proof_from("pool") == timestamp::max()));
+    note_instance("endpoint-2", 1000, 6s);
+    BOOST_TEST(
+        (tenures.needs_no_proof_from("pool") == 6s + clock_reading_limit));
+    note_instance("endpoint-3", 1000, 6s); // not listed
+    BOOST_TEST((tenures.needs_no_proof_from("other-pool") == timestamp::min()));
+}
+
+// Guards against jobs that wait for an endpoint that has restarted long before
+// its holder ended: the holder had told that it reads the clock of the present
+// instance, so that it sent no start with a deadline of an earlier one.
+BOOST_AUTO_TEST_CASE(start_after_its_holder_told_of_the_instance_is_safe) {
+    note_instance("endpoint-1", 1000, 9s, holder_a);
+    now += 1s;
+    note_instance("endpoint-1", 1000, 9s);
+    BOOST_TEST((tenures.needs_no_proof_from("pool") == now - 1s));
+}
+
+// Guards against two runs at a time: the endpoint may have restarted after its
+// holder told of the instance, so that the holder's last starts have a deadline
+// of an earlier clock.
+BOOST_AUTO_TEST_CASE(instance_counts_only_if_heard_after_its_holder_ended) {
+    note_instance("endpoint-1", 1000, 4s, holder_a);
+    BOOST_TEST((tenures.needs_no_proof_from("pool") == timestamp::max()));
+    note_instance("endpoint-1", 2000, 9s);
+    BOOST_TEST(
+        (tenures.needs_no_proof_from("pool") == 9s + clock_reading_limit));
+}
+
+// The same where another holder has taken the endpoint over since it was heard,
+// and may still read the clock of an earlier instance.
+BOOST_AUTO_TEST_CASE(instance_heard_before_the_newest_holder_does_not_count) {
+    note_instance("endpoint-1", 1000, 4s, holder_a);
+    note_instance("endpoint-1", 1000, 4s);
+    hold("endpoint-1", holder_b, 8);
+    BOOST_TEST((tenures.needs_no_proof_from("pool") == timestamp::max()));
+    note_instance("endpoint-1", 1000, 4s, prober, 8);
+    BOOST_TEST(
+        (tenures.needs_no_proof_from("pool") == 4s + clock_reading_limit));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
