Holder's queue: ordered groups by need, and indexes

Each input sorted the waiting tasks, summed them for the advert and walked over the runs of all endpoints. Tasks are now kept in start order in a group for each need; a pass merges the groups, leaves a group at the first task without room, and ends when no free room can take any waiting task. Sums, the smallest request, the caller's deadlines, and runs by task and coordinator are kept up to date. The list of available endpoints is built again only if an input may have changed an endpoint or a run.

Tests count the tasks touched at 100 and at 10,000 waiting ones.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -1067,6 +1067,7 @@
     for (const auto& domain : change.taken_back) {
         log_evacuation("failure_domain_taken_back", domain);
     }
+    holder_.handle_evacuation_change(now);
     // Tasks that are returned in this input would be placed here again by the
     // advert of the last one.
     views_.update(now, settings_.self, settings_.failure_domain,
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/endpoint_holder.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 #include <absl/strings/str_join.h>
@@ -36,11 +37,16 @@
     : settings_(settings), port_(port), observer_(observer), events_(events),
       evacuation_(evacuated) {}
 
+void endpoint_holder::begin_change(timestamp now) {
+    now_ = now;
+    available_.reset();
+}
+
 // --- held endpoints ---------------------------------------------------------
 
 void endpoint_holder::take(timestamp now, const endpoint_record& endpoint,
                            std::uint64_t token, const process_id& former) {
-    now_ = now;
+    begin_change(now);
     if (const auto found = sessions_.find(endpoint.id);
         found != sessions_.end()) {
         if (found->second->token() >= token) {
@@ -55,6 +61,7 @@
     auto session = std::make_unique<endpoint_session>(
         settings_, port_, events, endpoint, token, former,
         call_numbers * sessions_begun_++);
+    session->ledger().keep_index(runs_, endpoint.id);
     auto& added = *session;
     sessions_[endpoint.id] = std::move(session);
     added.begin(now);
@@ -64,7 +71,7 @@
 }
 
 void endpoint_holder::release(timestamp now, const std::string& endpoint) {
-    now_ = now;
+    begin_change(now);
     if (const auto found = sessions_.find(endpoint); found != sessions_.end()) {
         disown(*found->second);
         sessions_.erase(found);
@@ -86,7 +93,7 @@
     for (const auto& [run, entry] : entries) {
         report(session, entry, update_kind::disowned);
     }
-    session.ledger().entries().clear();
+    session.ledger().clear();
 }
 
 void endpoint_holder::tell_doubts(timestamp now, endpoint_session& session) {
@@ -156,7 +163,7 @@
 
 void endpoint_holder::update_endpoint(timestamp now,
                                       const endpoint_record& endpoint) {
-    now_ = now;
+    begin_change(now);
     if (const auto found = sessions_.find(endpoint.id);
         found != sessions_.end()) {
         found->second->update(now, endpoint);
@@ -180,12 +187,13 @@
         if (session->awaits_entry() && now - list_read_at > list_read_limit &&
             now - session->entry_awaited_since() > list_read_limit) {
             session->use_without_entry();
+            available_.reset();
         }
     }
 }
 
 void endpoint_holder::mark_gone(timestamp now, const std::string& endpoint) {
-    now_ = now;
+    begin_change(now);
     if (const auto found = sessions_.find(endpoint); found != sessions_.end()) {
         found->second->mark_gone(now);
     }
@@ -235,52 +243,37 @@
 
 void endpoint_holder::withdraw(timestamp now, const process_id& coordinator,
                                const std::string& job) {
-    now_ = now;
-    queue_.extract([&](const queued_task& task) {
-        return task.run.task.job == job && task.coordinator == coordinator;
-    });
-    for (auto& [id, session] : sessions_) {
-        std::vector<task_run> runs;
-        for (const auto& [run, entry] : session->ledger().entries()) {
-            if (run.task.job == job && entry.coordinator == coordinator) {
-                runs.push_back(run);
-            }
-        }
-        for (const auto& run : runs) {
-            session->revoke(now, run);
+    begin_change(now);
+    queue_.extract(coordinator, job);
+    for (const auto& [endpoint, run] : runs_.of_job(job)) {
+        auto& session = *sessions_.at(endpoint);
+        if (const auto* entry = session.ledger().find(run);
+            entry != nullptr && entry->coordinator == coordinator) {
+            session.revoke(now, run);
         }
     }
 }
 
 void endpoint_holder::recall(const process_id& coordinator,
                              const std::string& job) {
-    const auto returned = queue_.extract([&](const queued_task& task) {
-        return task.run.task.job == job && task.coordinator == coordinator;
-    });
+    const auto returned = queue_.extract(coordinator, job);
     for (const auto& task : returned) {
         return_task(task);
     }
 }
 
 void endpoint_holder::abandon(timestamp now, const process_id& coordinator) {
-    now_ = now;
+    begin_change(now);
     std::size_t stopped = 0;
-    const auto dropped = queue_.extract([&](const queued_task& task) {
-        return task.coordinator == coordinator;
-    });
+    const auto dropped = queue_.extract(coordinator);
     for (const auto& task : dropped) {
         return_task(task); // takes effect if the coordinator is heard again
     }
-    for (auto& [id, session] : sessions_) {
-        std::vector<task_run> runs;
-        for (const auto& [run, entry] : session->ledger().entries()) {
-            if (entry.coordinator == coordinator) {
-                runs.push_back(run);
-                stopped += entry.stop_wanted ? 0 : 1;
-            }
-        }
-        for (const auto& run : runs) {
-            session->revoke(now, run);
+    for (const auto& [endpoint, run] : runs_.of_coordinator(coordinator)) {
+        auto& session = *sessions_.at(endpoint);
+        if (const auto* entry = session.ledger().find(run)) {
+            stopped += entry->stop_wanted ? 0 : 1;
+            session.revoke(now, run);
         }
     }
     if (!dropped.empty() || stopped > 0) {
@@ -293,7 +286,7 @@
 
 void endpoint_holder::claim(timestamp now, const process_id& coordinator,
                             const adoption_claim& claim) {
-    now_ = now;
+    begin_change(now);
     const auto found = sessions_.find(claim.endpoint);
     if (found == sessions_.end()) {
         return;
@@ -317,29 +310,32 @@
 }
 
 void endpoint_holder::return_queued(std::vector<std::uint32_t> free_cpu) {
-    const auto returned = queue_.extract([&](const queued_task& task) {
+    const auto any_room = [] {
+        return std::numeric_limits<std::uint32_t>::max();
+    };
+    queue_.visit_tasks(now_, any_room, [&](const queued_task& task) {
         // Another holder would have to empty an endpoint for it as well, or
         // confines its queue as well.
         if (is_held_back(task)) {
-            return false;
+            return queue_verdict::no_room;
         }
         const auto cpu = task.need.room.cpu_millis;
         const auto room =
             std::find_if(free_cpu.begin(), free_cpu.end(),
                          [cpu](std::uint32_t free) { return free >= cpu; });
+        if (room == free_cpu.end() && fits_held_endpoint(task)) {
+            return queue_verdict::no_room;
+        }
         if (has_run_of(task.run.task)) {
-            return false;
+            return queue_verdict::kept;
         }
-        if (room == free_cpu.end()) {
-            return !fits_held_endpoint(task);
+        if (room != free_cpu.end()) {
+            // Another host would start it at once.
+            *room -= cpu;
         }
-        // Another host would start it at once.
-        *room -= cpu;
-        return true;
-    });
-    for (const auto& task : returned) {
         return_task(task);
-    }
+        return queue_verdict::taken;
+    });
 }
 
 bool endpoint_holder::fits_held_endpoint(const queued_task& task) const {
@@ -353,7 +349,7 @@
 }
 
 void endpoint_holder::handle_process_pause(timestamp now) {
-    now_ = now;
+    begin_change(now);
     return_all();
     for (auto& [id, session] : sessions_) {
         session->suspend(now);
@@ -362,6 +358,7 @@
 
 void endpoint_holder::set_unheard_successors(std::optional<fence_cause> why) {
     unheard_successors_ = why;
+    available_.reset();
     for (auto& [id, session] : sessions_) {
         if (why) {
             session->reject_later_instances(*why);
@@ -371,9 +368,14 @@
     }
 }
 
+bool endpoint_holder::confirms_starts() const {
+    return std::any_of(
+        sessions_.begin(), sessions_.end(),
+        [](const auto& item) { return item.second->confirms_starts(); });
+}
+
 void endpoint_holder::return_all() {
-    for (const auto& task :
-         queue_.extract([](const queued_task&) { return true; })) {
+    for (const auto& task : queue_.extract_all()) {
         return_task(task);
     }
 }
@@ -391,7 +393,7 @@
 void endpoint_holder::handle_hold(timestamp now, const std::string& endpoint,
                                   std::uint64_t token,
                                   const hold_reply& reply) {
-    now_ = now;
+    begin_change(now);
     if (auto* session = find(endpoint, token)) {
         session->handle_hold(now, reply);
     }
@@ -414,7 +416,7 @@
 void endpoint_holder::handle_start(timestamp now, const std::string& endpoint,
                                    std::uint64_t token, const task_run& run,
                                    const call_reply& reply) {
-    now_ = now;
+    begin_change(now);
     if (auto* session = find(endpoint, token)) {
         if (reply.status != call_status::ok) {
             log_not_confirmed("start_not_confirmed", *session, run, reply);
@@ -426,7 +428,7 @@
 void endpoint_holder::handle_stop(timestamp now, const std::string& endpoint,
                                   std::uint64_t token, const task_run& run,
                                   const call_reply& reply) {
-    now_ = now;
+    begin_change(now);
     if (auto* session = find(endpoint, token)) {
         if (reply.status != call_status::ok) {
             log_not_confirmed("stop_not_confirmed", *session, run, reply);
@@ -436,7 +438,7 @@
 }
 
 void endpoint_holder::tick(timestamp now) {
-    now_ = now;
+    begin_change(now);
     std::size_t slow = 0;
     for (auto& [id, session] : sessions_) {
         session->tick(now);
@@ -452,18 +454,13 @@
                (session.is_gone() && session.ledger().empty());
     });
     move_from_slow_endpoints(now);
-    queue_.extract(
-        [now](const queued_task& task) { return now > task.caller_deadline; });
+    queue_.drop_expired(now);
 }
 
 // --- state ------------------------------------------------------------------
 
 std::size_t endpoint_holder::running_tasks() const {
-    std::size_t count = 0;
-    for (const auto& [id, session] : sessions_) {
-        count += session->ledger().size();
-    }
-    return count;
+    return runs_.size();
 }
 
 std::size_t
@@ -479,14 +476,8 @@
 
 std::set<process_id> endpoint_holder::coordinators() const {
     std::set<process_id> found;
-    for (const auto& task : queue_.tasks()) {
-        found.insert(task.coordinator);
-    }
-    for (const auto& [id, session] : sessions_) {
-        for (const auto& [run, entry] : session->ledger().entries()) {
-            found.insert(entry.coordinator);
-        }
-    }
+    queue_.add_coordinators(found);
+    runs_.add_coordinators(found);
     return found;
 }
 
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -50,6 +50,8 @@
     void release(timestamp now, const std::string& endpoint);
     void update_endpoint(timestamp now, const endpoint_record& endpoint);
     void mark_gone(timestamp now, const std::string& endpoint);
+    // Failure domains were evacuated or taken back. Not thread-safe.
+    void handle_evacuation_change(timestamp now) { begin_change(now); }
     // The endpoints whose present instance the platform's list has not shown,
     // and when that instance started. Not thread-safe.
     [[nodiscard]] std::vector<std::pair<std::string, std::int64_t>>
@@ -85,6 +87,9 @@
     // endpoints are fenced meanwhile, and a start is sent right after an answer
     // of the known one. Not thread-safe.
     void set_unheard_successors(std::optional<fence_cause> why);
+    // Whether a start to an endpoint held here needs an answer of it in the
+    // same input. Not thread-safe.
+    [[nodiscard]] bool confirms_starts() const;
     // Returns queued tasks that would fit endpoints of other holders now, or
     // that need more than the capacity of each endpoint held here.
     // `free_cpu` is the unused processor share of each of those endpoints, in
@@ -152,7 +157,6 @@
         endpoint_session* session = nullptr;
         resources room;
     };
-    std::vector<available_endpoint> available_endpoints(timestamp now);
     // Whether the failure domain of the endpoint is not evacuated.
     [[nodiscard]] bool is_admitted(const endpoint_session& session) const {
         return evacuation_.admits(session.endpoint().failure_domain);
@@ -164,6 +168,11 @@
     // Returns the queued tasks that no endpoint held here may start since
     // failure domains are evacuated.
     void return_evacuated();
+    [[nodiscard]] std::vector<available_endpoint> list_available(timestamp now);
+    // The same, listed again only if an endpoint may have changed.
+    std::vector<available_endpoint>& available_endpoints(timestamp now);
+    // An input is handled that may change endpoints or runs.
+    void begin_change(timestamp now);
     void place_queued(timestamp now);
     // Where a task may start while a queue of its pool is confined.
     enum class placement_zone { any, inside_compartment, outside_compartment };
@@ -173,6 +182,10 @@
     available_endpoint* choose_in(placement_zone zone,
                                   std::vector<available_endpoint>& available,
                                   const queued_task& task) const;
+    // Why `choose()` found no endpoint for the task.
+    [[nodiscard]] queue_verdict
+    refusal_of(const std::vector<available_endpoint>& available,
+               const queued_task& task, bool confined_waits) const;
     // Whether an endpoint is slow while at most half of those held are.
     [[nodiscard]] bool is_slow_outlier(timestamp now,
                                        const endpoint_session& session) const;
@@ -250,11 +263,15 @@
     observer_port& observer_;
     holder_events& events_;
     evacuation& evacuation_;
+    run_index runs_; // on all endpoints
     std::map<std::string, std::unique_ptr<endpoint_session>> sessions_;
     std::vector<std::pair<std::string, std::uint64_t>> fenced_;
     std::uint64_t sessions_begun_ = 0;
     task_queue queue_;
     timestamp now_{0}; // of the input being handled
+    // As of the last change or start; unset if an endpoint may have changed.
+    std::optional<std::vector<available_endpoint>> available_;
+    timestamp available_until_{0};
     // Set while a host is not heard; see `set_unheard_successors()`.
     std::optional<fence_cause> unheard_successors_;
     bool most_are_slow_ = false; // as of the last tick
--- a/src/core/dispatch/endpoint_holder_isolation.cpp
+++ b/src/core/dispatch/endpoint_holder_isolation.cpp
@@ -18,10 +18,7 @@
 constexpr duration load_interval = 100ms;
 
 bool runs_suspect(const endpoint_session& session) {
-    const auto& entries = session.ledger().entries();
-    return std::any_of(entries.begin(), entries.end(), [](const auto& item) {
-        return item.second.crashes > 0;
-    });
+    return session.ledger().suspects() > 0;
 }
 
 std::string task_name(const task_key& task) {
@@ -55,17 +52,19 @@
             suspect_endpoints_.insert(id);
         }
     }
-    std::erase_if(reserved_, [this](const auto& item) {
+    if (reserved_.empty()) {
+        return;
+    }
+    const auto queued = queue_.suspects();
+    std::erase_if(reserved_, [this, &queued](const auto& item) {
         const auto& [endpoint, task] = item;
         const auto session = sessions_.find(endpoint);
-        const auto& queued = queue_.tasks();
         return session == sessions_.end() ||
                !session->second->accepts_tasks() ||
                !is_admitted(*session->second) ||
                std::none_of(queued.begin(), queued.end(),
-                            [&key = task](const queued_task& waiting) {
-                                return is_suspect(waiting) &&
-                                       waiting.run.task == key;
+                            [&key = task](const queued_task* waiting) {
+                                return waiting->run.task == key;
                             });
     });
 }
@@ -116,11 +115,12 @@
 }
 
 void endpoint_holder::reserve_for_suspects() {
-    for (const auto& task : queue_.tasks()) {
+    for (const auto* waiting : queue_.suspects()) {
+        const auto& task = *waiting;
         if (!may_isolate_another()) {
             return;
         }
-        if (!is_suspect(task) || is_reserved_for(reserved_, task.run.task) ||
+        if (is_reserved_for(reserved_, task.run.task) ||
             has_run_of(task.run.task)) {
             continue;
         }
--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 std::vector<endpoint_holder::available_endpoint>
-endpoint_holder::available_endpoints(timestamp now) {
+endpoint_holder::list_available(timestamp now) {
     std::vector<available_endpoint> available;
     for (auto& [id, session] : sessions_) {
         const auto& health = session->health();
@@ -35,14 +35,31 @@
             is_admitted(*session) && session->accepts_tasks() &&
             !session->awaits_revocation() && health.accepts_tasks(now) &&
             !(health.is_on_probation() && !session->ledger().empty());
-        if (const auto room = usable_room(*session);
-            open && room.cpu_millis > 0) {
+        if (!open) {
+            continue;
+        }
+        if (const auto room = usable_room(*session); room.cpu_millis > 0) {
             available.push_back({session.get(), room});
         }
     }
     return available;
 }
 
+std::vector<endpoint_holder::available_endpoint>&
+endpoint_holder::available_endpoints(timestamp now) {
+    if (!available_ || now >= available_until_) {
+        available_ = list_available(now);
+        available_until_ = timestamp::max();
+        for (const auto& [id, session] : sessions_) {
+            // An ejection ends without an input.
+            if (!session->health().accepts_tasks(now)) {
+                available_until_ = now;
+            }
+        }
+    }
+    return *available_;
+}
+
 resources endpoint_holder::usable_room(const endpoint_session& session) const {
     auto room = session.free_resources();
     const auto share = evacuation_.usable_share(session.endpoint().id);
@@ -76,14 +93,20 @@
                                return could_run(*endpoint, task);
                            });
     };
-    const auto returned = queue_.extract([&](const queued_task& task) {
-        return !any_runs(usable, task) &&
-               (usable.empty() || any_runs(evacuated, task)) &&
-               !has_run_of(task.run.task);
-    });
-    for (const auto& task : returned) {
+    const auto any_room = [] {
+        return std::numeric_limits<std::uint32_t>::max();
+    };
+    queue_.visit_tasks(now_, any_room, [&](const queued_task& task) {
+        if (any_runs(usable, task) ||
+            (!usable.empty() && !any_runs(evacuated, task))) {
+            return queue_verdict::no_room;
+        }
+        if (has_run_of(task.run.task)) {
+            return queue_verdict::kept;
+        }
         return_task(task);
-    }
+        return queue_verdict::taken;
+    });
 }
 
 void endpoint_holder::dispatch(timestamp now) {
@@ -98,31 +121,32 @@
 }
 
 void endpoint_holder::place_queued(timestamp now) {
-    auto available = available_endpoints(now);
-    std::uint32_t largest_free_cpu = 0;
-    for (const auto& option : available) {
-        largest_free_cpu = std::max(largest_free_cpu, option.room.cpu_millis);
-    }
-    if (largest_free_cpu < queue_.smallest_cpu_request()) {
-        return;
-    }
-    const auto& waiting = queue_.tasks();
-    const bool confined_waits = std::any_of(
-        waiting.begin(), waiting.end(), [this](const queued_task& task) {
-            return task.queue == compartment_.queue();
-        });
-    queue_.place_tasks(now, [&](const queued_task& task) {
+    auto& available = available_endpoints(now);
+    bool is_reusable = true;
+    const auto largest_free_cpu = [&available] {
+        std::uint32_t largest = 0;
+        for (const auto& option : available) {
+            largest = std::max(largest, option.room.cpu_millis);
+        }
+        return largest;
+    };
+    const bool confined_waits = queue_.has_tasks_of(compartment_.queue());
+    queue_.visit_tasks(now, largest_free_cpu, [&](const queued_task& task) {
         auto* chosen = choose(available, task, confined_waits);
+        if (chosen == nullptr) {
+            return refusal_of(available, task, confined_waits);
+        }
         // The task may have come from another coordinator, or again after the
         // bound for the end of its last run.
-        if (chosen == nullptr || has_run_of(task.run.task)) {
-            return false;
+        if (has_run_of(task.run.task)) {
+            return queue_verdict::kept;
         }
         if (!chosen->session->confirm_instance(now)) {
             // The answer is an input, after which it is placed again. The room
             // is kept, so that other endpoints are asked for other tasks.
             take_room(chosen->room, task.need.room);
-            return false;
+            is_reusable = false;
+            return queue_verdict::kept;
         }
         observer_.record(latency_metric::queue_time, now - task.queued_at);
         if (task.run.run > 1) {
@@ -146,8 +170,11 @@
         if (is_suspect(task)) {
             note_suspect_started(*chosen->session, task);
         }
-        return true;
+        return queue_verdict::taken;
     });
+    if (!is_reusable) {
+        available_.reset();
+    }
 }
 
 void endpoint_holder::log_repeated_run(const endpoint_session& session,
@@ -165,10 +192,7 @@
 }
 
 bool endpoint_holder::has_run_of(const task_key& task) const {
-    return std::any_of(sessions_.begin(), sessions_.end(),
-                       [&task](const auto& item) {
-                           return item.second->ledger().contains(task);
-                       });
+    return runs_.contains(task);
 }
 
 bool endpoint_holder::is_slow_outlier(timestamp now,
@@ -198,7 +222,7 @@
             continue;
         }
         if (!std::exchange(listed, true)) {
-            available = available_endpoints(now);
+            available = list_available(now);
             std::erase_if(available, [&](const available_endpoint& option) {
                 const auto& endpoint = option.session->endpoint();
                 return option.session->health().is_slow(now) ||
@@ -276,6 +300,29 @@
                : chosen;
 }
 
+queue_verdict
+endpoint_holder::refusal_of(const std::vector<available_endpoint>& available,
+                            const queued_task& task,
+                            bool confined_waits) const {
+    // An endpoint may be reserved for this very task.
+    if (is_suspect(task)) {
+        return queue_verdict::kept;
+    }
+    const auto zone = zone_of(task);
+    const bool may_enter =
+        zone == placement_zone::outside_compartment && !confined_waits;
+    const bool has_room = std::any_of(
+        available.begin(), available.end(), [&](const auto& option) {
+            const auto& endpoint = option.session->endpoint();
+            return (may_enter || is_in(zone, endpoint)) &&
+                   could_run(endpoint, task) &&
+                   fits(task.need.room, option.room) &&
+                   isolation_admits(*option.session, task);
+        });
+    // It was refused for its run time: by a slow endpoint, or the compartment.
+    return has_room ? queue_verdict::unsuited : queue_verdict::no_room;
+}
+
 endpoint_holder::available_endpoint*
 endpoint_holder::choose_in(placement_zone zone,
                            std::vector<available_endpoint>& available,
@@ -310,15 +357,18 @@
 }
 
 void endpoint_holder::fill(advert& about) const {
-    const auto is_next = [this](const queued_task& task) {
-        return !is_held_back(task);
-    };
-    about.queued_cpu_ms_by_priority = queue_.queued_cpu_ms_by_priority(is_next);
+    // Only suspects are held back unless a queue is confined.
+    const auto next = compartment_.queue().empty()
+                          ? queue_.unsuspected_demand()
+                          : queue_.demand_of([this](const queued_task& task) {
+                                return !is_held_back(task);
+                            });
+    about.queued_cpu_ms_by_priority.assign(next.cpu_ms_by_priority.begin(),
+                                           next.cpu_ms_by_priority.end());
     about.queued_cpu_ms = std::accumulate(
         about.queued_cpu_ms_by_priority.begin(),
         about.queued_cpu_ms_by_priority.end(), std::uint64_t{0});
-    about.queued_tasks = static_cast<std::uint32_t>(
-        std::count_if(queue_.tasks().begin(), queue_.tasks().end(), is_next));
+    about.queued_tasks = static_cast<std::uint32_t>(next.tasks);
     about.endpoints_held = static_cast<std::uint32_t>(sessions_.size());
     for (const auto& [id, session] : sessions_) {
         if (!is_admitted(*session) || !session->accepts_tasks()) {
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -224,8 +224,7 @@
 }
 
 bool endpoint_session::confirm_instance(timestamp now) {
-    const bool confirmed =
-        (!isolated_ && !isolated_at_call_) || answered_at_ == now;
+    const bool confirmed = !confirms_starts() || answered_at_ == now;
     if (!confirmed && !list_call_) {
         request_list(now);
     }
@@ -653,7 +652,7 @@
             continue;
         }
         entry->need = item.need;
-        entry->coordinator = coordinator;
+        ledger_.set_coordinator(*entry, coordinator);
         entry->state = run_state::running;
     }
     const bool complete =
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -131,6 +131,10 @@
     // has not, asks it for a list of its runs, whose answer is an input.
     // Precondition: `accepts_tasks()`. Not thread-safe.
     bool confirm_instance(timestamp now);
+    // Whether a start needs an answer in the same input. Not thread-safe.
+    [[nodiscard]] bool confirms_starts() const {
+        return isolated_ || isolated_at_call_;
+    }
     // The list can't be read: uses the present instance as the former one was,
     // but for its labels. Precondition: `awaits_entry()`. Not thread-safe.
     void use_without_entry();
--- a/src/core/dispatch/run_ledger.cpp
+++ b/src/core/dispatch/run_ledger.cpp
@@ -46,7 +46,39 @@
 
 run_entry& run_ledger::enter(run_entry entry) {
     const auto key = entry.run;
-    return entries_.insert_or_assign(key, std::move(entry)).first->second;
+    remove(key); // found again after a takeover or by a later instance
+    suspects_ += entry.crashes > 0 ? 1 : 0;
+    if (index_ != nullptr) {
+        index_->add(endpoint_, key, entry.coordinator);
+    }
+    return entries_.emplace(key, std::move(entry)).first->second;
+}
+
+void run_ledger::remove(const task_run& run) {
+    const auto found = entries_.find(run);
+    if (found == entries_.end()) {
+        return;
+    }
+    suspects_ -= found->second.crashes > 0 ? 1 : 0;
+    if (index_ != nullptr) {
+        index_->remove(endpoint_, found->first, found->second.coordinator);
+    }
+    entries_.erase(found);
+}
+
+void run_ledger::set_coordinator(run_entry& entry,
+                                 const process_id& coordinator) {
+    if (index_ != nullptr) {
+        index_->remove(endpoint_, entry.run, entry.coordinator);
+        index_->add(endpoint_, entry.run, coordinator);
+    }
+    entry.coordinator = coordinator;
+}
+
+void run_ledger::clear() {
+    while (!entries_.empty()) {
+        remove(entries_.begin()->first);
+    }
 }
 
 run_entry* run_ledger::find(const task_run& run) {
--- a/src/core/dispatch/run_ledger.hpp
+++ b/src/core/dispatch/run_ledger.hpp
@@ -9,7 +9,7 @@
 #include <map>
 #include <optional>
 
-#include "core/dispatch/messages.hpp"
+#include "core/dispatch/run_index.hpp"
 
 namespace figridge::dispatch {
 
@@ -62,6 +62,19 @@
 // Owned by an `endpoint_session`. Not thread-safe.
 class run_ledger {
 public:
+    run_ledger() = default;
+    ~run_ledger() { clear(); }
+    run_ledger(const run_ledger&) = delete;
+    run_ledger& operator=(const run_ledger&) = delete;
+
+    // Enters the runs of this ledger, which is the endpoint's, in `index` too.
+    // Preconditions: the ledger is empty, and `index` outlives it. Not
+    // thread-safe.
+    void keep_index(run_index& index, const std::string& endpoint) {
+        index_ = &index;
+        endpoint_ = endpoint;
+    }
+
     void set_capacity(const resources& capacity) { capacity_ = capacity; }
     [[nodiscard]] const resources& capacity() const { return capacity_; }
 
@@ -69,9 +82,13 @@
     // its needs are not known.
     [[nodiscard]] resources free() const;
 
-    // Precondition: the run is not entered.
+    // Replaces the entry of the same run, if there is one.
     run_entry& enter(run_entry entry);
-    void remove(const task_run& run) { entries_.erase(run); }
+    void remove(const task_run& run);
+    // Sets the coordinator of an entered run. Precondition: `entry` is of this
+    // ledger. Not thread-safe.
+    void set_coordinator(run_entry& entry, const process_id& coordinator);
+    void clear();
     run_entry* find(const task_run& run);
     [[nodiscard]] const run_entry* find(const task_run& run) const {
         const auto found = entries_.find(run);
@@ -85,6 +102,10 @@
     [[nodiscard]] bool empty() const { return entries_.empty(); }
     [[nodiscard]] std::size_t size() const { return entries_.size(); }
 
+    // Entered runs of tasks that may have crashed an endpoint. Not thread-safe.
+    [[nodiscard]] std::size_t suspects() const { return suspects_; }
+
+    // For changes of an entry other than of its run, crashes and coordinator.
     [[nodiscard]] std::map<task_run, run_entry>& entries() { return entries_; }
     [[nodiscard]] const std::map<task_run, run_entry>& entries() const {
         return entries_;
@@ -93,6 +114,9 @@
 private:
     resources capacity_;
     std::map<task_run, run_entry> entries_;
+    std::size_t suspects_ = 0;
+    run_index* index_ = nullptr; // optional
+    std::string endpoint_;       // in `index_`
 };
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -1158,6 +1158,38 @@
     BOOST_TEST(events.doubts.back().endpoint == endpoint);
 }
 
+// Guards against inputs whose cost grows with the number of waiting tasks.
+BOOST_AUTO_TEST_CASE(inputs_touch_as_many_tasks_in_a_long_queue) {
+    std::vector<std::uint64_t> touched;
+    for (const std::uint32_t waiting : {100U, 10'000U}) {
+        holder_fixture fixture;
+        auto& holder = fixture.holder;
+        for (std::uint32_t i = 0; i < waiting; i += 100) {
+            fixture.priority = i / 100 % 3;
+            fixture.assign("job-" + std::to_string(i), 100);
+        }
+        fixture.answer_starts();
+        const auto before = holder.queue().touched();
+        for (int step = 0; step < 10; ++step) {
+            // No room, then room for two tasks.
+            holder.dispatch(fixture.now);
+            fixture.end_runs("endpoint-1");
+            holder.dispatch(fixture.now);
+            fixture.answer_starts();
+            advert about;
+            holder.fill(about);
+            BOOST_TEST(about.queued_tasks == holder.queue().size());
+            holder.tick(fixture.now);
+            holder.return_queued({});
+            BOOST_TEST(holder.coordinators().size() == 1U);
+        }
+        BOOST_TEST(holder.queue().size() == waiting - 4 - 20);
+        touched.push_back(holder.queue().touched() - before);
+    }
+    BOOST_TEST(touched[0] == touched[1]);
+    BOOST_TEST(touched[0] < 100U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
