Dispatcher: inputs that are read together end as one batch

Placement, the advert, digests and messages to peers were done for each input. While starts need an answer in the same input, and after a pause of the process, each input still ends by itself.

--- a/src/adapters/event_loop.cpp
+++ b/src/adapters/event_loop.cpp
@@ -75,6 +75,22 @@
     ev_timer_stop(loop_.raw(), &watcher_);
 }
 
+prepare_watcher::prepare_watcher(event_loop& loop, callback handled)
+    : loop_(loop), handled_(std::move(handled)) {
+    const auto call = [](struct ev_loop*, ev_prepare* watcher, int) {
+        static_cast<prepare_watcher*>(watcher->data)->handled_();
+    };
+    ev_prepare_init(&watcher_, call);
+    watcher_.data = this;
+    ev_prepare_start(loop_.raw(), &watcher_);
+    ev_unref(loop_.raw());
+}
+
+prepare_watcher::~prepare_watcher() {
+    ev_ref(loop_.raw());
+    ev_prepare_stop(loop_.raw(), &watcher_);
+}
+
 signal_watcher::signal_watcher(event_loop& loop, int number, callback received)
     : loop_(loop), received_(std::move(received)) {
     const auto call = [](struct ev_loop*, ev_signal* watcher, int) {
--- a/src/adapters/event_loop.hpp
+++ b/src/adapters/event_loop.hpp
@@ -72,6 +72,24 @@
     callback due_;
 };
 
+// Calls back before the loop waits for events, after those that were ready have
+// been handled. Does not keep the loop running.
+class prepare_watcher {
+public:
+    using callback = std::function<void()>;
+
+    // Not thread-safe.
+    prepare_watcher(event_loop& loop, callback handled);
+    ~prepare_watcher();
+    prepare_watcher(const prepare_watcher&) = delete;
+    prepare_watcher& operator=(const prepare_watcher&) = delete;
+
+private:
+    event_loop& loop_;
+    ev_prepare watcher_{};
+    callback handled_;
+};
+
 // Calls back on a signal.
 class signal_watcher {
 public:
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -100,6 +100,7 @@
     // that a caller has gone.
     const bool is_overdue = now - ticked_at_ >= settings_.resend_after &&
                             !std::exchange(gave_up_jobs_, true);
+    was_paused_ = gap >= suspension_gap;
     if (gap < suspension_gap) {
         if (gap >= delay_gap) {
             ports_.observer.log(log_level::info, "process_delayed",
@@ -121,6 +122,25 @@
 }
 
 void dispatcher::end_input(timestamp now) {
+    if (batches_inputs_ && !was_paused_ && !holder_.confirms_starts()) {
+        // What it tells itself, such as a doubt, counts for the next input.
+        deliver_to_self(now);
+        has_postponed_end_ = true;
+        return;
+    }
+    finish_inputs(now);
+}
+
+void dispatcher::end_batch(timestamp now) {
+    if (has_postponed_end_) {
+        // The process may have been paused since the last input.
+        begin_input(now);
+        finish_inputs(now);
+    }
+}
+
+void dispatcher::finish_inputs(timestamp now) {
+    has_postponed_end_ = false;
     await_entries();
     deliver_to_self(now);
     holder_.dispatch(now);
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -44,6 +44,14 @@
 
     void start(timestamp now);
     void tick(timestamp now);
+    // From now on, the work that ends an input (starts of queued tasks, the
+    // advert and messages) is done in `end_batch()`, once for all inputs before
+    // it. While starts need an answer in the same input, and after a pause of
+    // the process, it is still done with each input. Not thread-safe.
+    void batch_inputs() { batches_inputs_ = true; }
+    // Call after the inputs that were ready, before waiting for others. Not
+    // thread-safe.
+    void end_batch(timestamp now);
     // Applies changed settings, except for the address, incarnation and failure
     // domain of the process.
     void update_settings(timestamp now, const dispatch_settings& settings);
@@ -138,6 +146,7 @@
     // Called at the end of an input. Starts queued tasks that fit and sends
     // pending payloads.
     void end_input(timestamp now);
+    void finish_inputs(timestamp now);
     void check_holders(timestamp now);
     void record_holder(timestamp now, const holder_record& record);
     // The process calls the endpoint under this token; its row may not be read
@@ -412,6 +421,11 @@
     timestamp next_entry_request_{0};
     timestamp endpoints_read_at_{0};
     payload to_self_;
+    bool batches_inputs_ = false;
+    // The process was paused before the present input.
+    bool was_paused_ = false;
+    // Inputs were handled whose end is postponed.
+    bool has_postponed_end_ = false;
     advert own_advert_; // as of the end of the last input
     // Inputs from which `endpoints_to_take_` was last computed.
     std::vector<candidate> compared_hosts_;
