Admission before a job's body is parsed, by priority

A host that is short of processor time refuses a new job by its ID, unless it is open or may have run, before the body is parsed, and less urgent priorities first. A holder's lateness counts as queue, so that a job that no holder can take in time is refused at once.

A share of 0.6 had accepted every second job, since the credit was cut off at one job; it now accepts 0.6 of them.

The virtual fleets take the same way as the daemon's callers.

--- a/src/core/dispatch/admission_control.cpp
+++ b/src/core/dispatch/admission_control.cpp
@@ -15,12 +15,21 @@
 constexpr double increase_step = 0.05;
 // Some jobs are accepted, so that a wrong measure does not close a host.
 constexpr double min_share = 0.05;
+// The mix of priorities is that of the last second or so.
+constexpr duration arrivals_interval = 250ms;
+constexpr double arrivals_factor = 0.7;
 
 } // namespace
 
 void admission_control::record_tick(timestamp now) {
     const auto previous = ticked_at_ == timestamp{0} ? now : ticked_at_;
     ticked_at_ = now;
+    if (now - arrivals_aged_at_ >= arrivals_interval) {
+        arrivals_aged_at_ = now;
+        for (auto& count : arrivals_) {
+            count *= arrivals_factor;
+        }
+    }
     if (now - previous >= late_gap) {
         in_time_since_ = now;
         // A single late tick is a pause of the process, not an overload.
@@ -38,12 +47,22 @@
     }
 }
 
-bool admission_control::admit() {
-    credit_ = std::min(1.0, credit_ + share_);
-    if (credit_ < 1.0) {
+bool admission_control::admit(std::uint32_t priority) {
+    const auto level = std::min<std::size_t>(priority, arrivals_.size() - 1);
+    arrivals_[level] += 1.0;
+    double all = 0.0;
+    double more_urgent = 0.0;
+    for (std::size_t i = 0; i < arrivals_.size(); ++i) {
+        all += arrivals_[i];
+        more_urgent += i < level ? arrivals_[i] : 0.0;
+    }
+    const double left = (share_ * all - more_urgent) / arrivals_[level];
+    auto& credit = credits_[level];
+    credit += std::clamp(left, min_share, 1.0);
+    if (credit < 1.0) {
         return false;
     }
-    credit_ -= 1.0;
+    credit -= 1.0;
     return true;
 }
 
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -1191,10 +1191,24 @@
 void dispatcher::submit(timestamp now, caller_token token,
                         job_submission submission) {
     begin_input(now);
+    is_admitted_ = submission.admitted;
+    submitted_priority_ = submission.queue.priority;
     coordinator_.submit(now, token, std::move(submission));
     end_input(now);
 }
 
+std::optional<job_answer> dispatcher::refuse_unread(timestamp now,
+                                                    const unread_job& unread) {
+    begin_input(now);
+    is_admitted_ = false;
+    submitted_priority_ = unread.queue.priority;
+    auto refusal = coordinator_.refuse_unread(now, unread);
+    if (was_paused_) {
+        end_input(now);
+    }
+    return refusal;
+}
+
 void dispatcher::drop_caller(timestamp now, caller_token token) {
     begin_input(now);
     coordinator_.drop_caller(now, token);
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -117,6 +117,13 @@
 
     // --- callers and operators ---
     void submit(timestamp now, caller_token token, job_submission submission);
+    // The refusal of a job whose body was not read, if this host lacks the
+    // processor time for it or no holder can take it in time. Jobs that may
+    // have run, or are open, are not refused here. Each call counts as one job:
+    // if it is not refused, pass it to `submit()` with `admitted`. Not
+    // thread-safe.
+    [[nodiscard]] std::optional<job_answer>
+    refuse_unread(timestamp now, const unread_job& unread);
     void drop_caller(timestamp now, caller_token token);
     [[nodiscard]] std::size_t waiting(const std::string& queue) const;
     void drain(timestamp now);
@@ -329,9 +336,11 @@
     void announce(const endpoint_adoption& adoption) override;
     void announce_crash(const crash_report& report) override;
     void announce_doubt(const start_doubt& doubt) override;
-    [[nodiscard]] bool admit_job() override { return admission_.admit(); }
     [[nodiscard]] bool is_evacuated(const std::string& pool,
                                     const job& work) const override;
+    [[nodiscard]] bool admit_job() override {
+        return is_admitted_ || admission_.admit(submitted_priority_);
+    }
     void note_start(const process_id& coordinator, const task_run& run,
                     const std::string& endpoint, std::uint64_t token) override;
     [[nodiscard]] timestamp
@@ -382,6 +391,9 @@
     crash_ledger crashes_;
     doubt_ledger doubts_;
     admission_control admission_;
+    // Of the submission being handled.
+    bool is_admitted_ = false;
+    std::uint32_t submitted_priority_ = 0;
     contact_relay relay_;
     peer_briefing briefing_;
     timestamp next_relay_check_{0};
--- a/src/core/dispatch/holder_views.cpp
+++ b/src/core/dispatch/holder_views.cpp
@@ -65,7 +65,8 @@
 
 double holder_views::wait_ms(const advert& advertised) {
     return 1000.0 * static_cast<double>(advertised.queued_cpu_ms) /
-           std::max(1U, advertised.capacity_cpu);
+               std::max(1U, advertised.capacity_cpu) +
+           advertised.late_ms;
 }
 
 std::optional<process_id> holder_views::place(timestamp now,
@@ -93,6 +94,8 @@
         if (!can_start_now(advertised, need)) {
             // The task waits at least until a running task ends.
             cost += need.estimate_ms / 4.0 + wait_ms(advertised);
+        } else {
+            cost += advertised.late_ms;
         }
         if (cost < best_cost) {
             best = &item;
--- a/src/core/dispatch/holder_views.hpp
+++ b/src/core/dispatch/holder_views.hpp
@@ -52,6 +52,8 @@
 
     static void deduct(advert& advertised, const task_need& need);
     static bool can_start_now(const advert& advertised, const task_need& need);
+    // Until a task starts behind the queued work. A holder that is late reads
+    // the task late.
     static double wait_ms(const advert& advertised);
 
     std::string failure_domain_;
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -196,6 +196,41 @@
     place(now, state);
 }
 
+std::optional<job_answer>
+job_coordinator::refuse_unread(timestamp now, const unread_job& unread) {
+    const auto& id = unread.id;
+    const bool may_have_run =
+        cached_answers_.contains(id) || jobs_.contains(id) ||
+        former_runs_.contains(id) || doubts_.is_open_for_job(id) ||
+        !crashes_.tasks_of(id).empty() ||
+        (events_.may_have_come_before(unread.caller_timeout) &&
+         events_.is_unproved(unread.queue.pool, now, unread.caller_timeout));
+    if (may_have_run) {
+        return std::nullopt;
+    }
+    const auto wait = views_.min_queue_wait(unread.queue.priority);
+    job_answer answer;
+    if (wait > unread.caller_timeout) {
+        answer = {job_outcome::refused, "queue_too_long", wait};
+    } else if (!events_.admit_job()) {
+        answer = {job_outcome::refused, "host_overloaded",
+                  retry_after_overload};
+    } else {
+        return std::nullopt;
+    }
+    observer_.log(
+        log_level::info, "job_refused",
+        {{"job", id},
+         {"request", unread.request_id},
+         {"queue", unread.queue.name},
+         {"reason", answer.reason},
+         {"read", "no"},
+         {"queue_wait_ms", std::to_string(to_ms(wait))},
+         {"retry_after_ms", std::to_string(to_ms(answer.retry_after))}});
+    observer_.count("jobs", to_string(answer.outcome));
+    return answer;
+}
+
 void job_coordinator::unblock_steps(job_state& state) {
     for (std::size_t i = 0; i < state.steps.size(); ++i) {
         const auto& after = state.submission.work.steps[i].after;
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -73,6 +73,16 @@
     queue_policy queue;
     duration caller_timeout{0}; // how long the caller waits for an answer
     std::string request_id;
+    // `refuse_unread()` has counted it as accepted.
+    bool admitted = false;
+};
+
+// What is known of a job before its body is read.
+struct unread_job {
+    std::string id;
+    queue_policy queue;
+    duration caller_timeout{0};
+    std::string request_id;
 };
 
 // An open job as shown to operators.
@@ -96,6 +106,9 @@
                     coordinator_events& events);
 
     void submit(timestamp now, caller_token token, job_submission submission);
+    // See `dispatcher::refuse_unread()`. Not thread-safe.
+    [[nodiscard]] std::optional<job_answer>
+    refuse_unread(timestamp now, const unread_job& unread);
     // Call when the caller has closed its connection; ends its job.
     void drop_caller(timestamp now, caller_token token);
     void handle_update(timestamp now, const process_id& holder,
--- a/tests/dispatch/admission_control_test.cpp
+++ b/tests/dispatch/admission_control_test.cpp
@@ -1,3 +1,5 @@
+#include <array>
+
 #include <boost/test/unit_test.hpp>
 
 #include "core/dispatch/admission_control.hpp"
@@ -62,6 +64,40 @@
     BOOST_TEST(count_admitted(100) == 100);
 }
 
+// Guards against urgent jobs that are refused while others are accepted.
+BOOST_AUTO_TEST_CASE(less_urgent_jobs_are_refused_first) {
+    const auto count_admitted_by_priority = [this] {
+        std::array<int, 3> counts{};
+        for (int i = 0; i < 90; ++i) {
+            const auto priority = static_cast<std::uint32_t>(i % 3);
+            counts[priority] += admission.admit(priority) ? 1 : 0;
+        }
+        return counts;
+    };
+    tick_for(1s, 25ms);
+    BOOST_TEST(count_admitted_by_priority()[2] == 30);
+    // One decrease, to 0.6.
+    tick_for(300ms, 60ms);
+    BOOST_TEST(admission.share() > 0.5);
+    BOOST_TEST(admission.share() < 0.7);
+    const auto counts = count_admitted_by_priority();
+    BOOST_TEST(counts[0] == 30);
+    BOOST_TEST(counts[1] >= 20);
+    BOOST_TEST(counts[2] <= 5);
+}
+
+// Guards against a host that accepts none of the only priority there is.
+BOOST_AUTO_TEST_CASE(jobs_of_any_one_priority_get_the_same_share) {
+    tick_for(1s, 25ms);
+    tick_for(300ms, 60ms);
+    int admitted = 0;
+    for (int i = 0; i < 100; ++i) {
+        admitted += admission.admit(7) ? 1 : 0;
+    }
+    BOOST_TEST(admitted >= 55);
+    BOOST_TEST(admitted <= 65);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/fleet/fleet_callers.cpp
+++ b/tests/dispatch/fleet/fleet_callers.cpp
@@ -186,7 +186,7 @@
     job.received = false;
     at(now_ + delay(), [this, index, process = job.process, token = job.token,
                         submission = job.submission] {
-        const auto submit = [this, token, submission](dispatcher& core) {
+        const auto submit = [this, index, token, submission](dispatcher& core) {
             const auto found = jobs_.find(submission.work.id);
             if (found == jobs_.end() || found->second.token != token ||
                 found->second.process == 0) {
@@ -195,7 +195,15 @@
                 return;
             }
             found->second.received = true;
-            core.submit(now_, token, submission);
+            // As the daemon's route for callers does.
+            if (const auto refusal = core.refuse_unread(
+                    now_, {submission.work.id, submission.queue,
+                           submission.caller_timeout, submission.request_id})) {
+                return hosts_[index]->answer(token, *refusal);
+            }
+            auto admitted = submission;
+            admitted.admitted = true;
+            core.submit(now_, token, std::move(admitted));
         };
         deliver(index, process, {cost::submission, submit});
     });
