--- a/tests/dispatch/fleet/processor_test.cpp
+++ b/tests/dispatch/fleet/processor_test.cpp
@@ -416,6 +416,59 @@
     check_safety(fleet);
 }
 
+// The quiet load times this factor.
+std::vector<job_kind> load_of(std::size_t hosts, double factor) {
+    auto kinds = quiet_load(hosts);
+    for (auto& kind : kinds) {
+        kind.jobs_per_s *= factor;
+    }
+    return kinds;
+}
+
+// Plays a quiet load that is this many times as high for 5 s. Returns the jobs
+// served of those sent in one second of the surge, on average.
+double play_surge(double factor) {
+    constexpr int begins_s = 3;
+    constexpr int ends_s = begins_s + 5;
+    constexpr int seconds = ends_s + 8;
+    // The load is back to normal for this long when jobs are served again.
+    constexpr int surge_recovery_s = 2;
+    constexpr std::size_t hosts = 8;
+    // Some 4 KB each; a host's memory is limited to 160 MB.
+    constexpr std::size_t queue_limit = 4'000;
+    virtual_fleet fleet(1, site_of(hosts));
+    play(fleet, seconds, [&fleet, factor](int second) {
+        if (second == begins_s || second == ends_s) {
+            fleet.end_load();
+            fleet.begin_load(load_of(hosts, second == ends_s ? 1.0 : factor));
+        }
+    });
+    print_shares(std::to_string(factor) + " times the load", fleet);
+    BOOST_CHECK_LE(longest_queue(fleet), queue_limit);
+    BOOST_CHECK_GE(lowest_share_from(fleet, ends_s + surge_recovery_s),
+                   served_share);
+    check_safety(fleet);
+    std::uint64_t served = 0;
+    for (int second = begins_s; second < ends_s; ++second) {
+        const auto jobs = fleet.jobs_by_second().find(second);
+        served +=
+            jobs == fleet.jobs_by_second().end() ? 0 : jobs->second.served;
+    }
+    const double per_s =
+        static_cast<double>(served) / static_cast<double>(ends_s - begins_s);
+    std::cout << "served a second of the surge: " << per_s << "\n";
+    return per_s;
+}
+
+// Guards against hosts that serve fewer jobs the more come, and stay late after
+// the surge has ended.
+BOOST_AUTO_TEST_CASE(surges_are_served_as_far_as_processors_allow) {
+    const auto served = play_surge(2.2);
+    for (const double factor : {4.0, 8.0}) {
+        BOOST_CHECK_GE(play_surge(factor), served);
+    }
+}
+
 // Guards against hosts that do more for each dark host than for its jobs.
 BOOST_AUTO_TEST_CASE(jobs_of_two_fifths_dark_hosts_are_served_by_the_others) {
     constexpr int begins_s = 3;
