--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -188,6 +188,11 @@
             server->held_bytes_ -= connection_bytes;
             server->large_bytes_ -= connection_bytes;
         }
+        // At its limit, libmicrohttpd does not listen until it is run again.
+        if (server->watcher_ && server->connections_.size() + 1 >=
+                                    server->server_limits_.max_connections) {
+            server->watcher_->trigger();
+        }
         return;
     }
     auto& opened = server->connections_[connection];
