--- a/src/adapters/ini_schema.cpp
+++ b/src/adapters/ini_schema.cpp
@@ -114,6 +114,16 @@
     };
 }
 
+setter set_switch(bool& target) {
+    return [&target](const std::string& value) -> std::optional<std::string> {
+        if (value != "on" && value != "off") {
+            return "expected on or off";
+        }
+        target = value == "on";
+        return std::nullopt;
+    };
+}
+
 std::string setting_error(const std::string& section, const std::string& key,
                           const std::string& value,
                           const std::string& problem) {
--- a/src/adapters/ini_schema.hpp
+++ b/src/adapters/ini_schema.hpp
@@ -41,6 +41,8 @@
 setter set_flag(bool& target);
 setter set_fraction(double& target, double min, double max);
 setter set_log_level(std::string& target);
+// `on` or `off`.
+setter set_switch(bool& target);
 
 template <typename Number>
 setter set_number(Number& target, std::uint64_t min, std::uint64_t max) {
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -35,7 +35,7 @@
                                  endpoint_port& port, observer_port& observer,
                                  holder_events& events, evacuation& evacuated)
     : settings_(settings), port_(port), observer_(observer), events_(events),
-      evacuation_(evacuated) {}
+      evacuation_(evacuated), planner_(planner_limits{}) {}
 
 void endpoint_holder::begin_change(timestamp now) {
     now_ = now;
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -11,6 +11,7 @@
 #include "core/dispatch/crash_compartment.hpp"
 #include "core/dispatch/endpoint_session.hpp"
 #include "core/dispatch/evacuation.hpp"
+#include "core/dispatch/start_planner.hpp"
 #include "core/dispatch/task_queue.hpp"
 
 namespace figridge::dispatch {
@@ -186,6 +187,25 @@
     [[nodiscard]] queue_verdict
     refusal_of(const std::vector<available_endpoint>& available,
                const queued_task& task, bool confined_waits) const;
+
+    // --- look-ahead: see `start_planner` ---
+    // Shows the planner the endpoints that accept tasks; gives up all
+    // reservations if the setting is off.
+    void begin_look_ahead(timestamp now);
+    // As `choose()`, by the planner if the setting is on. Isolation and
+    // compartments decide first.
+    available_endpoint* choose_ahead(std::vector<available_endpoint>& available,
+                                     const queued_task& task,
+                                     bool confined_waits);
+    // Whether the task may start there, apart from room and reservations.
+    [[nodiscard]] bool admits_in(placement_zone zone,
+                                 const endpoint_session& session,
+                                 const queued_task& task) const;
+    void report_reservations();
+    // Whether new tasks may be sent to the endpoint, apart from room.
+    [[nodiscard]] bool is_open(timestamp now,
+                               const endpoint_session& session) const;
+
     // Whether an endpoint is slow while at most half of those held are.
     [[nodiscard]] bool is_slow_outlier(timestamp now,
                                        const endpoint_session& session) const;
@@ -282,6 +302,7 @@
     // starts there.
     std::map<std::string, task_key> reserved_;
     crash_compartment compartment_;
+    start_planner planner_;
     timestamp load_recorded_at_{0};
 };
 
--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -26,16 +26,19 @@
 
 } // namespace
 
+bool endpoint_holder::is_open(timestamp now,
+                              const endpoint_session& session) const {
+    const auto& health = session.health();
+    return is_admitted(session) && session.accepts_tasks() && !session.awaits_revocation() &&
+           health.accepts_tasks(now) &&
+           !(health.is_on_probation() && !session.ledger().empty());
+}
+
 std::vector<endpoint_holder::available_endpoint>
 endpoint_holder::list_available(timestamp now) {
     std::vector<available_endpoint> available;
     for (auto& [id, session] : sessions_) {
-        const auto& health = session->health();
-        const bool open =
-            is_admitted(*session) && session->accepts_tasks() &&
-            !session->awaits_revocation() && health.accepts_tasks(now) &&
-            !(health.is_on_probation() && !session->ledger().empty());
-        if (!open) {
+        if (!is_open(now, *session)) {
             continue;
         }
         if (const auto room = usable_room(*session); room.cpu_millis > 0) {
@@ -123,7 +126,11 @@
 void endpoint_holder::place_queued(timestamp now) {
     auto& available = available_endpoints(now);
     bool is_reusable = true;
-    const auto largest_free_cpu = [&available] {
+    const auto largest_free_cpu = [this, &available] {
+        // Tasks that fit nowhere yet may get a reservation.
+        if (settings_.look_ahead && planner_.looks_further()) {
+            return std::numeric_limits<std::uint32_t>::max();
+        }
         std::uint32_t largest = 0;
         for (const auto& option : available) {
             largest = std::max(largest, option.room.cpu_millis);
@@ -131,10 +138,14 @@
         return largest;
     };
     const bool confined_waits = queue_.has_tasks_of(compartment_.queue());
+    begin_look_ahead(now);
     queue_.visit_tasks(now, largest_free_cpu, [&](const queued_task& task) {
-        auto* chosen = choose(available, task, confined_waits);
+        auto* chosen = choose_ahead(available, task, confined_waits);
         if (chosen == nullptr) {
-            return refusal_of(available, task, confined_waits);
+            // A shorter task of the same need may end before a reservation.
+            return settings_.look_ahead
+                       ? queue_verdict::unsuited
+                       : refusal_of(available, task, confined_waits);
         }
         // The task may have come from another coordinator, or again after the
         // bound for the end of its last run.
@@ -161,6 +172,7 @@
         entry.answer_by = task.answer_by;
         entry.caller_deadline = task.caller_deadline;
         chosen->session->start(now, std::move(entry), *task.payload);
+        planner_.note_started(task.run.task, chosen->session->endpoint().id);
         events_.note_start(task.coordinator, task.run,
                            chosen->session->endpoint().id,
                            chosen->session->token());
@@ -175,6 +187,7 @@
     if (!is_reusable) {
         available_.reset();
     }
+    report_reservations();
 }
 
 void endpoint_holder::log_repeated_run(const endpoint_session& session,
--- a/src/core/dispatch/settings.hpp
+++ b/src/core/dispatch/settings.hpp
@@ -58,6 +58,8 @@
     // Factor by which a task runs longer away from its data (the platform's
     // bound).
     double far_factor = 3.0;
+    // Holders reserve room for queued tasks that do not fit yet.
+    bool look_ahead = false;
     // Time after the start of this process until holders that it has not heard
     // count as lost.
     duration settle_time = 500ms;
