--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -2,7 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "core/dispatch/endpoint_holder.hpp"
-#include "quiet_observer.hpp"
+#include "recording_observer.hpp"
 #include "session_fixture.hpp"
 
 namespace figridge::dispatch {
@@ -124,7 +124,7 @@
         holder.handle_hold(now, endpoint, 1, reply);
     }
 
-    // Tasks of one job, each on six cores.
+    // Tasks of one job, each on six cores unless `cpu_millis` was changed.
     void assign(const std::string& job, std::uint32_t tasks,
                 duration objective = 200ms, std::uint32_t crashes = 0) {
         task_assignment assignment;
@@ -136,7 +136,7 @@
         assignment.patience_us = duration(1500ms).count();
         for (std::uint32_t i = 0; i < tasks; ++i) {
             task_need need;
-            need.room = {6000, 64, 0};
+            need.room = {cpu_millis, 64, 0};
             need.estimate_ms = estimate_ms;
             need.required_label = label;
             assignment.items.push_back({{{job, 0, i}, 1}, need, {}, crashes});
@@ -271,13 +271,14 @@
     const process_id coordinator{"10.1.0.2:1", 9};
     dispatch_settings settings;
     recording_endpoint_port port;
-    quiet_observer observer;
+    recording_observer observer;
     recording_holder_events events;
     timestamp now{100s};
     evacuation evacuated;
     endpoint_holder holder{settings, port, observer, events, evacuated};
     std::string queue = "queue-1"; // of the tasks assigned next
     std::uint32_t priority = 0;
+    std::uint32_t cpu_millis = 6000;
     std::uint32_t estimate_ms = 60;
     std::string label;
     std::size_t answered = 0;
@@ -328,6 +329,75 @@
     BOOST_TEST(port.starts.size() == before + 1);
 }
 
+// Runs of 300 ms leave 4 and 10 cores free, on which a task of 14 waits.
+struct look_ahead_fixture : holder_fixture {
+    look_ahead_fixture() {
+        settings.look_ahead = true;
+        estimate_ms = 300;
+        assign("load", 3);
+        answer_starts();
+        BOOST_REQUIRE_EQUAL(port.starts.size(), 3U);
+        cpu_millis = 14'000;
+        assign("large", 1);
+        BOOST_REQUIRE(endpoint_of("large").empty());
+        cpu_millis = 6000;
+    }
+
+    [[nodiscard]] std::string endpoint_with_runs(std::size_t runs) const {
+        for (const auto& [id, session] : holder.sessions()) {
+            if (session->ledger().size() == runs) {
+                return id;
+            }
+        }
+        return {};
+    }
+};
+
+// Guards against a large task that is delayed by later small ones, and against
+// room that stays unused although it is free in time.
+BOOST_FIXTURE_TEST_CASE(only_short_tasks_start_ahead_of_a_reserved_one,
+                        look_ahead_fixture) {
+    BOOST_TEST(observer.lines["start_reserved"].size() == 1U);
+    const auto reserved = endpoint_with_runs(1);
+    BOOST_TEST(observer.lines["start_reserved"][0]["endpoint"] == reserved);
+    estimate_ms = 900;
+    assign("long", 1);
+    BOOST_TEST(endpoint_of("long").empty());
+    estimate_ms = 100;
+    assign("short", 1);
+    BOOST_TEST(endpoint_of("short") == reserved);
+    BOOST_TEST(observer.counted("look_ahead") == 2U); // made, started ahead
+    answer_starts();
+    now += 300ms;
+    end_runs(reserved);
+    holder.dispatch(now);
+    BOOST_TEST(endpoint_of("large") == reserved);
+    BOOST_TEST(endpoint_of("long").empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(reservations_end_with_the_setting, look_ahead_fixture) {
+    estimate_ms = 900;
+    assign("long", 1);
+    BOOST_TEST(endpoint_of("long").empty());
+    settings.look_ahead = false;
+    holder.dispatch(now);
+    BOOST_TEST(!endpoint_of("long").empty());
+    BOOST_TEST(observer.lines["start_reserved"].back()["change"] == "given_up");
+}
+
+// Guards against room kept for a task whose endpoint is lost.
+BOOST_FIXTURE_TEST_CASE(reservation_on_a_released_endpoint_is_made_elsewhere,
+                        look_ahead_fixture) {
+    const auto other = endpoint_with_runs(2);
+    holder.release(now, endpoint_with_runs(1));
+    now += 25ms;
+    cpu_millis = 4000;
+    assign("another", 1);
+    BOOST_TEST(endpoint_of("another").empty());
+    BOOST_TEST(observer.lines["start_reserved"].back()["change"] == "made");
+    BOOST_TEST(observer.lines["start_reserved"].back()["endpoint"] == other);
+}
+
 // Guards against a start over the capacity (LIMIT) on an endpoint that has
 // restarted and forgotten the token of its next holder, which is not heard.
 BOOST_AUTO_TEST_CASE(task_beside_a_silent_peer_starts_after_an_answer) {
--- a/tests/dispatch/start_planner_test.cpp
+++ b/tests/dispatch/start_planner_test.cpp
@@ -341,6 +341,17 @@
 // Tasks that did not start within this time are withdrawn.
 constexpr duration patience = 1500ms;
 
+// Ways of placement without a planner, for comparison.
+enum class rule {
+    none,
+    // Nothing overtakes a task that has waited for `ageing_limit`.
+    ageing,
+    // A third of the endpoints takes only tasks of 12 cores and more.
+    separate,
+};
+constexpr duration ageing_limit = 300ms;
+constexpr std::uint32_t large_task_millis = 12'000;
+
 struct simulated_task {
     planned_task plan;
     duration work{0}; // true run time at speed 1
@@ -390,7 +401,7 @@
 
 // Twelve endpoints of 32 to 48 cores and speeds 0.8 to 1.25 get tasks of 1 to
 // 24 cores, in order of arrival, for `arrivals` at `load` times their capacity.
-simulation_result simulate(const planner_limits& limits, double load,
+simulation_result simulate(const planner_limits& limits, rule also, double load,
                            std::uint64_t seed, duration arrivals = 10s) {
     std::mt19937_64 random(seed);
     std::vector<simulated_endpoint> endpoints;
@@ -466,9 +477,20 @@
                 }
             }
             planner.begin(now, 3.0, std::move(listed));
+            bool blocked = false;
             std::erase_if(waiting, [&](std::size_t index) {
                 auto& task = tasks[index];
-                const auto decision = planner.choose(task.plan, admit_all);
+                if (also == rule::ageing && blocked) {
+                    return false;
+                }
+                const auto decision =
+                    planner.choose(task.plan, [&](const std::string& endpoint) {
+                        return also != rule::separate || endpoint > "e3" ||
+                               task.plan.need.room.cpu_millis >=
+                                   large_task_millis;
+                    });
+                blocked = blocked || (decision.action != plan_action::start &&
+                                      now - task.plan.queued_at > ageing_limit);
                 if (decision.action != plan_action::start) {
                     if (decision.action == plan_action::reserve &&
                         !task.promised) {
@@ -615,28 +637,37 @@
 // Guards against delays of reserved tasks by more than the errors of the
 // estimates.
 BOOST_AUTO_TEST_CASE(delays_of_reserved_tasks_are_bounded) {
+    struct variant {
+        std::string name;
+        std::size_t reservations = 0;
+        rule also = rule::none;
+    };
+    const std::vector<variant> variants{
+        {"off", 0, rule::none},
+        {"on with 1 reservation", 1, rule::none},
+        {"on with 4 reservations", 4, rule::none},
+        {"on with 8 reservations", 8, rule::none},
+        {"off with ageing", 0, rule::ageing},
+        {"off with separate endpoints", 0, rule::separate}};
     constexpr std::uint64_t seeds = 4;
     for (const double load : {0.6, 0.7, 0.8}) {
-        for (const std::size_t reservations : {0, 1, 4, 8}) {
+        for (const auto& variant : variants) {
+            std::ostringstream name;
+            name << "load " << load << ", " << variant.name;
             std::vector<simulation_result> results;
             for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
                 results.push_back(
-                    simulate(with_reservations(reservations), load, seed));
+                    simulate(with_reservations(variant.reservations),
+                             variant.also, load, seed));
                 const auto& result = results.back();
                 BOOST_TEST(
                     result.longest_delay_ms <= result.longest_overrun_ms + 10.0,
-                    "load " << load << ", seed " << seed << ", " << reservations
-                            << " reservations: a task started "
-                            << result.longest_delay_ms
-                            << " ms after the promised time, the "
-                               "longest overrun was "
-                            << result.longest_overrun_ms);
+                    name.str() << ", seed " << seed << ": a task started "
+                               << result.longest_delay_ms
+                               << " ms after the promised time, the "
+                                  "longest overrun was "
+                               << result.longest_overrun_ms);
             }
-            std::ostringstream name;
-            name << "load " << load << ", "
-                 << (reservations == 0
-                         ? std::string("off")
-                         : "on with " + std::to_string(reservations));
             print(name.str(), results);
         }
     }
--- a/tests/platform/decoders_test.cpp
+++ b/tests/platform/decoders_test.cpp
@@ -440,6 +440,26 @@
     BOOST_TEST(refused > rounds / 2);
 }
 
+BOOST_AUTO_TEST_CASE(look_ahead_is_off_unless_set) {
+    const auto parse = [](const std::string& line) {
+        std::istringstream file(
+            "[host]\naddress = 10.1.0.1:1\nfailure_domain = a\ncallers = "
+            "10.1.0.1:2\nready = 10.1.0.1:3\noperators = 10.1.0.1:4\n"
+            "[peers]\nfailure_domains = a,b\n[store]\naddress = "
+            "10.2.0.1:1\n[dispatch]\nlease_limit_ms = 1000\nstop_limit_ms = "
+            "50\nresend_after_ms = 1300\n" +
+            line);
+        return parse_platform_settings(file);
+    };
+    BOOST_TEST(!parse("").settings.dispatch.look_ahead);
+    BOOST_TEST(parse("look_ahead = on\n").settings.dispatch.look_ahead);
+    BOOST_TEST(!parse("look_ahead = off\n").settings.dispatch.look_ahead);
+    BOOST_TEST(parse("look_ahead = yes\n").errors.size() == 1U);
+    const auto change = compare_settings(parse(""), parse("look_ahead = on\n"));
+    BOOST_TEST(change.live.size() == 1U);
+    BOOST_TEST(change.at_restart.empty());
+}
+
 // Peers of the same version send only valid messages, but a message may be
 // damaged or come from another kind of sender.
 BOOST_AUTO_TEST_CASE(damaged_peer_messages_are_rejected_or_harmless) {
