--- a/src/core/dispatch/endpoint_holder_look_ahead.cpp
+++ b/src/core/dispatch/endpoint_holder_look_ahead.cpp
@@ -98,7 +98,6 @@
     }
     const auto plan = plan_of(task);
     available_endpoint* chosen = nullptr;
-    bool is_ahead = false;
     if (is_suspect(task)) {
         // Suspects wait for idle endpoints, which are reserved for them apart
         // from the planner.
@@ -111,13 +110,17 @@
                    admits_in(zone, *found->second, task);
         };
         const auto decision = planner_.choose(plan, admits);
+        if (decision.action != plan_action::wait && has_run_of(task.run.task)) {
+            // It can't start before that run has ended.
+            planner_.give_up(task.run.task);
+            return nullptr;
+        }
         if (decision.action == plan_action::start) {
             const auto found = std::find_if(
                 available.begin(), available.end(), [&](const auto& option) {
                     return option.session->endpoint().id == decision.endpoint;
                 });
             chosen = found == available.end() ? nullptr : &*found;
-            is_ahead = decision.ahead_of_reservation;
         } else if (zone == placement_zone::outside_compartment &&
                    !confined_waits &&
                    compartment_.tolerates(
@@ -128,12 +131,8 @@
                 choose_in(placement_zone::inside_compartment, available, task);
         }
     }
-    if (chosen == nullptr || has_run_of(task.run.task)) {
-        return nullptr;
-    }
-    planner_.take(plan, chosen->session->endpoint().id);
-    if (is_ahead) {
-        observer_.count("look_ahead", "started_ahead");
+    if (chosen != nullptr) {
+        planner_.take(plan, chosen->session->endpoint().id);
     }
     return chosen;
 }
--- a/src/core/dispatch/start_planner.cpp
+++ b/src/core/dispatch/start_planner.cpp
@@ -92,10 +92,11 @@
     {plan_action::reserve, "reserve"},
 }};
 
-constexpr name_table<reservation_event, 3> reservation_event_names{{
+constexpr name_table<reservation_event, 4> reservation_event_names{{
     {reservation_event::made, "made"},
     {reservation_event::used, "used"},
     {reservation_event::given_up, "given_up"},
+    {reservation_event::started_ahead, "started_ahead"},
 }};
 
 constexpr name_table<pass_over_reason, 6> pass_over_reason_names{{
@@ -157,12 +158,6 @@
         decision.action = plan_action::start;
         decision.endpoint = found->endpoint->id;
         decision.at = now_;
-        decision.ahead_of_reservation =
-            std::any_of(reservations_.begin(), reservations_.end(),
-                        [&](const reservation& entry) {
-                            return entry.endpoint == decision.endpoint &&
-                                   entry.task != task.key;
-                        });
         return decision;
     }
     ++refused;
@@ -182,12 +177,9 @@
         // now, as that one has been filled in the meantime without regard to
         // the task.
         if (admits(own->endpoint)) {
-            return {plan_action::reserve, own->endpoint, own->at, false};
+            return {plan_action::reserve, own->endpoint, own->at};
         }
-        note_change(reservation_event::given_up, *own);
-        std::erase_if(reservations_, [&](const reservation& entry) {
-            return entry.task == task.key;
-        });
+        give_up(task.key);
     }
     const bool is_oldest =
         oldest_of_last_pass_ && oldest_of_last_pass_->key == task.key;
@@ -211,8 +203,7 @@
     entry.asked_in_pass = pass_;
     entry.for_oldest = is_oldest;
     note_change(reservation_event::made, entry);
-    plan_decision decision{plan_action::reserve, entry.endpoint, entry.at,
-                           false};
+    plan_decision decision{plan_action::reserve, entry.endpoint, entry.at};
     reservations_.push_back(std::move(entry));
     return decision;
 }
@@ -240,6 +231,22 @@
                     entry);
         return true;
     });
+    if (std::any_of(
+            reservations_.begin(), reservations_.end(),
+            [&](const auto& entry) { return entry.endpoint == endpoint; })) {
+        changes_.push_back(
+            {reservation_event::started_ahead, task, endpoint, now_});
+    }
+}
+
+void start_planner::give_up(const task_key& task) {
+    std::erase_if(reservations_, [&](const reservation& entry) {
+        if (entry.task != task) {
+            return false;
+        }
+        note_change(reservation_event::given_up, entry);
+        return true;
+    });
 }
 
 void start_planner::clear() {
@@ -306,8 +313,8 @@
 
 double start_planner::start_cost(const planned_endpoint& endpoint,
                                  const task_need& need) const {
-    const double leftover = double{1.0} * endpoint.free.cpu_millis -
-                            double{1.0} * need.room.cpu_millis;
+    const double leftover = static_cast<double>(endpoint.free.cpu_millis) -
+                            static_cast<double>(need.room.cpu_millis);
     return to_seconds(run_time(endpoint, need)) * 1000.0 +
            leftover * leftover_weight_ms;
 }
--- a/src/core/dispatch/start_planner.hpp
+++ b/src/core/dispatch/start_planner.hpp
@@ -60,11 +60,16 @@
     plan_action action = plan_action::wait;
     std::string endpoint;
     timestamp at{0};
-    // For `start`: a task with a reservation on this endpoint still waits.
-    bool ahead_of_reservation = false;
 };
 
-enum class reservation_event { made, used, given_up };
+enum class reservation_event {
+    made,
+    used,     // the task started there
+    given_up, // the task started elsewhere, or the reservation can't be kept
+    // Another task started there before the reserved one; `task` is that one,
+    // and `at` the time of its start.
+    started_ahead,
+};
 
 struct reservation_change {
     reservation_event event = reservation_event::made;
@@ -121,6 +126,9 @@
     // The task was started there; ends its reservation.
     void note_started(const task_key& task, const std::string& endpoint);
 
+    // Gives up the reservation of the task, if it has one.
+    void give_up(const task_key& task);
+
     // Gives up all reservations.
     void clear();
 
--- a/tests/dispatch/start_planner_test.cpp
+++ b/tests/dispatch/start_planner_test.cpp
@@ -80,7 +80,6 @@
     const auto decision = choose(make_task("job", 16'000, 200));
     BOOST_TEST((decision.action == plan_action::start));
     BOOST_TEST(decision.endpoint == "tight");
-    BOOST_TEST(!decision.ahead_of_reservation);
 }
 
 BOOST_AUTO_TEST_CASE(task_that_does_not_fit_is_reserved_where_it_starts_first) {
@@ -101,7 +100,7 @@
         (place(make_task("long", 4000, 250)).action != plan_action::start));
     const auto decision = place(make_task("short", 4000, 150));
     BOOST_TEST((decision.action == plan_action::start));
-    BOOST_TEST(decision.ahead_of_reservation);
+    BOOST_TEST(changes(reservation_event::started_ahead) == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(later_task_starts_if_it_leaves_the_reserved_room) {
@@ -500,7 +499,6 @@
                 }
                 planner.take(task.plan, decision.endpoint);
                 planner.note_started(task.plan.key, decision.endpoint);
-                result.ahead += decision.ahead_of_reservation ? 1 : 0;
                 task.started_at = now;
                 auto& endpoint = *std::find_if(
                     endpoints.begin(), endpoints.end(), [&](const auto& item) {
@@ -528,6 +526,8 @@
             });
             for (const auto& change : planner.take_changes()) {
                 result.made += change.event == reservation_event::made ? 1 : 0;
+                result.ahead +=
+                    change.event == reservation_event::started_ahead ? 1 : 0;
             }
         }
         if (!waiting.empty()) {
