--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -357,12 +357,12 @@
 // room that stays unused although it is free in time.
 BOOST_FIXTURE_TEST_CASE(only_short_tasks_start_ahead_of_a_reserved_one,
                         look_ahead_fixture) {
-    BOOST_TEST(observer.lines["start_reserved"].size() == 1U);
     const auto reserved = endpoint_with_runs(1);
-    BOOST_TEST(observer.lines["start_reserved"][0]["endpoint"] == reserved);
     estimate_ms = 900;
     assign("long", 1);
     BOOST_TEST(endpoint_of("long").empty());
+    BOOST_REQUIRE_EQUAL(observer.lines["start_reserved"].size(), 1U);
+    BOOST_TEST(observer.lines["start_reserved"][0]["endpoint"] == reserved);
     estimate_ms = 100;
     assign("short", 1);
     BOOST_TEST(endpoint_of("short") == reserved);
