--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -329,12 +329,15 @@
     BOOST_TEST(port.starts.size() == before + 1);
 }
 
-// Runs of 300 ms leave 4 and 10 cores free, on which a task of 14 waits.
+// Two runs of 600 ms on one endpoint and one of 300 ms on the other leave 4 and
+// 10 cores free, so that a task of 14 waits.
 struct look_ahead_fixture : holder_fixture {
     look_ahead_fixture() {
         settings.look_ahead = true;
+        estimate_ms = 600;
+        assign("load-1", 2);
         estimate_ms = 300;
-        assign("load", 3);
+        assign("load-2", 1);
         answer_starts();
         BOOST_REQUIRE_EQUAL(port.starts.size(), 3U);
         cpu_millis = 14'000;
@@ -361,14 +364,20 @@
     estimate_ms = 900;
     assign("long", 1);
     BOOST_TEST(endpoint_of("long").empty());
-    BOOST_REQUIRE_EQUAL(observer.lines["start_reserved"].size(), 1U);
+    // The long one has a reservation on the other endpoint.
+    BOOST_REQUIRE_EQUAL(observer.lines["start_reserved"].size(), 2U);
+    BOOST_TEST(observer.lines["start_reserved"][0]["job"] == "large");
     BOOST_TEST(observer.lines["start_reserved"][0]["endpoint"] == reserved);
     estimate_ms = 100;
     assign("short", 1);
     BOOST_TEST(endpoint_of("short") == reserved);
-    BOOST_TEST(observer.counted("look_ahead") == 2U); // made, started ahead
+    BOOST_TEST(observer.lines["start_reserved"].back()["change"] ==
+               "started_ahead");
+    BOOST_TEST(observer.counted("look_ahead") == 3U);
     answer_starts();
     now += 300ms;
+    // Without progress the endpoint would count as slow.
+    answer_hold(reserved, runs_on(reserved, 99));
     end_runs(reserved);
     holder.dispatch(now);
     BOOST_TEST(endpoint_of("large") == reserved);
@@ -392,6 +401,7 @@
     holder.release(now, endpoint_with_runs(1));
     now += 25ms;
     cpu_millis = 4000;
+    estimate_ms = 900;
     assign("another", 1);
     BOOST_TEST(endpoint_of("another").empty());
     BOOST_TEST(observer.lines["start_reserved"].back()["change"] == "made");
