--- a/src/core/dispatch/endpoint_holder_look_ahead.cpp
+++ b/src/core/dispatch/endpoint_holder_look_ahead.cpp
@@ -62,7 +62,7 @@
         auto& endpoint = endpoints.emplace_back();
         endpoint.id = id;
         endpoint.rack = session->endpoint().rack;
-        endpoint.free = session->free_resources();
+        endpoint.free = usable_room(*session);
         endpoint.capacity = session->ledger().capacity();
         endpoint.slowness = session->health().slowness(now);
         endpoint.one_task = session->health().is_on_probation();
