--- a/src/core/dispatch/admission_control.cpp
+++ b/src/core/dispatch/admission_control.cpp
@@ -18,6 +18,7 @@
 // The mix of priorities is that of the last second or so.
 constexpr duration arrivals_interval = 250ms;
 constexpr double arrivals_factor = 0.7;
+constexpr double rounding_error = 1e-6;
 
 } // namespace
 
@@ -59,10 +60,11 @@
     const double left = (share_ * all - more_urgent) / arrivals_[level];
     auto& credit = credits_[level];
     credit += std::clamp(left, min_share, 1.0);
-    if (credit < 1.0) {
+    // The parts of a whole may be rounded to less than it.
+    if (credit < 1.0 - rounding_error) {
         return false;
     }
-    credit -= 1.0;
+    credit = std::max(0.0, credit - 1.0);
     return true;
 }
 
--- a/tests/dispatch/admission_control_test.cpp
+++ b/tests/dispatch/admission_control_test.cpp
@@ -98,6 +98,20 @@
     BOOST_TEST(admitted <= 65);
 }
 
+// Guards against a host in time that refuses a job since the parts of a share
+// of 1 were rounded to less than 1.
+BOOST_AUTO_TEST_CASE(host_in_time_accepts_all_jobs_of_mixed_priorities) {
+    int refused = 0;
+    for (int i = 0; i < 10'000; ++i) {
+        if (i % 7 == 0) {
+            tick_for(25ms, 25ms);
+        }
+        const auto priority = static_cast<std::uint32_t>((i * i + i / 3) % 4);
+        refused += admission.admit(priority) ? 0 : 1;
+    }
+    BOOST_TEST(refused == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
