Look-ahead counts refusals for each queue: tasks of others may run elsewhere

Tasks of a queue that was confined to its compartment used up the number of tasks compared for their kind, so that tasks of other queues waited although endpoints were free (confined_queue_starts_only_in_its_compartment, run with look-ahead on).

--- a/src/core/dispatch/endpoint_holder_look_ahead.cpp
+++ b/src/core/dispatch/endpoint_holder_look_ahead.cpp
@@ -1,6 +1,9 @@
 // Placement with reservations: connects an endpoint holder to its planner.
 #include <algorithm>
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
 #include "core/dispatch/endpoint_holder.hpp"
 
 namespace figridge::dispatch {
@@ -39,9 +42,18 @@
     });
 }
 
-planned_task plan_of(const queued_task& task) {
-    return {task.run.task, task.pool,      task.need,
-            task.priority, task.queued_at, task.caller_deadline};
+// The group has what isolation, compartments and the rule on slow endpoints
+// tell tasks apart by.
+planned_task plan_of(const queued_task& task, timestamp now) {
+    const bool is_late =
+        now + std::chrono::milliseconds(task.need.estimate_ms) > task.answer_by;
+    return {task.run.task,
+            absl::StrCat(task.pool, "/", task.queue, is_late ? "/late/" : "//",
+                         absl::StrJoin(task.avoid, ",")),
+            task.need,
+            task.priority,
+            task.queued_at,
+            task.caller_deadline};
 }
 
 } // namespace
@@ -96,7 +108,7 @@
     if (!settings_.look_ahead) {
         return choose(available, task, confined_waits);
     }
-    const auto plan = plan_of(task);
+    const auto plan = plan_of(task, now_);
     available_endpoint* chosen = nullptr;
     if (is_suspect(task)) {
         // Suspects wait for idle endpoints, which are reserved for them apart
--- a/src/core/dispatch/start_planner.cpp
+++ b/src/core/dispatch/start_planner.cpp
@@ -294,7 +294,7 @@
 
 start_planner::task_kind start_planner::kind_of(const planned_task& task) {
     const auto& need = task.need;
-    return {task.pool,
+    return {task.group,
             need.required_label,
             need.preferred_rack,
             need.room.cpu_millis / cpu_class_millis,
--- a/src/core/dispatch/start_planner.hpp
+++ b/src/core/dispatch/start_planner.hpp
@@ -43,10 +43,11 @@
     std::vector<planned_run> runs;
 };
 
-// A waiting task. `pool` and `need` determine its kind.
+// A waiting task. `group` and `need` determine its kind.
 struct planned_task {
     task_key key;
-    std::string pool;
+    // Tasks of one group are admitted to the same endpoints, apart from labels.
+    std::string group;
     task_need need;
     std::uint32_t priority = 0; // 0 is the highest
     timestamp queued_at{0};
@@ -164,7 +165,7 @@
         std::uint64_t asked_in_pass = 0;
         bool for_oldest = false;
     };
-    // Pool, label, rack, processor share, memory, accelerators and estimate,
+    // Group, label, rack, processor share, memory, accelerators and estimate,
     // the quantities in classes.
     using task_kind =
         std::tuple<std::string, std::string, std::string, std::uint32_t,
--- a/tests/dispatch/start_planner_test.cpp
+++ b/tests/dispatch/start_planner_test.cpp
@@ -28,7 +28,7 @@
                        std::uint32_t estimate_ms) {
     planned_task task;
     task.key = {job, 0, 0};
-    task.pool = "pool";
+    task.group = "pool";
     task.need.room = {cpu_millis, 100, 0};
     task.need.estimate_ms = estimate_ms;
     return task;
@@ -241,6 +241,19 @@
     BOOST_TEST(many <= 4 * (limits.tasks_per_pass + limits.reservations + 2));
 }
 
+// Guards against tasks that wait because others, which may not run on the free
+// endpoint, were refused.
+BOOST_AUTO_TEST_CASE(refusals_of_one_group_do_not_count_for_another) {
+    begin({make_endpoint("a", 1000), make_endpoint("b", 32'000)});
+    for (int i = 0; i < 10; ++i) {
+        const auto task = make_task(std::to_string(i), 4000, 100);
+        planner.choose(task, [](const auto& id) { return id == "a"; });
+    }
+    auto other = make_task("other", 4000, 100);
+    other.group = "other";
+    BOOST_TEST((place(other).action == plan_action::start));
+}
+
 // Guards against starvation of a task that is never among the first.
 BOOST_AUTO_TEST_CASE(longest_waiting_task_gets_a_reservation) {
     auto old = make_task("old", 30'000, 200);
