Payloads to a late peer are sent again later, and not copied

More than half of the time spent in peer_sessions::send in a profile of 34 hosts in a surge was for payloads sent again to peers that had not read them yet. The time until a payload is sent again now grows by the lateness that this host measures and the peer reports, up to 1 s: within the 2 s after which payloads that are not acknowledged are dropped. The content of a payload is moved into its envelope and back instead of copied.

--- a/src/core/dispatch/peer_sessions.cpp
+++ b/src/core/dispatch/peer_sessions.cpp
@@ -10,6 +10,10 @@
 
 // A payload that a few heartbeats have not acknowledged is sent again.
 constexpr duration resend_interval = 500ms;
+// If this host or the peer is late, the peer has probably not read the payload
+// yet, or this host the acknowledgement. It is sent again by as much later, and
+// still in time for an acknowledgement within `no_progress_limit`.
+constexpr duration max_resend_extension = 500ms;
 // A peer that acknowledges nothing in time may be slow and still have all
 // payloads in its sockets, so few are sent again until it acknowledges.
 constexpr std::size_t timed_resend_window = 4;
@@ -91,7 +95,7 @@
 }
 
 void peer_sessions::send(timestamp now, const std::string& address, peer& to,
-                         const sent_payload& what) {
+                         sent_payload& what) {
     envelope message;
     message.from = settings_.self;
     message.failure_domain = settings_.failure_domain;
@@ -105,11 +109,22 @@
     message.echo_us = to.peer_stamp_us;
     message.about = events_.make_advert();
     message.content_echo_us = what.echo_us;
-    message.content = what.content;
+    message.content = std::move(what.content);
     message.stream = to.stream;
     message.ack_stream = to.peer_stream;
     to.sent_at = now;
     port_.send(address, message);
+    what.content = std::move(message.content);
+}
+
+void peer_sessions::send_heartbeat(timestamp now, const std::string& address,
+                                   peer& to) {
+    sent_payload none;
+    send(now, address, to, none);
+}
+
+duration peer_sessions::resend_wait(const peer& to) const {
+    return resend_interval + std::min(lateness_with(to), max_resend_extension);
 }
 
 void peer_sessions::clear_payloads(peer& to) {
@@ -132,7 +147,7 @@
         const auto sequence = to.next_sequence++;
         record_payload(now, to);
         if (to.unacknowledged.empty()) {
-            to.resend_at = now + resend_interval;
+            to.resend_at = now + resend_wait(to);
             to.progress_at = now;
         }
         to.unacknowledged.push_back(
@@ -155,7 +170,7 @@
     if (to.unacknowledged.empty()) {
         return;
     }
-    to.resend_at = now + resend_interval;
+    to.resend_at = now + resend_wait(to);
     to.next_to_send = to.unacknowledged.front().sequence;
     to.resend_window = window;
     send_waiting(now, address, to);
@@ -240,7 +255,7 @@
     }
     clear_payloads(from);
     events_.on_payloads_dropped(sender, drop_cause::refused_here);
-    send(now, sender.address, from, {});
+    send_heartbeat(now, sender.address, from);
 }
 
 bool peer_sessions::is_of_successor(const peer& known,
@@ -317,7 +332,7 @@
 }
 
 void peer_sessions::handle_ack(timestamp now, peer& from,
-                               const envelope& message) {
+                               const envelope& message) const {
     std::size_t count = 0;
     while (!from.unacknowledged.empty() &&
            from.unacknowledged.front().sequence <= message.ack) {
@@ -327,7 +342,7 @@
     if (count == 0) {
         return;
     }
-    from.resend_at = now + resend_interval;
+    from.resend_at = now + resend_wait(from);
     from.progress_at = now;
     from.next_to_send =
         std::max(from.next_to_send, from.unacknowledged.empty()
@@ -394,7 +409,7 @@
     // A heartbeat that the peer reads tells it that it has been told all that
     // was sent before, so it follows the payloads.
     resend(now, address, found->second, restored_resend_window);
-    send(now, address, found->second, {});
+    send_heartbeat(now, address, found->second);
 }
 
 bool peer_sessions::update_activity(timestamp now, peer& other) const {
@@ -491,7 +506,7 @@
                               : peer.lost ? lost_heartbeat_interval
                                           : settings_.heartbeat_interval;
         if (announce_ || now - peer.sent_at >= interval) {
-            send(now, address, peer, {});
+            send_heartbeat(now, address, peer);
         }
     }
     announce_ = false;
--- a/src/core/dispatch/peer_sessions.hpp
+++ b/src/core/dispatch/peer_sessions.hpp
@@ -206,8 +206,12 @@
     [[nodiscard]] std::size_t stalled_count(timestamp now) const;
 
 private:
+    // Has the same value of `what` afterwards: it is not copied.
     void send(timestamp now, const std::string& address, peer& to,
-              const sent_payload& what);
+              sent_payload& what);
+    void send_heartbeat(timestamp now, const std::string& address, peer& to);
+    // After what time without an acknowledgement payloads are sent again.
+    [[nodiscard]] duration resend_wait(const peer& to) const;
     // For how long the peer was not heard, since it became active if it is.
     [[nodiscard]] static duration silence(timestamp now, const peer& other);
     [[nodiscard]] duration suspicion_limit(const peer& other) const;
@@ -237,7 +241,7 @@
     static bool is_of_present_streams(const peer& from,
                                       const envelope& message);
     void handle_echo(timestamp now, peer& from, const envelope& message);
-    static void handle_ack(timestamp now, peer& from, const envelope& message);
+    void handle_ack(timestamp now, peer& from, const envelope& message) const;
     // Skips payloads that the sender dropped before they arrived here.
     void detect_dropped_payloads(peer& from, const envelope& message);
     // Begins a new stream to a peer whose payload can't be accepted, by which
--- a/tests/dispatch/peer_sessions_test.cpp
+++ b/tests/dispatch/peer_sessions_test.cpp
@@ -704,6 +704,37 @@
                                               << sent_again);
 }
 
+// Guards against payloads sent again to a peer that says that it has not read
+// them yet, and against a lost one that is dropped instead of sent again.
+BOOST_AUTO_TEST_CASE(payloads_are_sent_again_later_to_a_late_peer) {
+    const auto first_resend = [this](std::uint32_t late_ms) {
+        b.about.late_ms = late_ms;
+        run_for(500ms);
+        send_to_b("job-" + std::to_string(late_ms));
+        a.sessions.flush(now);
+        a.sent.clear(); // the payload is lost
+        const auto sent_at = now;
+        const auto is_payload = [](const envelope& message) {
+            return message.sequence != 0;
+        };
+        while (std::none_of(a.sent.begin(), a.sent.end(), is_payload)) {
+            now += 25ms;
+            a.sent.clear();
+            a.sessions.tick(now);
+            b.sessions.tick(now);
+            deliver(b, a, false);
+        }
+        const auto wait = now - sent_at;
+        run_for(500ms);
+        return wait;
+    };
+    BOOST_TEST(to_ms(first_resend(0)) == 500);
+    BOOST_TEST(to_ms(first_resend(200)) == 700);
+    BOOST_TEST(to_ms(first_resend(2000)) == 1000);
+    BOOST_TEST(b.received.size() == 3U);
+    BOOST_TEST(a.dropped == 0);
+}
+
 // The connection has lost what it held, and more than fits the window: the rest
 // follows what is acknowledged, behind it what was sent meanwhile, in order.
 BOOST_AUTO_TEST_CASE(payloads_beyond_the_window_follow_a_restored_link) {
