Open doubts and relay requests are indexed

In a profile of 34 hosts in a surge a third of the samples were in traversals of all open doubts and all requesters. Doubts are now indexed by task, holder, endpoint and end; whether a lost holder may still start a task is asked every 100 ms for each doubt, 256 times a tick at most. A request is answered with the doubts recorded since the last answer, a payload is passed on to those that asked about its sender, a digest is looked at only while something waits in it, and the list of fences is made only if a peer is to be told. The tests count the visited doubts at 100 and at 10,000.

--- a/src/core/dispatch/contact_relay.cpp
+++ b/src/core/dispatch/contact_relay.cpp
@@ -134,13 +134,14 @@
 void contact_relay::record_request(const process_id& requester,
                                    const relay_request& request) {
     if (request.unheard.empty()) {
-        requests_.erase(requester);
-        digests_.erase(requester);
+        remove_request(requester);
         return;
     }
+    remove_from_index(requester);
     auto& known = requests_[requester];
     const auto before =
         std::exchange(known, {request.unheard.begin(), request.unheard.end()});
+    index_request(requester);
     auto& told = digests_[requester].told;
     for (const auto& process : known) {
         if (!lists_address(before, process.address)) {
@@ -149,6 +150,45 @@
     }
 }
 
+void contact_relay::index_request(const process_id& requester) {
+    for (const auto& process : requests_.at(requester)) {
+        requesters_[process.address].insert(requester);
+    }
+}
+
+void contact_relay::remove_from_index(const process_id& requester) {
+    const auto request = requests_.find(requester);
+    if (request == requests_.end()) {
+        return;
+    }
+    for (const auto& process : request->second) {
+        const auto found = requesters_.find(process.address);
+        if (found == requesters_.end()) {
+            continue; // another process at the address was listed as well
+        }
+        found->second.erase(requester);
+        if (found->second.empty()) {
+            requesters_.erase(found);
+        }
+    }
+}
+
+void contact_relay::remove_request(const process_id& requester) {
+    remove_from_index(requester);
+    requests_.erase(requester);
+    if (const auto found = digests_.find(requester); found != digests_.end()) {
+        remove_from_due(requester, found->second);
+        digests_.erase(found);
+    }
+}
+
+const std::set<process_id>&
+contact_relay::requesters_of(const process_id& process) const {
+    static const std::set<process_id> none;
+    const auto found = requesters_.find(process.address);
+    return found == requesters_.end() ? none : found->second;
+}
+
 bool contact_relay::asks_about(const process_id& requester,
                                const process_id& process) const {
     const auto request = requests_.find(requester);
@@ -156,25 +196,69 @@
            lists_address(request->second, process.address);
 }
 
-contact_relay::doubt_key contact_relay::key_of(const start_doubt& doubt) {
-    return {doubt.run, doubt.holder, doubt.endpoint, doubt.token,
-            doubt.holder_lost};
+bool contact_relay::doubt_order::operator()(const start_doubt& one,
+                                            const start_doubt& other) const {
+    const auto key = [](const start_doubt& doubt) {
+        return std::tie(doubt.run, doubt.holder, doubt.endpoint, doubt.token,
+                        doubt.holder_lost);
+    };
+    return key(one) < key(other);
+}
+
+std::uint64_t contact_relay::answered(const process_id& requester,
+                                      const process_id& holder) const {
+    const auto digest = digests_.find(requester);
+    if (digest == digests_.end()) {
+        return 0;
+    }
+    const auto told = digest->second.told.find(holder.address);
+    if (told == digest->second.told.end()) {
+        return 0;
+    }
+    const auto found = told->second.answered.find(holder.incarnation);
+    return found == told->second.answered.end() ? 0 : found->second;
+}
+
+void contact_relay::set_answered(const process_id& requester,
+                                 const process_id& holder,
+                                 std::uint64_t number) {
+    digests_[requester].told[holder.address].answered[holder.incarnation] =
+        number;
+}
+
+contact_relay::waiting_entries&
+contact_relay::wait_for(const process_id& requester, digest& of,
+                        const process_id& origin) {
+    if (!std::exchange(of.is_in_due, true)) {
+        due_.emplace(of.next, requester);
+    }
+    return of.waiting[origin];
+}
+
+void contact_relay::remove_from_due(const process_id& requester, digest& of) {
+    if (std::exchange(of.is_in_due, false)) {
+        due_.erase({of.next, requester});
+    }
 }
 
 void contact_relay::add(const process_id& requester, const process_id& origin,
                         const start_doubt& doubt) {
     auto& digest = digests_[requester];
-    const auto key = key_of(doubt);
-    const bool is_told = digest.told[origin.address].open_doubts.contains(key);
     // An end is sent in any case: the holder may have told the doubt itself.
-    if (is_told && !doubt.over) {
+    if (!doubt.over &&
+        digest.told[origin.address].open_doubts.contains(doubt)) {
         if (const auto found = digest.waiting.find(origin);
             found != digest.waiting.end()) {
-            found->second.doubts.erase(key);
+            found->second.doubts.erase(doubt);
         }
         return;
     }
-    digest.waiting[origin].doubts.insert_or_assign(key, doubt);
+    auto& doubts = wait_for(requester, digest, origin).doubts;
+    if (const auto [known, added] = doubts.insert(doubt);
+        !added && known->over != doubt.over) {
+        doubts.erase(known);
+        doubts.insert(doubt);
+    }
 }
 
 void contact_relay::add(const process_id& requester, const process_id& origin,
@@ -183,11 +267,23 @@
     const auto& told = digest.told[origin.address].fences;
     const auto found = told.find(fence.endpoint);
     if (found == told.end() || found->second < fence.token) {
-        auto& token = digest.waiting[origin].fences[fence.endpoint];
+        auto& token =
+            wait_for(requester, digest, origin).fences[fence.endpoint];
         token = std::max(token, fence.token);
     }
 }
 
+std::vector<process_id> contact_relay::due_digests(timestamp now) const {
+    std::vector<process_id> due;
+    for (const auto& [next, requester] : due_) {
+        if (next > now) {
+            break;
+        }
+        due.push_back(requester);
+    }
+    return due;
+}
+
 std::vector<relayed_report>
 contact_relay::take_digest(timestamp now, const process_id& requester) {
     std::vector<relayed_report> reports;
@@ -196,6 +292,7 @@
         return reports;
     }
     auto& digest = found->second;
+    remove_from_due(requester, digest);
     for (auto& [origin, waiting] : std::exchange(digest.waiting, {})) {
         if (waiting.doubts.empty() && waiting.fences.empty()) {
             continue;
@@ -206,11 +303,11 @@
         if (told.open_doubts.size() >= max_told_doubts) {
             told.open_doubts.clear();
         }
-        for (const auto& [key, doubt] : waiting.doubts) {
+        for (const auto& doubt : waiting.doubts) {
             if (doubt.over) {
-                told.open_doubts.erase(key);
+                told.open_doubts.erase(doubt);
             } else {
-                told.open_doubts.insert(key);
+                told.open_doubts.insert(doubt);
             }
             report.doubts.push_back(doubt);
         }
@@ -235,11 +332,15 @@
     const std::function<bool(const process_id& peer)>& is_known) {
     std::erase_if(asked_,
                   [&](const auto& item) { return !is_known(item.first); });
-    std::erase_if(requests_,
-                  [&](const auto& item) { return !is_known(item.first); });
-    std::erase_if(digests_, [this](const auto& item) {
-        return !requests_.contains(item.first);
-    });
+    std::vector<process_id> forgotten;
+    for (const auto& [requester, unheard] : requests_) {
+        if (!is_known(requester)) {
+            forgotten.push_back(requester);
+        }
+    }
+    for (const auto& requester : forgotten) {
+        remove_request(requester);
+    }
 }
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/contact_relay.hpp
+++ b/src/core/dispatch/contact_relay.hpp
@@ -9,10 +9,13 @@
 //     if (relay.is_due(now, peer)) { send(peer, relay.ask(now, peer)); }
 //     relay.record_request(peer, request);     // at the relay
 //     relay.add(peer, silent, doubt);
-//     for (auto& report : relay.take_digest(now, peer)) { ... }
+//     for (auto& requester : relay.due_digests(now)) {
+//         for (auto& report : relay.take_digest(now, requester)) { ... }
+//     }
 #ifndef FIGRIDGE_CORE_DISPATCH_CONTACT_RELAY_HPP
 #define FIGRIDGE_CORE_DISPATCH_CONTACT_RELAY_HPP
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
@@ -81,6 +84,21 @@
     [[nodiscard]] bool asks_about(const process_id& requester,
                                   const process_id& process) const;
 
+    // The requesters that do not hear the process, or any at its address. Not
+    // thread-safe.
+    [[nodiscard]] const std::set<process_id>&
+    requesters_of(const process_id& process) const;
+
+    // The number up to which the requester was told the doubts of this holder,
+    // of any origin, as given to `set_answered()`; 0 if it was told none, or
+    // may have ignored or missed them. Not thread-safe.
+    [[nodiscard]] std::uint64_t answered(const process_id& requester,
+                                         const process_id& holder) const;
+    // All doubts of the holder up to this number were added for the requester.
+    // Precondition: `requests()` has the requester. Not thread-safe.
+    void set_answered(const process_id& requester, const process_id& holder,
+                      std::uint64_t number);
+
     // Adds what `origin` has told to the requester's next digest, unless the
     // requester has been sent it. Precondition: `requests()` has the requester.
     // Not thread-safe.
@@ -88,6 +106,9 @@
              const start_doubt& doubt);
     void add(const process_id& requester, const process_id& origin,
              const endpoint_fence& fence);
+    // The requesters that something waits for and that may be sent it now. Not
+    // thread-safe.
+    [[nodiscard]] std::vector<process_id> due_digests(timestamp now) const;
     // What the caller sends to the requester now, one report an origin; nothing
     // within `digest_interval` of the last one. Not thread-safe.
     [[nodiscard]] std::vector<relayed_report>
@@ -109,15 +130,11 @@
     static constexpr duration release_interval = 1s;
 
 private:
-    // Identifies a doubt as `doubt_ledger` does.
-    struct doubt_key {
-        task_run run;
-        process_id holder;
-        std::string endpoint;
-        std::uint64_t token = 0;
-        bool holder_lost = false;
-        auto operator<=>(const doubt_key&) const = default;
+    // Identifies doubts as `doubt_ledger` does.
+    struct doubt_order {
+        bool operator()(const start_doubt& one, const start_doubt& other) const;
     };
+    using doubt_set = std::set<start_doubt, doubt_order>;
     // By process, how many reports about its address had been ignored.
     using silences = std::map<process_id, std::uint64_t>;
     struct sent_request {
@@ -126,20 +143,30 @@
         bool may_be_missed = false;
     };
     struct told_entries {
-        std::set<doubt_key> open_doubts;
+        doubt_set open_doubts;
         std::map<std::string, std::uint64_t> fences;
+        // See `answered()`; by incarnation of the holder.
+        std::map<std::uint64_t, std::uint64_t> answered;
     };
     struct waiting_entries {
-        std::map<doubt_key, start_doubt> doubts;
+        doubt_set doubts;
         std::map<std::string, std::uint64_t> fences;
     };
     struct digest {
         std::map<std::string, told_entries> told; // by address of the origin
         std::map<process_id, waiting_entries> waiting; // by origin
         timestamp next{0};
+        bool is_in_due = false;
     };
 
-    static doubt_key key_of(const start_doubt& doubt);
+    // What waits for the requester from this origin, which has just been added.
+    waiting_entries& wait_for(const process_id& requester, digest& of,
+                              const process_id& origin);
+    void remove_from_due(const process_id& requester, digest& of);
+    // Forgets the requester's request and digest.
+    void remove_request(const process_id& requester);
+    void index_request(const process_id& requester);
+    void remove_from_index(const process_id& requester);
     // What the peer should be asked for.
     [[nodiscard]] const silences& wanted_of(const process_id& peer) const;
 
@@ -150,7 +177,11 @@
     std::set<process_id> chosen_;
     std::map<process_id, sent_request> asked_; // none: nothing was asked
     std::map<process_id, std::set<process_id>> requests_;
+    // The keys of `requests_` by address of the unheard processes.
+    std::map<std::string, std::set<process_id>> requesters_;
     std::map<process_id, digest> digests_; // of `requests_`
+    // The digests that something waits in, by the time of the next one.
+    std::set<std::pair<timestamp, process_id>> due_;
 };
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -545,13 +545,21 @@
     if (peers_to_inform_.empty()) {
         return;
     }
-    std::vector<endpoint_fence> held;
-    for (const auto& [endpoint, session] : holder_.sessions()) {
-        if (session->knows_runs()) {
-            held.push_back(
-                {endpoint, session->token(), session->runs_resolved()});
+    // Listed once, and only if a peer is to be told: others may be out of
+    // contact for long.
+    std::optional<std::vector<endpoint_fence>> listed;
+    const auto held = [&]() -> const std::vector<endpoint_fence>& {
+        if (!listed) {
+            listed.emplace();
+            for (const auto& [endpoint, session] : holder_.sessions()) {
+                if (session->knows_runs()) {
+                    listed->push_back(
+                        {endpoint, session->token(), session->runs_resolved()});
+                }
+            }
         }
-    }
+        return *listed;
+    };
     std::erase_if(peers_to_inform_, [&](const process_id& id) {
         const auto peer = sessions_.peers().find(id.address);
         if (peer == sessions_.peers().end() || peer->second.id != id) {
@@ -562,7 +570,7 @@
             return false;
         }
         auto& content = *sessions_.pending_for(id);
-        for (auto& missed : briefing_.take_missed(id, held)) {
+        for (auto& missed : briefing_.take_missed(id, held())) {
             if (const auto used = used_instances_.find(missed.endpoint);
                 used != used_instances_.end()) {
                 content.instance_ages.push_back(with_age(used->second));
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -292,6 +292,11 @@
     // Passes on what the sender tells to those that asked about it.
     // Precondition: the payload has not been handled.
     void pass_on(const process_id& from, const payload& content);
+    // Passes on that the doubts of the sender have ended but for the listed
+    // ones.
+    void pass_on_end(const process_id& from,
+                     const std::vector<start_doubt>& listed,
+                     const std::vector<process_id>& asking);
     // Tells the requester what this host knows of the processes that it has
     // asked about, if it has.
     void answer_request(const process_id& requester);
--- a/src/core/dispatch/dispatcher_relay.cpp
+++ b/src/core/dispatch/dispatcher_relay.cpp
@@ -1,6 +1,8 @@
 // Reports of processes that one host hears and another one does not.
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <tuple>
 #include <utility>
 
 #include "core/dispatch/dispatcher.hpp"
@@ -30,14 +32,12 @@
     return doubt.over && doubt.run.task.job.empty();
 }
 
-bool is_listed(const std::vector<start_doubt>& doubts,
-               const start_doubt& doubt) {
-    return std::any_of(doubts.begin(), doubts.end(),
-                       [&doubt](const start_doubt& other) {
-                           return !other.over && other.run == doubt.run &&
-                                  other.endpoint == doubt.endpoint &&
-                                  other.token == doubt.token;
-                       });
+// Identifies a doubt among those of one holder.
+using doubt_name =
+    std::tuple<const task_run&, const std::string&, std::uint64_t>;
+
+doubt_name name_of(const start_doubt& doubt) {
+    return {doubt.run, doubt.endpoint, doubt.token};
 }
 
 } // namespace
@@ -108,7 +108,7 @@
 }
 
 void dispatcher::send_digests() {
-    for (const auto& [requester, unheard] : relay_.requests()) {
+    for (const auto& requester : relay_.due_digests(now_)) {
         auto* pending = sessions_.pending_for(requester);
         if (pending == nullptr) {
             continue;
@@ -154,30 +154,39 @@
          content.fences.empty())) {
         return;
     }
-    for (const auto& [requester, unheard] : relay_.requests()) {
-        if (requester == from || !sessions_.is_live(requester)) {
+    if (relay_.requests().empty()) {
+        return;
+    }
+    std::vector<process_id> asking;
+    for (const auto& requester : relay_.requesters_of(from)) {
+        if (requester != from && sessions_.is_live(requester)) {
+            asking.push_back(requester);
+        }
+    }
+    for (const auto& doubt : content.doubts) {
+        if (ends_all(doubt)) {
+            if (!asking.empty()) {
+                pass_on_end(from, content.doubts, asking);
+            }
             continue;
         }
-        const bool is_asked_for = relay_.asks_about(requester, from);
-        for (const auto& doubt : content.doubts) {
-            if (ends_all(doubt)) {
-                // One that a slower relay passes on later must not end newer
-                // doubts, so the ended ones are named.
-                for (auto& ended : doubts_.of(from)) {
-                    if (is_asked_for && !is_listed(content.doubts, ended)) {
-                        ended.over = true;
-                        relay_.add(requester, from, ended);
-                    }
-                }
-            } else if (doubt.holder != requester &&
-                       (is_asked_for ||
-                        relay_.asks_about(requester, doubt.holder))) {
+        for (const auto& requester : asking) {
+            if (doubt.holder != requester) {
                 relay_.add(requester, doubt.holder, doubt);
             }
         }
-        if (!is_asked_for) {
+        if (doubt.holder.address == from.address) {
             continue;
         }
+        for (const auto& requester : relay_.requesters_of(doubt.holder)) {
+            if (requester != from && doubt.holder != requester &&
+                !relay_.asks_about(requester, from) &&
+                sessions_.is_live(requester)) {
+                relay_.add(requester, doubt.holder, doubt);
+            }
+        }
+    }
+    for (const auto& requester : asking) {
         for (const auto& adoption : content.adoptions) {
             relay_.add(requester, from,
                        endpoint_fence{adoption.endpoint, adoption.token});
@@ -188,19 +197,46 @@
     }
 }
 
+void dispatcher::pass_on_end(const process_id& from,
+                             const std::vector<start_doubt>& listed,
+                             const std::vector<process_id>& asking) {
+    std::set<doubt_name> open;
+    for (const auto& doubt : listed) {
+        if (!doubt.over) {
+            open.insert(name_of(doubt));
+        }
+    }
+    // One that a slower relay passes on later must not end newer doubts, so the
+    // ended ones are named.
+    for (auto& ended : doubts_.of(from)) {
+        if (open.contains(name_of(ended))) {
+            continue;
+        }
+        ended.over = true;
+        for (const auto& requester : asking) {
+            relay_.add(requester, from, ended);
+        }
+    }
+}
+
 void dispatcher::answer_request(const process_id& requester) {
     if (!relay_.requests().contains(requester)) {
         return;
     }
-    for (const auto& doubt : doubts_.all()) {
-        const auto& holder = doubt.holder;
+    const auto newest = doubts_.last_number();
+    doubts_.visit_holders([&](const process_id& holder) {
         const bool is_unheard_there =
             relay_.asks_about(requester, holder) || !sessions_.is_live(holder);
-        if (is_unheard_there && holder != requester &&
-            holder != settings_.self) {
-            relay_.add(requester, holder, doubt);
+        if (!is_unheard_there || holder == requester ||
+            holder == settings_.self) {
+            return;
         }
-    }
+        doubts_.visit(holder, relay_.answered(requester, holder),
+                      [&](const start_doubt& doubt) {
+                          relay_.add(requester, holder, doubt);
+                      });
+        relay_.set_answered(requester, holder, newest);
+    });
     for (const auto& [id, endpoint] : directory_.endpoints()) {
         const auto* row = directory_.holder_of(id);
         // A row alone does not prove that the endpoint has answered.
@@ -235,11 +271,19 @@
     // holder need not repeat it: it may have heard this host all the time.
     relayed_report taken;
     taken.origin = report.origin;
+    // Most reports are about one holder.
+    std::optional<std::pair<process_id, bool>> known;
+    const auto hears_holder = [&](const process_id& holder) {
+        if (!known || known->first != holder) {
+            known.emplace(holder, hears(holder));
+        }
+        return known->second;
+    };
     for (const auto& doubt : report.doubts) {
         if (doubt.holder == settings_.self) {
             continue;
         }
-        if (doubt.over || !hears(doubt.holder)) {
+        if (doubt.over || !hears_holder(doubt.holder)) {
             taken.doubts.push_back(doubt);
         } else {
             relay_.handle_ignored(doubt.holder);
--- a/src/core/dispatch/doubt_ledger.cpp
+++ b/src/core/dispatch/doubt_ledger.cpp
@@ -31,26 +31,35 @@
 }
 
 void doubt_ledger::record(timestamp now, const start_doubt& doubt) {
+    const auto task = tasks_.find(doubt.run.task);
     if (doubt.over) {
+        std::vector<std::uint64_t> ended;
         if (doubt.run.task.job.empty()) {
-            return erase_if([&doubt](const entry& known) {
-                return known.doubt.holder == doubt.holder &&
-                       !known.doubt.holder_lost;
-            });
-        }
-        // Not all tasks: many starts are resolved at once after a cut.
-        const auto task = tasks_.find(doubt.run.task);
-        if (task != tasks_.end()) {
-            std::erase_if(task->second, [&doubt](const entry& known) {
-                return is_same(known.doubt, doubt);
-            });
-            if (task->second.empty()) {
-                tasks_.erase(task);
+            if (const auto held = holders_.find(doubt.holder);
+                held != holders_.end()) {
+                for (const auto number : held->second) {
+                    ++visited_;
+                    if (!entries_.at(number).doubt.holder_lost) {
+                        ended.push_back(number);
+                    }
+                }
+            }
+        } else if (task != tasks_.end()) {
+            for (const auto number : task->second) {
+                ++visited_;
+                if (is_same(entries_.at(number).doubt, doubt)) {
+                    ended.push_back(number);
+                }
             }
         }
+        for (const auto number : ended) {
+            erase(number);
+        }
         return;
     }
-    entry added{doubt, now, std::nullopt, std::nullopt, timestamp{0}};
+    entry added;
+    added.doubt = doubt;
+    added.at = now;
     const auto answer = answers_.find(doubt.endpoint);
     if (answer != answers_.end() && answer->second.token > doubt.token) {
         added.fenced_by = run_end(answer->second, doubt.run.task);
@@ -58,16 +67,80 @@
             return;
         }
     }
-    auto& known = tasks_[doubt.run.task];
     const bool told_before =
-        std::any_of(known.begin(), known.end(), [&doubt](const entry& other) {
-            return is_same(other.doubt, doubt);
-        });
+        task != tasks_.end() &&
+        std::any_of(task->second.begin(), task->second.end(),
+                    [&](std::uint64_t number) {
+                        ++visited_;
+                        return is_same(entries_.at(number).doubt, doubt);
+                    });
     if (!told_before) {
-        known.push_back(std::move(added));
+        insert(std::move(added));
+    }
+}
+
+void doubt_ledger::insert(entry added) {
+    const auto number = ++last_number_;
+    const auto& doubt = added.doubt;
+    tasks_[doubt.run.task].push_back(number);
+    holders_[doubt.holder].insert(number);
+    endpoints_[doubt.endpoint].insert(number);
+    if (doubt.holder_lost) {
+        added.asked_at =
+            added.at + settings_.abandon_after + tell_limit + duration{1};
+        asks_.emplace(added.asked_at, number);
+    }
+    schedule_end(number,
+                 entries_.emplace(number, std::move(added)).first->second);
+}
+
+void doubt_ledger::erase(std::uint64_t number) {
+    const auto removed = entries_.extract(number).mapped();
+    const auto& doubt = removed.doubt;
+    const auto task = tasks_.find(doubt.run.task);
+    std::erase(task->second, number);
+    if (task->second.empty()) {
+        tasks_.erase(task);
+    }
+    const auto held = holders_.find(doubt.holder);
+    held->second.erase(number);
+    if (held->second.empty()) {
+        holders_.erase(held);
+    }
+    const auto endpoint = endpoints_.find(doubt.endpoint);
+    endpoint->second.erase(number);
+    if (endpoint->second.empty()) {
+        endpoints_.erase(endpoint);
+    }
+    ends_.erase({removed.ends_at, number});
+    asks_.erase({removed.asked_at, number});
+}
+
+void doubt_ledger::schedule_end(std::uint64_t number, entry& known) {
+    ends_.erase({known.ends_at, number});
+    known.ends_at = std::min({known.at + entry_retention + duration{1},
+                              known.fenced_by.value_or(timestamp::max()),
+                              known.gone_by.value_or(timestamp::max())});
+    ends_.emplace(known.ends_at, number);
+}
+
+void doubt_ledger::erase_ended(timestamp now) {
+    while (!ends_.empty() && ends_.begin()->first <= now) {
+        ++visited_;
+        erase(ends_.begin()->second);
     }
 }
 
+std::vector<std::uint64_t>
+doubt_ledger::numbers_at(const std::string& endpoint) const {
+    const auto found = endpoints_.find(endpoint);
+    if (found == endpoints_.end()) {
+        return {};
+    }
+    visited_ += found->second.size();
+    return {found->second.begin(), found->second.end()};
+}
+
 std::optional<timestamp> doubt_ledger::run_end(const answered_call& answer,
                                                const task_key& task) const {
     if (answer.running && !answer.running->contains(task)) {
@@ -98,49 +171,82 @@
         (answer.token == newest.token && !has_list)) {
         return;
     }
-    for (auto& [task, known] : tasks_) {
-        for (auto& other : known) {
-            if (other.doubt.endpoint.empty() && has_list &&
-                answer.running->contains(task)) {
+    if (has_list) {
+        for (const auto& task : *answer.running) {
+            const auto known = tasks_.find(task);
+            if (known == tasks_.end()) {
+                continue;
+            }
+            for (const auto number : known->second) {
+                ++visited_;
                 // Nobody need claim the run, which then ends with its stop or
                 // lease, later than the tenure of the doubt's holder.
-                other.listed_run_ends_by = answer.at + run_limit();
+                if (auto& other = entries_.at(number);
+                    other.doubt.endpoint.empty()) {
+                    other.listed_run_ends_by = answer.at + run_limit();
+                }
             }
-            if (other.doubt.endpoint != endpoint ||
-                other.doubt.token >= answer.token) {
-                continue;
-            }
-            const auto end = run_end(answer, task);
-            other.fenced_by = std::min(
-                other.fenced_by.value_or(timestamp::max()), end.value_or(now));
         }
     }
-    erase_if([now](const entry& known) {
-        return known.fenced_by && *known.fenced_by <= now;
-    });
+    for (const auto number : numbers_at(endpoint)) {
+        auto& other = entries_.at(number);
+        if (other.doubt.endpoint.empty() || other.doubt.token >= answer.token) {
+            continue;
+        }
+        const auto end = run_end(answer, other.doubt.run.task);
+        other.fenced_by = std::min(other.fenced_by.value_or(timestamp::max()),
+                                   end.value_or(now));
+        schedule_end(number, other);
+    }
+    erase_ended(now);
+    remove_list(endpoint, newest);
     newest = std::move(answer);
+    index_list(endpoint, newest);
+}
+
+void doubt_ledger::index_list(const std::string& endpoint,
+                              const answered_call& answer) {
+    if (!answer.running) {
+        return;
+    }
+    for (const auto& task : *answer.running) {
+        listed_on_[task].insert(endpoint);
+    }
+    lists_.emplace_back(answer.at, endpoint);
+}
+
+void doubt_ledger::remove_list(const std::string& endpoint,
+                               answered_call& answer) {
+    if (!answer.running) {
+        return;
+    }
+    for (const auto& task : *answer.running) {
+        const auto listed = listed_on_.find(task);
+        listed->second.erase(endpoint);
+        if (listed->second.empty()) {
+            listed_on_.erase(listed);
+        }
+    }
+    answer.running.reset();
 }
 
 void doubt_ledger::handle_listed(const std::string& endpoint) {
     if (gone_.erase(endpoint) == 0) {
         return;
     }
-    for (auto& [task, known] : tasks_) {
-        for (auto& other : known) {
-            if (other.doubt.endpoint == endpoint) {
-                other.gone_by.reset();
-            }
-        }
+    for (const auto number : numbers_at(endpoint)) {
+        auto& other = entries_.at(number);
+        other.gone_by.reset();
+        schedule_end(number, other);
     }
 }
 
 void doubt_ledger::handle_removed(timestamp now, const std::string& endpoint) {
-    for (auto& [task, known] : tasks_) {
-        for (auto& other : known) {
-            if (other.doubt.endpoint == endpoint && !other.gone_by) {
-                other.gone_by = now + settings_.gone_limit;
-                gone_.insert(endpoint);
-            }
+    for (const auto number : numbers_at(endpoint)) {
+        if (auto& other = entries_.at(number); !other.gone_by) {
+            other.gone_by = now + settings_.gone_limit;
+            schedule_end(number, other);
+            gone_.insert(endpoint);
         }
     }
 }
@@ -148,29 +254,30 @@
 void doubt_ledger::tick(
     timestamp now,
     const std::function<bool(const start_doubt& doubt)>& may_start_late) {
-    erase_if([&](const entry& known) {
-        const auto& doubt = known.doubt;
-        const bool holder_has_told =
-            doubt.holder_lost && now >= known.listed_run_ends_by &&
-            now - known.at > settings_.abandon_after + tell_limit &&
-            !may_start_late(doubt);
-        return holder_has_told || now - known.at > entry_retention ||
-               (known.fenced_by && now >= *known.fenced_by) ||
-               (known.gone_by && now >= *known.gone_by);
-    });
-    // Without a list the entry tells no more than its token.
-    for (auto& [endpoint, answer] : answers_) {
-        if (answer.running && now - answer.at > entry_retention) {
-            answer.running.reset();
+    erase_ended(now);
+    for (std::size_t asked = 0;
+         asked < max_asked && !asks_.empty() && asks_.begin()->first <= now;
+         ++asked) {
+        ++visited_;
+        const auto number = asks_.begin()->second;
+        auto& known = entries_.at(number);
+        const bool may_be_asked = now >= known.listed_run_ends_by;
+        if (may_be_asked && !may_start_late(known.doubt)) {
+            erase(number);
+            continue;
         }
+        asks_.erase(asks_.begin());
+        known.asked_at =
+            may_be_asked ? now + ask_interval : known.listed_run_ends_by;
+        asks_.emplace(known.asked_at, number);
     }
-}
-
-void doubt_ledger::erase_if(
-    const std::function<bool(const entry& known)>& is_over) {
-    for (auto task = tasks_.begin(); task != tasks_.end();) {
-        std::erase_if(task->second, is_over);
-        task = task->second.empty() ? tasks_.erase(task) : std::next(task);
+    // Without a list the entry tells no more than its token.
+    while (!lists_.empty() && now - lists_.front().first > entry_retention) {
+        const auto& [at, endpoint] = lists_.front();
+        if (auto& answer = answers_.at(endpoint); answer.at == at) {
+            remove_list(endpoint, answer);
+        }
+        lists_.pop_front();
     }
 }
 
@@ -184,41 +291,44 @@
 }
 
 bool doubt_ledger::is_listed(timestamp now, const task_key& task) const {
-    return std::any_of(answers_.begin(), answers_.end(), [&](const auto& item) {
-        const auto& answer = item.second;
-        return answer.running && answer.running->contains(task) &&
-               now < answer.at + run_limit();
-    });
+    const auto listed = listed_on_.find(task);
+    return listed != listed_on_.end() &&
+           std::any_of(listed->second.begin(), listed->second.end(),
+                       [&](const std::string& endpoint) {
+                           ++visited_;
+                           return now < answers_.at(endpoint).at + run_limit();
+                       });
 }
 
 std::vector<start_doubt> doubt_ledger::of(const process_id& holder) const {
     std::vector<start_doubt> found;
-    for (const auto& [task, known] : tasks_) {
-        for (const auto& other : known) {
-            if (other.doubt.holder == holder && !other.doubt.holder_lost) {
-                found.push_back(other.doubt);
-            }
+    visit(holder, 0, [&found](const start_doubt& doubt) {
+        if (!doubt.holder_lost) {
+            found.push_back(doubt);
         }
-    }
+    });
     return found;
 }
 
-std::vector<start_doubt> doubt_ledger::all() const {
-    std::vector<start_doubt> found;
-    for (const auto& [task, known] : tasks_) {
-        for (const auto& other : known) {
-            found.push_back(other.doubt);
-        }
+void doubt_ledger::visit_holders(
+    const std::function<void(const process_id& holder)>& use) const {
+    for (const auto& [holder, numbers] : holders_) {
+        use(holder);
     }
-    return found;
 }
 
-std::size_t doubt_ledger::size() const {
-    std::size_t count = 0;
-    for (const auto& [task, known] : tasks_) {
-        count += known.size();
+void doubt_ledger::visit(
+    const process_id& holder, std::uint64_t after,
+    const std::function<void(const start_doubt& doubt)>& use) const {
+    const auto held = holders_.find(holder);
+    if (held == holders_.end()) {
+        return;
+    }
+    for (auto number = held->second.upper_bound(after);
+         number != held->second.end(); ++number) {
+        ++visited_;
+        use(entries_.at(*number).doubt);
     }
-    return count;
 }
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/doubt_ledger.hpp
+++ b/src/core/dispatch/doubt_ledger.hpp
@@ -7,14 +7,20 @@
 //     doubts.record(now, doubt);
 //     doubts.handle_adoption(now, adoption);
 //     if (!doubts.is_open(task)) { ... }       // the task may be placed
+//
+// The cost of each call grows with the doubts that it concerns, not with the
+// number of all: they are indexed by task, holder, endpoint and end.
 #ifndef FIGRIDGE_CORE_DISPATCH_DOUBT_LEDGER_HPP
 #define FIGRIDGE_CORE_DISPATCH_DOUBT_LEDGER_HPP
 
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/dispatch/messages.hpp"
@@ -44,7 +50,8 @@
     void handle_removed(timestamp now, const std::string& endpoint);
     // Forgets what is over, and what no submission of its job can refer to any
     // more. `may_start_late` tells whether a start of a lost holder may still
-    // be carried out. Not thread-safe.
+    // be carried out; it is asked about a doubt every `ask_interval` at most,
+    // and about `max_asked` doubts in one call. Not thread-safe.
     void
     tick(timestamp now,
          const std::function<bool(const start_doubt& doubt)>& may_start_late);
@@ -59,12 +66,29 @@
     [[nodiscard]] bool is_listed(timestamp now, const task_key& task) const;
     // The open doubts that this holder has told. Not thread-safe.
     [[nodiscard]] std::vector<start_doubt> of(const process_id& holder) const;
-    // All open doubts, told by whomever. Not thread-safe.
-    [[nodiscard]] std::vector<start_doubt> all() const;
+    // Calls `use` with each process that is the holder of an open doubt, told
+    // by whomever. Not thread-safe.
+    void visit_holders(
+        const std::function<void(const process_id& holder)>& use) const;
+    // Calls `use` with each open doubt of the holder, told by whomever, that
+    // was recorded after the one with this number (0: with all of them). Not
+    // thread-safe.
+    void visit(const process_id& holder, std::uint64_t after,
+               const std::function<void(const start_doubt& doubt)>& use) const;
+    // The number of the doubt that was recorded last; it never decreases. Not
+    // thread-safe.
+    [[nodiscard]] std::uint64_t last_number() const { return last_number_; }
     // Number of open doubts. Not thread-safe.
-    [[nodiscard]] std::size_t size() const;
+    [[nodiscard]] std::size_t size() const { return entries_.size(); }
+    // How many doubts all calls have visited so far, as a measure of their
+    // cost. Not thread-safe.
+    [[nodiscard]] std::size_t visited() const { return visited_; }
+
+    static constexpr duration ask_interval = 100ms;
+    static constexpr std::size_t max_asked = 256;
 
 private:
+    using due_entries = std::set<std::pair<timestamp, std::uint64_t>>;
     struct entry {
         start_doubt doubt;
         timestamp at{0};
@@ -73,6 +97,8 @@
         std::optional<timestamp> gone_by;
         // Without an endpoint: when the run that an adoption lists has ended.
         timestamp listed_run_ends_by{0};
+        timestamp ends_at{0};  // its place in `ends_`
+        timestamp asked_at{0}; // its place in `asks_`, if its holder is lost
     };
     // What an endpoint has answered under its highest known token.
     struct answered_call {
@@ -92,13 +118,37 @@
     // is none.
     [[nodiscard]] std::optional<timestamp> run_end(const answered_call& answer,
                                                    const task_key& task) const;
-    void erase_if(const std::function<bool(const entry& known)>& is_over);
+    void insert(entry added);
+    void erase(std::uint64_t number);
+    // Ends the doubts whose end has come.
+    void erase_ended(timestamp now);
+    // Moves the entry in `ends_` to its earliest end.
+    void schedule_end(std::uint64_t number, entry& known);
+    // The numbers of the doubts about starts on the endpoint.
+    [[nodiscard]] std::vector<std::uint64_t>
+    numbers_at(const std::string& endpoint) const;
+    // Makes `is_listed()` find the tasks of the list, or no longer.
+    void index_list(const std::string& endpoint, const answered_call& answer);
+    void remove_list(const std::string& endpoint, answered_call& answer);
 
     const dispatch_settings& settings_;
-    std::map<task_key, std::vector<entry>> tasks_;
+    // By number, in the order in which they were recorded.
+    std::map<std::uint64_t, entry> entries_;
+    std::uint64_t last_number_ = 0;
+    // The numbers of the entries.
+    std::map<task_key, std::vector<std::uint64_t>> tasks_;
+    std::map<process_id, std::set<std::uint64_t>> holders_;
+    std::map<std::string, std::set<std::uint64_t>> endpoints_;
+    due_entries ends_; // by the time at which they end, unless it changes
+    due_entries asks_; // by the time at which `may_start_late` is asked next
     std::map<std::string, answered_call> answers_; // by endpoint
+    // The endpoints whose present list has a run of the task.
+    std::map<task_key, std::set<std::string>> listed_on_;
+    // Endpoints by the time of a list, which may have been replaced since.
+    std::deque<std::pair<timestamp, std::string>> lists_;
     // The endpoints with doubts that the platform has stopped to list.
     std::set<std::string> gone_;
+    mutable std::size_t visited_ = 0;
 };
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/contact_relay_test.cpp
+++ b/tests/dispatch/contact_relay_test.cpp
@@ -291,6 +291,62 @@
     BOOST_TEST(relay.requests().empty());
 }
 
+// Guards against a traversal of all requests for each payload.
+BOOST_AUTO_TEST_CASE(requesters_are_found_by_the_unheard_process) {
+    relay.record_request(peer, {{silent, {silent.address, 15}}});
+    relay.record_request(other, {{silent}});
+    BOOST_TEST(
+        (relay.requesters_of({silent.address, 16}) == std::set{peer, other}));
+    BOOST_TEST(relay.requesters_of(peer).empty());
+    relay.record_request(peer, {{other}});
+    BOOST_TEST((relay.requesters_of(silent) == std::set{other}));
+    BOOST_TEST((relay.requesters_of(other) == std::set{peer}));
+    relay.record_request(other, {});
+    relay.retain([](const process_id& /*known*/) { return false; });
+    BOOST_TEST(relay.requesters_of(silent).empty());
+    BOOST_TEST(relay.requesters_of(other).empty());
+}
+
+// Guards against a look at all requesters with each input, and against a
+// digest that is never sent.
+BOOST_AUTO_TEST_CASE(digest_is_due_while_something_waits) {
+    relay.record_request(peer, {{silent}});
+    BOOST_TEST(relay.due_digests(now).empty());
+    relay.add(peer, silent, make_doubt());
+    BOOST_TEST((relay.due_digests(now) == std::vector{peer}));
+    BOOST_TEST(pass_on() == 1U);
+    relay.add(peer, silent, make_doubt(true));
+    BOOST_TEST(relay.due_digests(now).empty()); // too early
+    now += contact_relay::digest_interval;
+    BOOST_TEST((relay.due_digests(now) == std::vector{peer}));
+    relay.record_request(peer, {});
+    BOOST_TEST(relay.due_digests(now).empty());
+}
+
+// Guards against duplicate runs: doubts that the requester may have ignored or
+// missed are told again.
+BOOST_AUTO_TEST_CASE(answer_begins_anew_for_what_may_be_unknown) {
+    const process_id later{silent.address, 15};
+    relay.record_request(peer, {{silent}});
+    BOOST_TEST(relay.answered(peer, silent) == 0U);
+    relay.set_answered(peer, silent, 7);
+    BOOST_TEST(relay.answered(peer, silent) == 7U);
+    BOOST_TEST(relay.answered(peer, later) == 0U);
+    BOOST_TEST(relay.answered(other, silent) == 0U);
+    relay.record_request(peer, {{silent, other}});
+    BOOST_TEST(relay.answered(peer, silent) == 7U);
+    relay.record_request(peer, {{other}});
+    relay.record_request(peer, {{silent, other}});
+    BOOST_TEST(relay.answered(peer, silent) == 0U);
+    relay.set_answered(peer, silent, 8);
+    relay.forget_told(peer);
+    BOOST_TEST(relay.answered(peer, silent) == 0U);
+    relay.set_answered(peer, silent, 9);
+    relay.record_request(peer, {});
+    relay.record_request(peer, {{silent}});
+    BOOST_TEST(relay.answered(peer, silent) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/doubt_ledger_test.cpp
+++ b/tests/dispatch/doubt_ledger_test.cpp
@@ -213,6 +213,136 @@
     BOOST_TEST(!ledger.is_open(task));
 }
 
+namespace {
+
+// The doubts that the calls below visit beside `count` doubts of other holders
+// on other endpoints, of which nothing is due.
+std::size_t visited_beside(std::size_t count) {
+    const dispatch_settings settings;
+    doubt_ledger ledger(settings);
+    const auto never = [](const start_doubt& /*doubt*/) { return true; };
+    timestamp now{10s};
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto number = std::to_string(i);
+        ledger.record(now, {{{"job-" + number, 0, 0}, 1},
+                            {"10.2.0." + number + ":1", 1},
+                            "other-" + number,
+                            1000,
+                            false,
+                            false,
+                            "pool",
+                            ""});
+    }
+    ledger.record(
+        now, {{task, 1}, holder, "endpoint-1", 1000, false, false, "pool", ""});
+    const auto before = ledger.visited();
+    for (int i = 0; i < 40; ++i) {
+        now += 25ms;
+        ledger.tick(now, never);
+    }
+    ledger.handle_adoption(now, {"endpoint-1", holder, 1001, {{task, 1}}, {}});
+    ledger.handle_fence(now, {"endpoint-2", 1001});
+    ledger.handle_removed(now, "endpoint-1");
+    ledger.handle_listed("endpoint-1");
+    ledger.handle_listed("endpoint-2");
+    BOOST_TEST(ledger.is_open(task));
+    BOOST_TEST(ledger.is_listed(now, task));
+    BOOST_TEST(ledger.of(holder).size() == 1U);
+    BOOST_TEST(ledger.of(successor).empty());
+    ledger.record(now, {{}, holder, "", 0, true, false, "", ""});
+    BOOST_TEST(!ledger.is_open(task));
+    BOOST_TEST(ledger.size() == count);
+    return ledger.visited() - before;
+}
+
+} // namespace
+
+// Guards against hosts that spend their processor time on doubts that a call
+// does not concern, the more the more of them are open.
+BOOST_AUTO_TEST_CASE(cost_of_a_call_does_not_grow_with_other_doubts) {
+    const auto few = visited_beside(100);
+    BOOST_TEST(few <= 10U);
+    BOOST_TEST(visited_beside(10'000) == few);
+}
+
+// Guards against ticks that ask about all doubts of lost holders.
+BOOST_AUTO_TEST_CASE(doubts_of_lost_holders_are_asked_about_in_portions) {
+    constexpr std::size_t count = 10'000;
+    for (std::uint32_t i = 0; i < count; ++i) {
+        ledger.record(
+            now, {{{"job", 0, i}, 1}, holder, "", 0, false, true, "pool", ""});
+    }
+    now += 5s;
+    std::size_t asked = 0;
+    const auto ask = [&asked](const start_doubt& /*doubt*/) {
+        ++asked;
+        return false;
+    };
+    ledger.tick(now, ask);
+    BOOST_TEST(asked == doubt_ledger::max_asked);
+    for (std::size_t i = 0; i < count / doubt_ledger::max_asked; ++i) {
+        now += 25ms;
+        ledger.tick(now, ask);
+    }
+    BOOST_TEST(asked == count);
+    BOOST_TEST(ledger.size() == 0U);
+}
+
+// Guards against a question about the same doubt with each tick.
+BOOST_AUTO_TEST_CASE(open_doubt_of_a_lost_holder_is_asked_about_with_pauses) {
+    tell("");
+    std::size_t asked = 0;
+    for (const auto end = now + 11200ms; now < end;) {
+        now += 25ms;
+        ledger.tick(now, [&asked](const start_doubt& /*doubt*/) {
+            ++asked;
+            return true;
+        });
+    }
+    BOOST_TEST(asked == 100U);
+}
+
+// Guards against duplicate runs: the run is on the endpoint's newest list
+// whichever other lists have it, and a list without it replaces that.
+BOOST_AUTO_TEST_CASE(task_is_listed_as_long_as_a_present_list_has_it) {
+    adopt(1001, {{task, 1}});
+    BOOST_TEST(ledger.is_listed(now, task));
+    ledger.handle_adoption(now, {"endpoint-2", holder, 1, {{task, 1}}, {}});
+    adopt(1002);
+    BOOST_TEST(ledger.is_listed(now, task));
+    ledger.handle_fence(now, {"endpoint-2", 2});
+    BOOST_TEST(!ledger.is_listed(now, task));
+    adopt(1003, {{task, 1}});
+    advance(1200ms);
+    BOOST_TEST(ledger.is_listed(now, task));
+    advance(100ms);
+    BOOST_TEST(!ledger.is_listed(now, task));
+    advance(11min);
+    adopt(1004);
+    BOOST_TEST(!ledger.is_listed(now, task));
+}
+
+// Guards against answers that repeat all doubts of a holder.
+BOOST_AUTO_TEST_CASE(doubts_recorded_after_a_number_are_visited) {
+    const auto count = [this](std::uint64_t after) {
+        std::size_t found = 0;
+        ledger.visit(holder, after,
+                     [&found](const start_doubt& /*doubt*/) { ++found; });
+        return found;
+    };
+    BOOST_TEST(count(0) == 0U);
+    tell();
+    const auto first = ledger.last_number();
+    tell("");
+    BOOST_TEST(count(0) == 2U);
+    BOOST_TEST(count(first) == 1U);
+    BOOST_TEST(count(ledger.last_number()) == 0U);
+    std::vector<process_id> holders;
+    ledger.visit_holders(
+        [&holders](const process_id& found) { holders.push_back(found); });
+    BOOST_TEST((holders == std::vector{holder}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
