A late holder doubts its starts later, answered stops need no doubt

Of hosts without processor time each told all others of hundreds of starts that had ended, or whose answers were not read yet. A holder whose tick is late by 100 ms tells a start that stays unanswered after 325 ms instead of 250. A start that is not needed and whose stop was answered is told 175 ms after it was sent, as the next list usually ends it before.

A witness remembers a start 550 ms instead of 400: 75 ms for the late holder and 75 ms for doubts that are collected, which follows. The longer time is the safer one, tasks wait longer for it.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -158,8 +158,9 @@
 
 void dispatcher::tick(timestamp now) {
     begin_input(now);
-    ports_.observer.record(latency_metric::tick_interval, now - ticked_at_);
-    ticked_at_ = now;
+    const auto interval = now - std::exchange(ticked_at_, now);
+    ports_.observer.record(latency_metric::tick_interval, interval);
+    holder_.set_late(interval >= delay_gap);
     gave_up_jobs_ = false;
     admission_.record_tick(now);
     refresh_shared_work(now);
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -98,10 +98,21 @@
 
 void endpoint_holder::tell_doubts(timestamp now, endpoint_session& session) {
     for (auto& [run, entry] : session.ledger().entries()) {
+        // Of a start that is not needed, a host that lost this one counts on
+        // being told in time, so that it is sent no later than 250 ms and a
+        // tick after the start, collected or not.
+        const auto delay =
+            entry.revoked
+                ? doubt_delay - doubt_collect_interval
+                : doubt_delay + (is_late_ ? late_doubt_delay : duration{0});
         const bool is_late = entry.state == run_state::uncertain &&
-                             now - entry.entered_at >= doubt_delay;
+                             now - entry.entered_at >= delay;
+        // The next list ends a start whose stop was answered. If none comes,
+        // it is told after `delay`.
+        const bool may_end_soon = entry.state == run_state::uncertain &&
+                                  entry.stop_answered_at_call.has_value();
         const bool is_given_up = entry.state != run_state::starting &&
-                                 entry.revoked &&
+                                 entry.revoked && !may_end_soon &&
                                  may_outlast_lease(session, entry);
         if ((is_late || is_given_up) && !entry.doubt_told) {
             tell_doubt(session, entry);
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -110,6 +110,9 @@
     void handle_stop(timestamp now, const std::string& endpoint,
                      std::uint64_t token, const task_run& run,
                      const call_reply& reply);
+    // Whether the ticks of this process are late, so that answers may wait to
+    // be read. Takes effect with the next `tick()`. Not thread-safe.
+    void set_late(bool late) { is_late_ = late; }
     void tick(timestamp now);
 
     // Starts the queued tasks that fit. Called once after each batch of inputs.
@@ -304,6 +307,7 @@
     crash_compartment compartment_;
     start_planner planner_;
     timestamp load_recorded_at_{0};
+    bool is_late_ = false; // see `set_late()`
 };
 
 } // namespace figridge::dispatch
--- a/src/core/dispatch/settings.hpp
+++ b/src/core/dispatch/settings.hpp
@@ -9,6 +9,12 @@
 // A holder tells all hosts of a start that stays unanswered for this time. Most
 // runs of unanswered starts are stopped, and known to be over, before.
 constexpr duration doubt_delay = 250ms;
+// A holder that is late itself tells of it this much later, so that it reads
+// the answers that have come in first.
+constexpr duration late_doubt_delay = 75ms;
+// What a holder tells beyond `telling_budget` is collected for this time at
+// most.
+constexpr duration doubt_collect_interval = 75ms;
 
 struct dispatch_settings {
     process_id self;
--- a/src/core/dispatch/start_witness.cpp
+++ b/src/core/dispatch/start_witness.cpp
@@ -5,9 +5,11 @@
 namespace figridge::dispatch {
 namespace {
 
-// A holder tells a start that stays unanswered for `doubt_delay` with its next
-// tick. What is left allows for a late one.
-constexpr duration self_told_limit = doubt_delay + 150ms;
+// A holder tells a start that stays unanswered for `doubt_delay`, or a while
+// longer if it is late, with its next tick, and collects what it tells beyond
+// its budget. What is left allows for a late tick.
+constexpr duration self_told_limit =
+    doubt_delay + late_doubt_delay + doubt_collect_interval + 150ms;
 
 } // namespace
 
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -1270,6 +1270,50 @@
     BOOST_TEST(touched[0] < 100U);
 }
 
+// Guards against messages to all hosts for starts that are about to end, and
+// against duplicate runs if they don't: no list follows the answered stop.
+BOOST_AUTO_TEST_CASE(given_up_start_with_an_answered_stop_is_told_in_time) {
+    assign("0123456789abcdef", 1);
+    const auto run = leave_start_unanswered();
+    holder.handle_stop(now, endpoint_of(run.task.job), 1, run,
+                       {call_status::ok, to_ms(now) + 500});
+    holder.withdraw(now, coordinator, run.task.job);
+    holder.tick(now);
+    BOOST_TEST(events.doubts.empty());
+    now += 25ms; // 175 ms after the start
+    holder.tick(now);
+    BOOST_TEST(events.doubts.size() == 1U);
+}
+
+// Guards against messages to all hosts for starts that have ended.
+BOOST_AUTO_TEST_CASE(given_up_start_that_ends_in_time_is_not_told) {
+    assign("0123456789abcdef", 1);
+    const auto run = leave_start_unanswered();
+    const auto endpoint = endpoint_of(run.task.job);
+    holder.handle_stop(now, endpoint, 1, run,
+                       {call_status::ok, to_ms(now) + 500});
+    holder.withdraw(now, coordinator, run.task.job);
+    holder.tick(now);
+    answer_hold(endpoint, {});
+    now += 200ms;
+    holder.tick(now);
+    BOOST_TEST(events.doubts.empty());
+}
+
+// Guards against hosts without processor time that suspect their own starts
+// before they have read the answers, and against duplicate runs if none came.
+BOOST_AUTO_TEST_CASE(late_holder_tells_an_unanswered_start_later) {
+    assign("0123456789abcdef", 1);
+    leave_start_unanswered();
+    now += 150ms;
+    holder.set_late(true);
+    holder.tick(now);
+    BOOST_TEST(events.doubts.empty());
+    now += 25ms;
+    holder.tick(now);
+    BOOST_TEST(events.doubts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
