Doubts beyond ten tellings a second are collected

A doubt goes to all hosts. Beyond ten inputs a second in which a holder tells doubts of its own, they are sent with the peer's next payload or together after 75 ms, in the order of telling, before the ends that follow them. What is told for a lost holder is sent at once. A holder in contact is believed to have told all after 575 ms instead of 500.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -22,8 +22,8 @@
 constexpr duration catalogue_request_interval = 300ms;
 constexpr duration entry_request_interval = 200ms;
 // A holder in contact for this long has told which of its starts may still be
-// carried out.
-constexpr duration doubt_settle_time = 500ms;
+// carried out; for the last part it may collect them.
+constexpr duration doubt_settle_time = 500ms + doubt_collect_interval;
 // The end of a doubt is sent to a peer with the next payload, and within this
 // time: one message for each end would be many while hosts are late.
 constexpr duration ended_doubts_interval = 100ms;
@@ -152,7 +152,7 @@
     }
     inform_peers();
     send_digests();
-    send_ended_doubts(now);
+    send_collected_doubts(now);
     sessions_.flush(now);
 }
 
@@ -601,13 +601,24 @@
 
 void dispatcher::announce_doubt(const start_doubt& doubt) {
     has_told_doubts_ |= doubt.holder == settings_.self;
-    if (doubt.over && ended_doubts_.empty()) {
-        ended_doubts_due_ = now_ + ended_doubts_interval;
+    // Who tells for a lost holder must not wait: its callers come again soon.
+    const bool is_urgent = !doubt.over && (doubt.holder != settings_.self ||
+                                           doubt_budget_.take(now_));
+    if (!is_urgent) {
+        const auto due = now_ + (doubt.over ? ended_doubts_interval
+                                            : doubt_collect_interval);
+        collected_doubts_due_ = collected_doubts_.empty()
+                                    ? due
+                                    : std::min(collected_doubts_due_, due);
+    }
+    if (!doubt.over) {
+        ports_.observer.count("start_doubts",
+                              is_urgent ? "sent_at_once" : "collected");
     }
     for (const auto& [address, peer] : sessions_.peers()) {
         if (auto* pending = sessions_.pending_for(peer.id);
             pending != nullptr && !peer.lost) {
-            (doubt.over ? ended_doubts_[peer.id] : pending->doubts)
+            (is_urgent ? pending->doubts : collected_doubts_[peer.id])
                 .push_back(doubt);
         }
         // Before it hears the stream, it may miss what it is sent.
@@ -618,12 +629,12 @@
     to_self_.doubts.push_back(doubt);
 }
 
-void dispatcher::send_ended_doubts(timestamp now) {
-    if (ended_doubts_.empty()) {
+void dispatcher::send_collected_doubts(timestamp now) {
+    if (collected_doubts_.empty()) {
         return;
     }
-    const bool is_due = draining_ || now >= ended_doubts_due_;
-    std::erase_if(ended_doubts_, [this, is_due](const auto& item) {
+    const bool is_due = draining_ || now >= collected_doubts_due_;
+    std::erase_if(collected_doubts_, [this, is_due](const auto& item) {
         auto* pending = sessions_.pending_for(item.first);
         if (pending != nullptr && (is_due || !pending->empty())) {
             pending->doubts.insert(pending->doubts.end(), item.second.begin(),
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -32,6 +32,7 @@
 #include "core/dispatch/peer_sessions.hpp"
 #include "core/dispatch/start_teller.hpp"
 #include "core/dispatch/start_witness.hpp"
+#include "core/dispatch/telling_budget.hpp"
 #include "core/dispatch/tenure_ledger.hpp"
 
 namespace figridge::dispatch {
@@ -277,8 +278,8 @@
     // Replaces what the peer knows of the doubts of this host, which it may
     // have missed while it was out of contact.
     void repeat_doubts(const process_id& peer);
-    // Sends the ends of doubts that are due, or with what is sent anyway.
-    void send_ended_doubts(timestamp now);
+    // Sends the collected doubts that are due, or with what is sent anyway.
+    void send_collected_doubts(timestamp now);
     // Whether a start that the coordinator of a lost holder has told may still
     // be carried out.
     [[nodiscard]] bool is_doubt_open(const start_doubt& doubt) const;
@@ -409,9 +410,11 @@
     std::optional<std::pair<process_id, process_id>> witness_choice_;
     // Whether this host, as a holder, has told any doubt.
     bool has_told_doubts_ = false;
-    // Ends of doubts that are not sent yet, by peer, and when they are due.
-    std::map<process_id, std::vector<start_doubt>> ended_doubts_;
-    timestamp ended_doubts_due_{0};
+    // Ends of doubts, and doubts beyond the budget, that are not sent yet, by
+    // peer, and when they are due.
+    std::map<process_id, std::vector<start_doubt>> collected_doubts_;
+    timestamp collected_doubts_due_{0};
+    telling_budget doubt_budget_;
     evacuation evacuation_;
     endpoint_holder holder_;
     job_coordinator coordinator_;
