--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -29,8 +29,8 @@
 bool endpoint_holder::is_open(timestamp now,
                               const endpoint_session& session) const {
     const auto& health = session.health();
-    return is_admitted(session) && session.accepts_tasks() && !session.awaits_revocation() &&
-           health.accepts_tasks(now) &&
+    return is_admitted(session) && session.accepts_tasks() &&
+           !session.awaits_revocation() && health.accepts_tasks(now) &&
            !(health.is_on_probation() && !session.ledger().empty());
 }
 
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -2459,8 +2459,8 @@
     duration endpoint_age = 10s;
 };
 
-// The same, where endpoint-2 was held by the predecessor too and is in a failure
-// domain none of whose hosts is there, so that it is taken over later.
+// The same, where endpoint-2 was held by the predecessor too and is in a
+// failure domain none of whose hosts is there, so that it is taken over later.
 struct restarted_beside_a_lost_domain : restarted_dispatcher {
     restarted_beside_a_lost_domain() {
         auto remote = make_endpoint("endpoint-2");
