--- a/tests/dispatch/start_witness_test.cpp
+++ b/tests/dispatch/start_witness_test.cpp
@@ -389,6 +389,67 @@
     BOOST_TEST(core.gauges(now)["start_doubts_open"] == 0);
 }
 
+// Guards against a holder that spends the time of all others on its doubts, and
+// against duplicate runs: none of them is lost or late.
+BOOST_FIXTURE_TEST_CASE(doubts_beyond_the_budget_are_collected,
+                        notice_fixture) {
+    constexpr std::uint32_t tasks = 28;
+    hear(holder, "domain-2");
+    peers.sent.clear();
+    std::map<std::uint32_t, timestamp> started;
+    std::map<std::uint32_t, duration> told_after;
+    std::size_t answered = 0;
+    std::size_t messages = 0;
+    for (std::uint32_t i = 0; i < tasks + 80; ++i) {
+        now += 5ms;
+        core.tick(now);
+        hear(other_holder, "domain-1");
+        if (i < tasks) {
+            task_assignment assignment;
+            assignment.job = job_id;
+            assignment.pool = "pool";
+            assignment.objective_us = duration(200ms).count();
+            assignment.patience_us = duration(1500ms).count();
+            task_need need;
+            need.room = {100, 1, 0};
+            need.estimate_ms = 60;
+            assignment.items = {{run_of(i), need, {}}};
+            payload content;
+            content.assignments = {assignment};
+            hear(holder, "domain-2", content);
+        } else {
+            hear(holder, "domain-2");
+        }
+        for (auto call = answered; call < endpoints.starts.size(); ++call) {
+            started.try_emplace(endpoints.starts[call].run.task.index, now);
+        }
+        while (answered < endpoints.starts.size() &&
+               now - started[endpoints.starts[answered].run.task.index] >=
+                   150ms) {
+            const auto call = endpoints.starts[answered++];
+            core.handle_start(now, call.target, call.run, {});
+        }
+        for (const auto& [address, message] : std::exchange(peers.sent, {})) {
+            if (address != other_holder.address) {
+                continue;
+            }
+            messages += message.content.doubts.empty() ? 0 : 1;
+            for (const auto& doubt : message.content.doubts) {
+                const auto index = doubt.run.task.index;
+                told_after.try_emplace(index, now - started[index]);
+            }
+        }
+    }
+    BOOST_TEST(started.size() == tasks);
+    BOOST_TEST(told_after.size() == started.size());
+    for (const auto& [index, time] : told_after) {
+        BOOST_TEST(to_ms(time) <= 375);
+    }
+    BOOST_TEST_MESSAGE("starts " << started.size() << ", messages "
+                                 << messages);
+    BOOST_TEST(messages <= 16U);
+}
+
 BOOST_AUTO_TEST_CASE(notices_out_of_range_are_refused) {
     payload content;
     content.start_notices = {{}, notice_of(1)};
