Review of the instances that need no proof: refusals, freshness, ends

An independent review by reading found: - a job that need not wait was refused as "not run" by a host without processor time, though it may have run: refusals now ask whether all endpoints of the pool are proved (`lacks_proof`), waits whether a start may come; - nobody looked at an instance between its probe and the takeover, however long the store is away: it is probed while the write is open; - what was heard after the end of a holder counted for ever, also if the holder lives: it counts for 10 s, and not once the holder is heard again; - a later process at an address passed for the end of one not heard yet, and a report under an unknown token for a probe; - the answer to a probe sent before the end of the holder counted; - a collected doubt of a late holder could follow the heartbeat by which witnesses and coordinators forget: both wait 75 ms longer.

The unit tests name the cases.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -23,7 +23,8 @@
 constexpr duration entry_request_interval = 200ms;
 // A holder in contact for this long has told which of its starts may still be
 // carried out; for the last part it may collect them.
-constexpr duration doubt_settle_time = 500ms + doubt_collect_interval;
+constexpr duration doubt_settle_time =
+    500ms + late_doubt_delay + doubt_collect_interval;
 // The end of a doubt is sent to a peer with the next payload, and within this
 // time: one message for each end would be many while hosts are late.
 constexpr duration ended_doubts_interval = 100ms;
@@ -43,6 +44,9 @@
 // A new process that has not read the rows by then will not for a while, as the
 // store is away.
 constexpr duration first_read_limit = 400ms;
+// What a probe has shown is told again after this time, within the time for
+// which it counts (`evidence_validity`).
+constexpr duration instance_tell_interval = 4s;
 // While jobs wait for endpoints, these are logged this often.
 constexpr duration unproved_log_interval = 1s;
 constexpr std::size_t max_logged_endpoints = 4;
@@ -315,6 +319,7 @@
 void dispatcher::on_live(const process_id& peer) {
     ports_.observer.log(log_level::info, "peer_heard",
                         {{"peer", peer.address}});
+    withdraw_end(peer);
     peers_to_inform_.insert(peer);
     if (const auto lost = lost_peers_.find(peer.address);
         lost != lost_peers_.end() && lost->second.first == peer) {
@@ -793,9 +798,7 @@
     });
 }
 
-// A start of the job was sent no earlier than the job.
-bool dispatcher::is_unproved(const std::string& pool, timestamp arrived,
-                             duration caller_timeout) {
+timestamp dispatcher::needs_no_proof_from(const std::string& pool) {
     const auto [known, added] = unproved_pools_.try_emplace(pool);
     if (added) {
         note_proofs();
@@ -803,9 +806,19 @@
                             ? timestamp::max()
                             : tenures_.needs_no_proof_from(pool);
     }
+    return known->second;
+}
+
+bool dispatcher::lacks_proof(const std::string& pool) {
+    return needs_no_proof_from(pool) != timestamp::min();
+}
+
+// A start of the job was sent no earlier than the job.
+bool dispatcher::is_unproved(const std::string& pool, timestamp arrived,
+                             duration caller_timeout) {
     const auto first_sent =
         arrived - caller_timeout - settings_.resend_after - resend_delay_limit;
-    const bool unproved = known->second > first_sent;
+    const bool unproved = needs_no_proof_from(pool) > first_sent;
     if (unproved && now_ >= next_unproved_log_) {
         next_unproved_log_ = now_ + unproved_log_interval;
         log_unproved(pool, first_sent);
@@ -862,9 +875,19 @@
     if (!has_ended(process)) {
         return std::nullopt;
     }
-    return process.address == settings_.self.address
-               ? started_at_
-               : sessions_.peers().at(process.address).first_heard_at;
+    if (process.address == settings_.self.address) {
+        return started_at_;
+    }
+    // The process may be a later one than that which was heard last.
+    const auto& present = sessions_.peers().at(process.address);
+    return present.lost ? std::nullopt : std::optional(present.first_heard_at);
+}
+
+void dispatcher::withdraw_end(const process_id& process) {
+    if (noticed_ends_.erase(process) > 0) {
+        tenures_.withdraw_end(process);
+        unproved_pools_.clear();
+    }
 }
 
 void dispatcher::record_probed_instance(timestamp now,
@@ -876,9 +899,10 @@
         sent == probe_sent_at_.end()) {
         return;
     }
-    // A call that was sent before may have been answered before the end.
+    // A call that was sent before, or the answer to one before the last, may
+    // have been answered before the end.
     const auto ended = end_noticed_at(row->holder);
-    if (!ended || sent->second < *ended) {
+    if (!ended || sent->second < *ended + settings_.call_timeout) {
         return;
     }
     const auto began_by = record_instance(now, target, reply);
@@ -891,7 +915,7 @@
         heard = {{target.endpoint, reply.instance_started_ms, 0, target.token},
                  *began_by,
                  now,
-                 false};
+                 std::nullopt};
     }
     heard.began_by = std::min(heard.began_by, *began_by);
     heard.heard_at = now;
@@ -922,7 +946,7 @@
         used = {{target.endpoint, reply.instance_started_ms, 0, target.token},
                 *began_by,
                 now,
-                true};
+                now};
         tell_instance(with_age(used));
     }
 }
@@ -945,7 +969,9 @@
 
 void dispatcher::announce_instance(const std::string& endpoint) {
     auto& heard = heard_instances_.at(endpoint);
-    if (!std::exchange(heard.announced, true)) {
+    if (!heard.announced_at ||
+        now_ - *heard.announced_at >= instance_tell_interval) {
+        heard.announced_at = now_;
         tell_instance(with_age(heard));
     }
 }
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -188,7 +188,7 @@
         instance_age told;     // but for its age
         timestamp began_by{0}; // at the latest
         timestamp heard_at{0};
-        bool announced = false;
+        std::optional<timestamp> announced_at;
     };
 
     // Records since when the instance that has answered is there. Returns the
@@ -204,6 +204,8 @@
     // When the end of the process was noticed; empty if it was not.
     [[nodiscard]] std::optional<timestamp>
     end_noticed_at(const process_id& process) const;
+    // The process is heard, so it has not ended.
+    void withdraw_end(const process_id& process);
     void announce_instance(const std::string& endpoint);
     // Tells the peers of each instance whose clock this host, as its holder,
     // reads from now on.
@@ -238,6 +240,8 @@
     // refused.
     [[nodiscard]] std::vector<std::string> refused_rows(timestamp now) const;
     void take_over(timestamp now, const std::vector<std::string>& endpoints);
+    void probe(timestamp now, const endpoint_record& endpoint,
+               std::uint64_t token);
     // How many takeovers this host may begin now. Advances `takeover_credit_`.
     std::size_t takeover_room(timestamp now);
     [[nodiscard]] std::vector<candidate> live_hosts() const;
@@ -362,6 +366,9 @@
     [[nodiscard]] bool
     may_have_come_before(duration caller_timeout) const override;
     [[nodiscard]] bool may_prove_soon() const override;
+    [[nodiscard]] bool lacks_proof(const std::string& pool) override;
+    // Of `unproved_pools_`.
+    timestamp needs_no_proof_from(const std::string& pool);
     [[nodiscard]] bool is_unproved(const std::string& pool, timestamp arrived,
                                    duration caller_timeout) override;
     [[nodiscard]] bool may_start_late(const process_id& holder,
--- a/src/core/dispatch/dispatcher_holding.cpp
+++ b/src/core/dispatch/dispatcher_holding.cpp
@@ -89,10 +89,18 @@
         const auto* row = directory_.holder_of(id);
         const bool may_take_over =
             membership_known || (row != nullptr && has_ended(row->holder));
-        if (rows_in_flight_.contains(id) || !may_take_over) {
+        if (!may_take_over) {
             continue;
         }
         const auto& endpoint = directory_.endpoints().at(id);
+        if (rows_in_flight_.contains(id)) {
+            // The store may be away: jobs don't wait for an endpoint only as
+            // long as its instance is known to be the same.
+            if (row != nullptr && ended_peers_.size() >= 2) {
+                probe(now, endpoint, row->token);
+            }
+            continue;
+        }
         const auto answers = probe_answers_.find(id);
         const bool reachable = answers != probe_answers_.end() &&
                                now - answers->second.last < probe_validity;
@@ -117,12 +125,7 @@
             }
             continue;
         }
-        if (auto& sent = probe_sent_at_[id]; now - sent >= probe_interval) {
-            sent = now;
-            pending_probes_.insert(id);
-            ports_.endpoints.hold(
-                {{id, endpoint.address, row->token}, 0, std::nullopt, 0});
-        }
+        probe(now, endpoint, row->token);
     }
     if (const auto room = takeover_room(now); ready.size() > room) {
         ready.resize(room); // the others in later checks
@@ -133,6 +136,17 @@
     }
 }
 
+void dispatcher::probe(timestamp now, const endpoint_record& endpoint,
+                       std::uint64_t token) {
+    if (auto& sent = probe_sent_at_[endpoint.id];
+        now - sent >= probe_interval) {
+        sent = now;
+        pending_probes_.insert(endpoint.id);
+        ports_.endpoints.hold(
+            {{endpoint.id, endpoint.address, token}, 0, std::nullopt, 0});
+    }
+}
+
 std::size_t dispatcher::takeover_room(timestamp now) {
     const auto rate =
         std::max(min_takeovers, settings_.cpu_share * takeovers_per_core);
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -121,14 +121,15 @@
             ? events_.may_have_come_before(submission.caller_timeout)
             : !former->second.proved;
     const bool unproved =
-        may_have_come_before && events_.is_unproved(submission.queue.pool, now,
-                                                    submission.caller_timeout);
+        may_have_come_before && events_.lacks_proof(submission.queue.pool);
     // Such a job may have run, so it is not told that it has not. It passes the
     // same checks, since after a restart of all hosts most jobs are such.
     const auto rejection =
         unproved ? job_outcome::gave_up : job_outcome::refused;
     // The caller comes again, to a host that need not wait.
-    if (unproved && !events_.may_prove_soon()) {
+    if (unproved && !events_.may_prove_soon() &&
+        events_.is_unproved(submission.queue.pool, now,
+                            submission.caller_timeout)) {
         return refuse(now, token, submission,
                       {job_outcome::gave_up, "past_unknown", {}});
     }
@@ -197,14 +198,14 @@
 }
 
 std::optional<job_answer>
-job_coordinator::refuse_unread(timestamp now, const unread_job& unread) {
+job_coordinator::refuse_unread(timestamp /*now*/, const unread_job& unread) {
     const auto& id = unread.id;
     const bool may_have_run =
         cached_answers_.contains(id) || jobs_.contains(id) ||
         former_runs_.contains(id) || doubts_.is_open_for_job(id) ||
         !crashes_.tasks_of(id).empty() ||
         (events_.may_have_come_before(unread.caller_timeout) &&
-         events_.is_unproved(unread.queue.pool, now, unread.caller_timeout));
+         events_.lacks_proof(unread.queue.pool));
     if (may_have_run) {
         return std::nullopt;
     }
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -47,6 +47,9 @@
     // thread-safe.
     [[nodiscard]] virtual bool
     may_have_come_before(duration caller_timeout) const = 0;
+    // Whether this host may not have been told of starts at an endpoint of the
+    // pool: a job that may have come before may have run. Not thread-safe.
+    [[nodiscard]] virtual bool lacks_proof(const std::string& pool) = 0;
     // Whether a start of which this host was never told may still be carried
     // out at an endpoint of the pool, for a job that arrived then and whose
     // caller waits for `caller_timeout`; see `tenure_ledger`. Not thread-safe.
--- a/src/core/dispatch/start_witness.cpp
+++ b/src/core/dispatch/start_witness.cpp
@@ -9,7 +9,7 @@
 // longer if it is late, with its next tick, and collects what it tells beyond
 // its budget. What is left allows for a late tick.
 constexpr duration self_told_limit =
-    doubt_delay + late_doubt_delay + doubt_collect_interval + 150ms;
+    doubt_delay + late_doubt_delay + doubt_collect_interval + 225ms;
 
 } // namespace
 
--- a/src/core/dispatch/tenure_ledger.cpp
+++ b/src/core/dispatch/tenure_ledger.cpp
@@ -115,12 +115,15 @@
         known.heard_after_token = 0;
     }
     known.began_by = std::min(known.began_by, began_by);
-    const bool is_holder = std::any_of(
-        known.tenures.begin(), known.tenures.end(), [&](const tenure& open) {
-            return open.token == token && open.holder == by;
-        });
-    if (!is_holder) {
+    const auto named = std::find_if(
+        known.tenures.begin(), known.tenures.end(),
+        [token](const tenure& open) { return open.token == token; });
+    if (named == known.tenures.end()) {
+        return;
+    }
+    if (named->holder != by) {
         known.heard_after_token = std::max(known.heard_after_token, token);
+        known.heard_at = now;
     } else if (known.used_instance_ms != instance_started_ms ||
                known.used_token != token) {
         known.used_instance_ms = instance_started_ms;
@@ -191,6 +194,9 @@
 void tenure_ledger::note_proofs(
     timestamp now, const std::function<bool(const process_id&)>& tells) {
     for (auto& [id, known] : endpoints_) {
+        if (now - known.heard_at > evidence_validity) {
+            known.heard_after_token = 0;
+        }
         if (known.proved) {
             continue;
         }
@@ -212,6 +218,14 @@
     }
 }
 
+void tenure_ledger::withdraw_end(const process_id& process) {
+    for (auto& [id, known] : endpoints_) {
+        if (!known.tenures.empty() && known.tenures.back().holder == process) {
+            known.heard_after_token = 0;
+        }
+    }
+}
+
 bool tenure_ledger::known_endpoint::has_answered(timestamp now) const {
     return answered_token >= newest_token &&
            (runs_known || now >= earlier_runs_end_by);
--- a/src/core/dispatch/tenure_ledger.hpp
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -28,6 +28,10 @@
 // process that is later than that has given up its jobs.
 constexpr duration clock_reading_limit = 20s + 150ms + 2s;
 
+// That an instance was heard after its holder had ended counts for this long:
+// the holder may have been taken for ended in a cut.
+constexpr duration evidence_validity = 10s;
+
 // Owned by a `dispatcher`. Not thread-safe.
 class tenure_ledger {
 public:
@@ -87,7 +91,8 @@
     // The instance of the endpoint that began at `instance_started_ms` of its
     // own clock, and at `began_by` at the latest, is the present one. `by` is
     // the holder under `token`, which reads no clock of an earlier instance
-    // from `now` on; or it has heard the instance after that holder had ended.
+    // from `now` on; or it has heard the instance after that holder had ended,
+    // which counts for `evidence_validity`. Ignored if no such tenure is known.
     // Where another instance is known that began later, either may be the
     // present one, as the endpoint's time of day may have gone back: nothing
     // counts as known then. Precondition: `instance_started_ms` is above 0. Not
@@ -101,6 +106,9 @@
     // as an earlier instance may have had others. Not thread-safe.
     [[nodiscard]] std::vector<std::string>
     find_unproved(const std::string& pool, timestamp first_sent) const;
+    // The process has not ended after all: what was heard of the endpoints that
+    // it holds proves nothing about its starts. Not thread-safe.
+    void withdraw_end(const process_id& process);
     // What is known of the endpoint's present instance, for logs. Not
     // thread-safe.
     [[nodiscard]] std::string
@@ -161,6 +169,7 @@
         // The highest token whose holder had ended when the present instance
         // was heard; 0 if there is none.
         std::uint64_t heard_after_token = 0;
+        timestamp heard_at{0};
 
         // See `needs_no_proof_from()`.
         [[nodiscard]] timestamp safe_from() const;
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -58,6 +58,9 @@
     may_have_come_before(duration /*caller_timeout*/) const override {
         return may_be_resent;
     }
+    [[nodiscard]] bool lacks_proof(const std::string& /*pool*/) override {
+        return has_unproved_endpoint || has_only_age;
+    }
     [[nodiscard]] bool may_prove_soon() const override { return can_read_rows; }
     [[nodiscard]] bool is_unproved(const std::string& /*pool*/,
                                    timestamp /*arrived*/,
@@ -166,6 +169,8 @@
     bool may_be_resent = false;
     bool has_unproved_endpoint = false;
     bool can_read_rows = true;
+    // No job need wait, but starts may not have been told.
+    bool has_only_age = false;
     bool has_processor_time = true;
     // Whether holders know the instances on which they report runs; never of
     // those that they disown.
@@ -494,6 +499,19 @@
     BOOST_TEST(placements() == 1U);
 }
 
+// The same where the job need not wait, as each of its starts is over.
+BOOST_AUTO_TEST_CASE(job_whose_starts_are_over_is_not_said_not_to_have_run) {
+    may_be_resent = true;
+    has_only_age = true;
+    has_processor_time = false;
+    submit(1);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::gave_up));
+    has_processor_time = true;
+    submit(2);
+    BOOST_TEST(placements() == 1U);
+}
+
 // Guards against a caller that is kept to its time-out by a process that has
 // started while the store is away, though other hosts could serve it: a job
 // whose past can't become known is answered at once, not as "not run".
--- a/tests/dispatch/tenure_ledger_test.cpp
+++ b/tests/dispatch/tenure_ledger_test.cpp
@@ -339,6 +339,30 @@
         (tenures.needs_no_proof_from("pool") == 9s + clock_reading_limit));
 }
 
+// Guards against two runs at a time: the holder was taken for ended in a cut,
+// and is heard again.
+BOOST_AUTO_TEST_CASE(instance_heard_while_its_holder_lives_does_not_count) {
+    note_instance("endpoint-1", 1000, 4s);
+    tenures.withdraw_end(holder_a);
+    BOOST_TEST((tenures.needs_no_proof_from("pool") == timestamp::max()));
+}
+
+// The same where the holder is not heard any more: what was heard long ago says
+// little of the present instance.
+BOOST_AUTO_TEST_CASE(instance_heard_long_ago_does_not_count) {
+    note_instance("endpoint-1", 1000, 4s);
+    now += evidence_validity + 1ms;
+    BOOST_TEST(unproved() == std::vector<std::string>{"endpoint-1"});
+    BOOST_TEST((tenures.needs_no_proof_from("pool") == timestamp::max()));
+}
+
+// Guards against two runs at a time: a holder whose row is not read yet tells
+// of its instance, and is not the one that has ended.
+BOOST_AUTO_TEST_CASE(report_under_an_unknown_token_does_not_count) {
+    note_instance("endpoint-1", 1000, 4s, holder_b, 8);
+    BOOST_TEST((tenures.needs_no_proof_from("pool") == timestamp::max()));
+}
+
 // The same where another holder has taken the endpoint over since it was heard,
 // and may still read the clock of an earlier instance.
 BOOST_AUTO_TEST_CASE(instance_heard_before_the_newest_holder_does_not_count) {
