--- a/tests/dispatch/tenure_ledger_test.cpp
+++ b/tests/dispatch/tenure_ledger_test.cpp
@@ -309,6 +309,7 @@
 // Guards against two runs at a time: one endpoint of the pool was not heard.
 BOOST_AUTO_TEST_CASE(unheard_endpoint_leaves_its_pool_unproved) {
     list("endpoint-2");
+    hold("endpoint-2", holder_b, 4);
     note_instance("endpoint-1", 1000, 4s);
     BOOST_TEST((tenures.needs_no_proof_from("pool") == timestamp::max()));
     note_instance("endpoint-2", 1000, 6s);
