Endpoints of ended hosts are asked for others, early reports are kept

19 of 32 hosts ended while the store was away: 38 of 170 endpoints were asked by nobody, since their successor by rendezvous had just started and could not read the list. Hosts that have the list ask these endpoints as well, as long as jobs may wait for them. Reports of instances that came before the row of their endpoint was read were dropped; they are kept until it is, for 10 s.

Evidence: event=endpoints_unproved named these endpoints with heard_after:0 and asked=0, and others with used_under:0.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -47,6 +47,8 @@
 // What a probe has shown is told again after this time, within the time for
 // which it counts (`evidence_validity`).
 constexpr duration instance_tell_interval = 4s;
+// Reports of instances whose rows are not read yet; far more than endpoints.
+constexpr std::size_t max_early_ages = 4096;
 // While jobs wait for endpoints, these are logged this often.
 constexpr duration unproved_log_interval = 1s;
 constexpr std::size_t max_logged_endpoints = 4;
@@ -187,6 +189,9 @@
         note_ended_peers();
         note_proofs();
         forget_instances(now);
+        if (!early_ages_.empty()) {
+            apply_instance_ages();
+        }
         if (!holder_.queue().empty()) {
             holder_.return_queued(views_.free_cpu_elsewhere(settings_.self));
         }
@@ -988,15 +993,28 @@
 void dispatcher::record_instance_ages(const process_id& from,
                                       const std::vector<instance_age>& ages) {
     for (const auto& told : ages) {
-        tenures_.note_instance(now_, told.endpoint, told.instance_started_ms,
-                               now_ - wait_from_ms(told.age_ms), from,
-                               told.token);
+        early_ages_.push_back({from, told, now_});
     }
     if (!ages.empty()) {
-        unproved_pools_.clear();
+        apply_instance_ages();
     }
 }
 
+void dispatcher::apply_instance_ages() {
+    std::erase_if(early_ages_, [this](const told_instance& told) {
+        const auto& age = told.age;
+        const auto began_by = told.told_at - wait_from_ms(age.age_ms);
+        return tenures_.note_instance(now_, age.endpoint,
+                                      age.instance_started_ms, began_by,
+                                      told.from, age.token) ||
+               now_ - told.told_at > joint_end_window;
+    });
+    if (early_ages_.size() > max_early_ages) {
+        early_ages_.clear();
+    }
+    unproved_pools_.clear();
+}
+
 bool dispatcher::tells_doubts(const process_id& holder) const {
     return sessions_.is_live(holder) && is_in_contact(holder) &&
            sessions_.is_heard(now_, sessions_.peers().at(holder.address)) &&
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -223,6 +223,11 @@
     [[nodiscard]] std::set<std::string> evacuated_domains() const;
     // Logs the endpoints that jobs of the pool wait for.
     void log_unproved(const std::string& pool, timestamp first_sent) const;
+    // Applies the reports whose endpoints and rows have been read.
+    void apply_instance_ages();
+    // Asks the endpoints of ended hosts whose successor can't ask them, as it
+    // has not read the list of endpoints.
+    void probe_for_others(timestamp now);
     // Forgets the instances that nobody waits for any more.
     void forget_instances(timestamp now);
     void record_instance_ages(const process_id& from,
@@ -479,6 +484,15 @@
     std::map<std::string, heard_instance> heard_instances_;
     // The same for the instances of held endpoints.
     std::map<std::string, heard_instance> used_instances_;
+    // What peers have told of instances before their rows were read.
+    struct told_instance {
+        process_id from;
+        instance_age age;
+        timestamp told_at{0};
+    };
+    std::vector<told_instance> early_ages_;
+    std::vector<std::string> endpoints_to_ask_;
+    timestamp next_ask_list_{0};
     // The processes that have ended without a planned stop, and when that was
     // noticed.
     std::map<process_id, timestamp> noticed_ends_;
--- a/src/core/dispatch/dispatcher_holding.cpp
+++ b/src/core/dispatch/dispatcher_holding.cpp
@@ -11,6 +11,7 @@
 // when a cooldown expires.
 constexpr duration recompute_interval = 500ms;
 constexpr duration probe_interval = 150ms;
+constexpr duration ask_list_interval = 250ms;
 // A reply to a probe is valid for this long.
 constexpr duration probe_validity = 300ms;
 // Longer than the longest pause between two connection attempts to a peer.
@@ -127,6 +128,7 @@
         }
         probe(now, endpoint, row->token);
     }
+    probe_for_others(now);
     if (const auto room = takeover_room(now); ready.size() > room) {
         ready.resize(room); // the others in later checks
     }
@@ -147,6 +149,31 @@
     }
 }
 
+void dispatcher::probe_for_others(timestamp now) {
+    if (ended_peers_.size() < 2) {
+        return;
+    }
+    if (now >= next_ask_list_) {
+        next_ask_list_ = now + ask_list_interval;
+        auto hosts = holding_hosts(now);
+        std::erase_if(hosts, [this](const candidate& host) {
+            const auto peer = sessions_.peers().find(host.id.address);
+            return peer != sessions_.peers().end() &&
+                   !peer->second.about.knows_endpoints;
+        });
+        endpoints_to_ask_ =
+            directory_.endpoints_to_take(now, settings_.self, hosts);
+    }
+    for (const auto& id : endpoints_to_ask_) {
+        const auto* row = directory_.holder_of(id);
+        const auto endpoint = directory_.endpoints().find(id);
+        if (row != nullptr && endpoint != directory_.endpoints().end() &&
+            end_noticed_at(row->holder)) {
+            probe(now, endpoint->second, row->token);
+        }
+    }
+}
+
 std::size_t dispatcher::takeover_room(timestamp now) {
     const auto rate =
         std::max(min_takeovers, settings_.cpu_share * takeovers_per_core);
--- a/src/core/dispatch/tenure_ledger.cpp
+++ b/src/core/dispatch/tenure_ledger.cpp
@@ -94,20 +94,26 @@
     }
 }
 
-void tenure_ledger::note_instance(timestamp now, const std::string& endpoint,
+bool tenure_ledger::note_instance(timestamp now, const std::string& endpoint,
                                   std::int64_t instance_started_ms,
                                   timestamp began_by, const process_id& by,
                                   std::uint64_t token) {
     const auto found = endpoints_.find(endpoint);
     if (found == endpoints_.end()) {
-        return;
+        return false;
     }
     auto& known = found->second;
+    const auto named = std::find_if(
+        known.tenures.begin(), known.tenures.end(),
+        [token](const tenure& open) { return open.token == token; });
+    if (named == known.tenures.end()) {
+        return false;
+    }
     if (instance_started_ms < known.instance_started_ms) {
         known.began_by = timestamp::max();
         known.heard_after_token = 0;
         known.used_since = timestamp::max();
-        return;
+        return true;
     }
     if (instance_started_ms > known.instance_started_ms) {
         known.instance_started_ms = instance_started_ms;
@@ -115,12 +121,6 @@
         known.heard_after_token = 0;
     }
     known.began_by = std::min(known.began_by, began_by);
-    const auto named = std::find_if(
-        known.tenures.begin(), known.tenures.end(),
-        [token](const tenure& open) { return open.token == token; });
-    if (named == known.tenures.end()) {
-        return;
-    }
     if (named->holder != by) {
         known.heard_after_token = std::max(known.heard_after_token, token);
         known.heard_at = now;
@@ -130,6 +130,7 @@
         known.used_token = token;
         known.used_since = now;
     }
+    return true;
 }
 
 timestamp tenure_ledger::known_endpoint::safe_from() const {
--- a/src/core/dispatch/tenure_ledger.hpp
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -92,12 +92,13 @@
     // own clock, and at `began_by` at the latest, is the present one. `by` is
     // the holder under `token`, which reads no clock of an earlier instance
     // from `now` on; or it has heard the instance after that holder had ended,
-    // which counts for `evidence_validity`. Ignored if no such tenure is known.
+    // which counts for `evidence_validity`. Returns false, and changes nothing,
+    // if no such tenure is known.
     // Where another instance is known that began later, either may be the
     // present one, as the endpoint's time of day may have gone back: nothing
     // counts as known then. Precondition: `instance_started_ms` is above 0. Not
     // thread-safe.
-    void note_instance(timestamp now, const std::string& endpoint,
+    bool note_instance(timestamp now, const std::string& endpoint,
                        std::int64_t instance_started_ms, timestamp began_by,
                        const process_id& by, std::uint64_t token);
 
