--- a/tests/hostile_clients_test.sh
+++ b/tests/hostile_clients_test.sh
@@ -11,54 +11,13 @@
 hosts=1 endpoints=2 domains=d1 base_port=${BASE_PORT:-25000}
 source scripts/platform_cluster.sh
 trap cluster_abort EXIT
-failures=0
 
 connections=700 # 700 bodies of 262,000 bytes are three times memory_mb
-memory_mb=64
-descriptors=600
-# Memory above that of the idle process that may remain after the crowd: what
-# the heap and the library keep for later use, an eighth of the limit.
-max_kept_kb=$((memory_mb * 1024 / 8))
-
-check() { # name, condition for [ ]
-    local name=$1
-    shift
-    if ! [ "$@" ]; then
-        echo "FAILED $crowd: $name: $*"
-        failures=$((failures + 1))
-    fi
-}
-memory_kb() { # field of /proc/PID/status
-    sed -n "s/^$1:[[:space:]]*\([0-9]*\) kB/\1/p" \
-        "/proc/${host_pid[0]}/status" 2>/dev/null
-}
-open_descriptors() { ls "/proc/${host_pid[0]}/fd" 2>/dev/null | wc -l; }
-submit() { # id: prints the status of one ordinary job
-    curl -s -m 20 -o "$cluster_dir/body" -w '%{http_code}' \
-        -H 'Host: figridge.example' -H 'X-Deadline-Ms: 5000' -X POST \
-        -d '{"spec":"x","steps":[{"count":1,"cpu":1}],"best-effort":true}' \
-        "http://$(host_callers 0)/jobs/$1"
-}
-
-# A product that doesn't know the section [limits] is measured without it.
-eval "$(declare -f write_config | sed '1s/write_config/write_base_config/')"
-write_config() { # index
-    write_base_config "$1"
-    local file=$cluster_dir/host$1.ini
-    sed -i '/^\[limits\]/,$d' "$file"
-    cp "$file" "$cluster_dir/without.ini"
-    printf '\n[limits]\nmemory_mb = %s\ndescriptors = %s\n' \
-        "$memory_mb" "$descriptors" >>"$file"
-    if "$build/figridged" --config "$file" --check_config 2>&1 |
-        grep -q 'limits\].*unknown key'; then
-        echo "settings: [limits] not known, left out"
-        cp "$cluster_dir/without.ini" "$file"
-    fi
-}
+source tests/limited_hosts.sh
 
 cluster_start || exit 1
-check "job before" "$(submit 00000000000000a0)" = 200
-idle_kb=$(memory_kb VmRSS)
+check "job before" "$(submit 0 00000000000000a0)" = 200
+idle_kb=$(memory_kb 0 VmRSS)
 
 coproc callers { exec "$build/caller_crowd" --host "$(host_callers 0)" \
     --kind "$crowd" --connections "$connections"; }
@@ -67,7 +26,7 @@
 most=0
 count_descriptors() {
     local now_open
-    now_open=$(open_descriptors)
+    now_open=$(open_descriptors 0)
     [ "$now_open" -le "$most" ] || most=$now_open
 }
 played=""
@@ -79,21 +38,21 @@
 played+=$part
 count_descriptors
 check "crowd played" -n "$played"
-crowd_kb=$(memory_kb VmRSS)
+crowd_kb=$(memory_kb 0 VmRSS)
 exec {callers_input}>&-
 wait "$callers_process"
 
 check "alive" -d "/proc/${host_pid[0]}"
-check "job afterwards" "$(submit 00000000000000a1)" = 200
+check "job afterwards" "$(submit 0 00000000000000a1)" = 200
 # The host notices the closed connections and returns memory on its timer; the
 # bound on memory must hold within ten seconds, however long that takes.
 tries=100
-while [ "$(memory_kb VmRSS)" -gt $((idle_kb + max_kept_kb)) ]; do
+while [ "$(memory_kb 0 VmRSS)" -gt $((idle_kb + max_kept_kb)) ]; do
     [ $((tries -= 1)) -gt 0 ] || break
     sleep 0.1
 done
-peak_kb=$(memory_kb VmHWM)
-kept_kb=$(memory_kb VmRSS)
+peak_kb=$(memory_kb 0 VmHWM)
+kept_kb=$(memory_kb 0 VmRSS)
 echo "$crowd: ${played:-not played}, idle ${idle_kb} kB," \
     "with the crowd ${crowd_kb} kB and $most descriptors," \
     "peak ${peak_kb} kB, afterwards ${kept_kb} kB"
