Calls to an endpoint are bounded, and an answer costs the same beside any runs

The HTTP client ends each call beyond 64 open ones to an endpoint as lost, after it has taken a handle and a copy of the body (12 KB). Such a start counts as unanswered, so it is stopped, by a call that is lost as well and repeated each 100 ms. Each answer walked all runs several times, so n stops cost n squared.

Change: a holder sends a further start to an endpoint only while fewer than 16 are unanswered there (512 at all endpoints), and 8 stops; the others wait in the queue and in the ledger. The run ledger counts what answers are checked against (free resources, revocations, runs to be stopped in the order of their times) in place of walks.

doubts_beyond_the_budget_are_collected leaves 28 starts unanswered at one endpoint; it raises the new limit to that number, and its checks stay.

--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -205,6 +205,13 @@
                                  const endpoint_session& session,
                                  const queued_task& task) const;
     void report_reservations();
+    // Starts that are not answered yet, on all endpoints.
+    [[nodiscard]] std::size_t open_starts() const;
+    // Whether a start may be sent there before others are answered.
+    [[nodiscard]] bool may_send_start(const endpoint_session& session) const {
+        return session.may_send_start() &&
+               open_starts_ < settings_.max_open_starts_in_all;
+    }
     // Whether new tasks may be sent to the endpoint, apart from room.
     [[nodiscard]] bool is_open(timestamp now,
                                const endpoint_session& session) const;
@@ -294,6 +301,7 @@
     timestamp now_{0}; // of the input being handled
     // As of the last change or start; unset if an endpoint may have changed.
     std::optional<std::vector<available_endpoint>> available_;
+    std::size_t open_starts_ = 0; // likewise
     timestamp available_until_{0};
     // Set while a host is not heard; see `set_unheard_successors()`.
     std::optional<fence_cause> unheard_successors_;
--- a/src/core/dispatch/endpoint_holder_look_ahead.cpp
+++ b/src/core/dispatch/endpoint_holder_look_ahead.cpp
@@ -92,8 +92,8 @@
                                 const endpoint_session& session,
                                 const queued_task& task) const {
     const auto& endpoint = session.endpoint();
-    if (!is_in(zone, endpoint) || !could_run(endpoint, task) ||
-        !isolation_admits(session, task)) {
+    if (!may_send_start(session) || !is_in(zone, endpoint) ||
+        !could_run(endpoint, task) || !isolation_admits(session, task)) {
         return false;
     }
     const auto time =
--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -52,6 +52,7 @@
 endpoint_holder::available_endpoints(timestamp now) {
     if (!available_ || now >= available_until_) {
         available_ = list_available(now);
+        open_starts_ = open_starts();
         available_until_ = timestamp::max();
         for (const auto& [id, session] : sessions_) {
             // An ejection ends without an input.
@@ -63,6 +64,13 @@
     return *available_;
 }
 
+std::size_t endpoint_holder::open_starts() const {
+    return std::accumulate(sessions_.begin(), sessions_.end(), std::size_t{0},
+                           [](std::size_t sum, const auto& item) {
+                               return sum + item.second->ledger().starting();
+                           });
+}
+
 resources endpoint_holder::usable_room(const endpoint_session& session) const {
     auto room = session.free_resources();
     const auto share = evacuation_.usable_share(session.endpoint().id);
@@ -133,7 +141,9 @@
         }
         std::uint32_t largest = 0;
         for (const auto& option : available) {
-            largest = std::max(largest, option.room.cpu_millis);
+            if (may_send_start(*option.session)) {
+                largest = std::max(largest, option.room.cpu_millis);
+            }
         }
         return largest;
     };
@@ -172,6 +182,7 @@
         entry.answer_by = task.answer_by;
         entry.caller_deadline = task.caller_deadline;
         chosen->session->start(now, std::move(entry), *task.payload);
+        ++open_starts_;
         planner_.note_started(task.run.task, chosen->session->endpoint().id);
         events_.note_start(task.coordinator, task.run,
                            chosen->session->endpoint().id,
@@ -328,6 +339,7 @@
         available.begin(), available.end(), [&](const auto& option) {
             const auto& endpoint = option.session->endpoint();
             return (may_enter || is_in(zone, endpoint)) &&
+                   may_send_start(*option.session) &&
                    could_run(endpoint, task) &&
                    fits(task.need.room, option.room) &&
                    isolation_admits(*option.session, task);
@@ -344,8 +356,8 @@
     double best_cost = std::numeric_limits<double>::max();
     for (auto& option : available) {
         const auto& endpoint = option.session->endpoint();
-        if (!is_in(zone, endpoint) || !could_run(endpoint, task) ||
-            !fits(task.need.room, option.room) ||
+        if (!may_send_start(*option.session) || !is_in(zone, endpoint) ||
+            !could_run(endpoint, task) || !fits(task.need.room, option.room) ||
             !isolation_admits(*option.session, task)) {
             continue;
         }
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -35,10 +35,6 @@
 // over.
 constexpr std::int64_t expiry_margin_ms = 20;
 
-// Deadline of a run that was started on the clock of a former instance: only
-// an answered stop makes its end certain.
-constexpr auto unknown_deadline = std::numeric_limits<std::int64_t>::max();
-
 constexpr name_table<session_phase, 4> session_phase_names{{
     {session_phase::adopting, "adopting"},
     {session_phase::claiming, "claiming"},
@@ -67,11 +63,6 @@
            clock_ms >= known.lower_bound(sent_at);
 }
 
-bool is_unanswered(const run_entry& entry) {
-    return entry.state == run_state::starting ||
-           entry.state == run_state::uncertain;
-}
-
 update_kind to_update(end_kind kind) {
     switch (kind) {
     case end_kind::done:
@@ -239,29 +230,15 @@
 }
 
 bool endpoint_session::awaits_revocation() const {
-    return std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
-                       [](const auto& item) {
-                           return item.second.revoked &&
-                                  !item.second.stop_answered_at_call;
-                       });
+    return ledger_.revocations() > 0;
 }
 
 bool endpoint_session::awaits_former_start() const {
-    return former_start_until_ ||
-           std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
-                       [](const auto& item) {
-                           return is_unanswered(item.second) &&
-                                  item.second.lease_deadline_ms ==
-                                      unknown_deadline;
-                       });
+    return former_start_until_ || ledger_.former_starts() > 0;
 }
 
 bool endpoint_session::runs_resolved() const {
-    return phase_ == session_phase::active &&
-           std::none_of(ledger_.entries().begin(), ledger_.entries().end(),
-                        [](const auto& item) {
-                            return item.second.state == run_state::unclaimed;
-                        });
+    return phase_ == session_phase::active && ledger_.unclaimed() == 0;
 }
 
 std::int64_t
@@ -316,11 +293,7 @@
     }
     hold_call call{target(), acknowledgement(), std::nullopt, 0};
     if (phase_ == session_phase::active) {
-        const bool occupied =
-            std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
-                        [](const auto& item) {
-                            return item.second.state != run_state::starting;
-                        });
+        const bool occupied = ledger_.size() > ledger_.starting();
         const bool acknowledge =
             ledger_.empty() && acknowledged_ > acknowledged_sent_ &&
             now - idle_since_ >= idle_acknowledgement_delay;
@@ -365,14 +338,8 @@
 // requested after its stop shows that the run is not there. A long poll that is
 // already in flight was requested too early for that.
 void endpoint_session::request_run_list(timestamp now) {
-    const bool due =
-        !list_call_ && phase_ == session_phase::active &&
-        std::any_of(ledger_.entries().begin(), ledger_.entries().end(),
-                    [](const auto& item) {
-                        return item.second.state == run_state::uncertain &&
-                               item.second.stop_answered_at_call;
-                    });
-    if (due) {
+    if (!list_call_ && phase_ == session_phase::active &&
+        ledger_.awaiting_list() > 0) {
         request_list(now);
     }
 }
@@ -570,9 +537,11 @@
         }
         entry->listed = true;
         if (entry->state == run_state::uncertain) {
-            entry->state = run_state::running;
-            entry->confirmed_at = now;
-            entry->confirmed_at_call = calls_sent_;
+            ledger_.modify(*entry, [this, now](run_entry& found) {
+                found.state = run_state::running;
+                found.confirmed_at = now;
+                found.confirmed_at_call = calls_sent_;
+            });
         }
         if (running.percent != entry->percent) {
             entry->percent = running.percent;
@@ -651,16 +620,13 @@
         if (entry == nullptr || entry->state != run_state::unclaimed) {
             continue;
         }
-        entry->need = item.need;
         ledger_.set_coordinator(*entry, coordinator);
-        entry->state = run_state::running;
-    }
-    const bool complete =
-        std::none_of(ledger_.entries().begin(), ledger_.entries().end(),
-                     [](const auto& item) {
-                         return item.second.state == run_state::unclaimed;
-                     });
-    if (complete && phase_ == session_phase::claiming) {
+        ledger_.modify(*entry, [&item](run_entry& claimed) {
+            claimed.need = item.need;
+            claimed.state = run_state::running;
+        });
+    }
+    if (ledger_.unclaimed() == 0 && phase_ == session_phase::claiming) {
         phase_ = session_phase::active;
         poll(now);
     }
@@ -695,14 +661,14 @@
     instance_began_at_ = now;
     last_call_before_instance_ = calls_sent_;
     next_poll_ = now;
-    for (auto& [run, entry] : ledger_.entries()) {
+    ledger_.modify_all([now](run_entry& entry) {
         // Clock readings and stops of the former instance do not apply.
         entry.lease_deadline_ms = unknown_deadline;
         entry.stop_answered_at_call.reset();
         entry.listed = false;
         entry.stop_outdated = entry.stop_in_flight;
         entry.next_stop = now;
-    }
+    });
 }
 
 void endpoint_session::begin_address(timestamp now) {
@@ -864,7 +830,9 @@
     }
     switch (reply.status) {
     case call_status::ok:
-        entry->state = run_state::running;
+        ledger_.modify(*entry, [](run_entry& started) {
+            started.state = run_state::running;
+        });
         entry->confirmed_at = now;
         entry->confirmed_at_call = calls_sent_;
         entry->progress_at = now;
@@ -874,10 +842,12 @@
         events_.on_started(*this, *entry);
         break;
     case call_status::unanswered:
-        if (entry->state == run_state::starting) {
-            entry->state = run_state::uncertain;
-        }
-        entry->stop_wanted = true;
+        ledger_.modify(*entry, [](run_entry& unanswered) {
+            if (unanswered.state == run_state::starting) {
+                unanswered.state = run_state::uncertain;
+            }
+            unanswered.stop_wanted = true;
+        });
         health_.record_fault(now);
         break;
     case call_status::outdated_run:
@@ -902,14 +872,16 @@
 
 void endpoint_session::stop(timestamp now, const task_run& run) {
     if (auto* entry = ledger_.find(run)) {
-        entry->stop_wanted = true;
+        ledger_.modify(*entry,
+                       [](run_entry& stopped) { stopped.stop_wanted = true; });
         send_stops(now);
     }
 }
 
 void endpoint_session::revoke(timestamp now, const task_run& run) {
     if (auto* entry = ledger_.find(run)) {
-        entry->revoked = true;
+        ledger_.modify(*entry,
+                       [](run_entry& revoked) { revoked.revoked = true; });
         stop(now, run);
     }
 }
@@ -918,16 +890,16 @@
     if (phase_ == session_phase::fenced || phase_ == session_phase::adopting) {
         return;
     }
-    for (auto& [run, entry] : ledger_.entries()) {
-        const bool due = entry.stop_wanted && !entry.stop_in_flight &&
-                         !entry.stop_answered_at_call &&
-                         now >= entry.next_stop &&
-                         entry.state != run_state::starting;
-        if (due) {
+    while (ledger_.stopping() < settings_.max_open_stops) {
+        auto* due = ledger_.find_due_stop(now);
+        if (due == nullptr) {
+            return;
+        }
+        ledger_.modify(*due, [](run_entry& entry) {
             entry.stop_in_flight = true;
             entry.stop_outdated = false;
-            port_.stop({target(), run});
-        }
+        });
+        port_.stop({target(), due->run});
     }
 }
 
@@ -939,19 +911,22 @@
     if (entry == nullptr) {
         return;
     }
-    entry->stop_in_flight = false;
-    if (entry->stop_outdated) {
-        // A later instance has not seen this stop.
-        entry->next_stop = now;
-    } else if (reply.status == call_status::ok) {
-        const bool awaited = awaits_revocation();
-        entry->stop_answered_at_call = calls_sent_;
-        if (awaited && !awaits_revocation()) {
-            next_poll_ = now; // the other runs need their lease renewed
+    const bool awaited = awaits_revocation();
+    ledger_.modify(*entry, [this, now, &reply](run_entry& stopped) {
+        stopped.stop_in_flight = false;
+        if (stopped.stop_outdated) {
+            // A later instance has not seen this stop.
+            stopped.next_stop = now;
+        } else if (reply.status == call_status::ok) {
+            stopped.stop_answered_at_call = calls_sent_;
+        } else {
+            stopped.next_stop = now + retry_delay;
         }
-    } else {
-        entry->next_stop = now + retry_delay;
+    });
+    if (awaited && !awaits_revocation()) {
+        next_poll_ = now; // the other runs need their lease renewed
     }
+    send_stops(now);
     request_run_list(now);
     poll(now);
 }
@@ -1053,10 +1028,10 @@
     }
     if (phase_ == session_phase::claiming && now >= claims_until_) {
         phase_ = session_phase::active;
-        for (auto& [run, entry] : ledger_.entries()) {
+        ledger_.modify_all([](run_entry& entry) {
             entry.stop_wanted |= entry.state == run_state::unclaimed;
             entry.revoked |= entry.state == run_state::unclaimed;
-        }
+        });
     }
     if (full_since_ && now - *full_since_ >= full_retry_delay) {
         full_since_.reset();
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -101,8 +101,8 @@
     void tick(timestamp now);
 
     // --- commands ---
-    // Precondition: `accepts_tasks()`, not `awaits_revocation()`, and the need
-    // fits `free_resources()`.
+    // Preconditions: `accepts_tasks()`, not `awaits_revocation()`,
+    // `may_send_start()`, and the need fits `free_resources()`.
     void start(timestamp now, run_entry entry, const std::string& payload);
     void stop(timestamp now, const task_run& run);
     // Stops a run whose task may be placed again without a report of its end,
@@ -170,6 +170,11 @@
     // Whether that holds, and each run that was found at the takeover has
     // ended or was claimed.
     [[nodiscard]] bool runs_resolved() const;
+    // Whether one more start may be sent before another one is answered. Not
+    // thread-safe.
+    [[nodiscard]] bool may_send_start() const {
+        return ledger_.starting() < settings_.max_open_starts;
+    }
     // Zero for a while after a start was refused for room.
     [[nodiscard]] resources free_resources() const {
         return full_since_ ? resources{} : ledger_.free();
--- a/src/core/dispatch/run_ledger.cpp
+++ b/src/core/dispatch/run_ledger.cpp
@@ -1,7 +1,5 @@
 #include "core/dispatch/run_ledger.hpp"
 
-#include <algorithm>
-
 namespace figridge::dispatch {
 namespace {
 
@@ -9,12 +7,22 @@
 constexpr duration min_run_time = 80ms;
 constexpr double percent_tolerance = 2.0;
 
-std::uint32_t saturating_subtract(std::uint32_t room, std::uint32_t taken) {
-    return room - std::min(room, taken);
+std::uint32_t subtract_or_zero(std::uint32_t room, std::int64_t taken) {
+    return taken >= room ? 0 : room - static_cast<std::uint32_t>(taken);
+}
+
+bool waits_for_stop(const run_entry& entry) {
+    return entry.stop_wanted && !entry.stop_in_flight &&
+           !entry.stop_answered_at_call && entry.state != run_state::starting;
 }
 
 } // namespace
 
+bool is_unanswered(const run_entry& entry) {
+    return entry.state == run_state::starting ||
+           entry.state == run_state::uncertain;
+}
+
 std::optional<double> projected_multiple(timestamp now,
                                          const run_entry& entry) {
     const auto run_time = now - entry.confirmed_at;
@@ -29,19 +37,47 @@
     return to_seconds(run_time) / (estimate_s * done);
 }
 
-resources run_ledger::free() const {
-    resources room = capacity_;
-    for (const auto& [run, entry] : entries_) {
-        if (entry.state == run_state::unclaimed) {
-            return {};
+void run_ledger::count(const run_entry& entry, int sign) {
+    const auto& need = entry.need.room;
+    counts_.cpu_millis += sign * std::int64_t{need.cpu_millis};
+    counts_.memory_mb += sign * std::int64_t{need.memory_mb};
+    counts_.accelerators += sign * std::int64_t{need.accelerators};
+    const auto add = [sign](std::size_t& number, bool counts) {
+        if (counts) {
+            sign > 0 ? ++number : --number;
         }
-        const auto& need = entry.need.room;
-        room.cpu_millis = saturating_subtract(room.cpu_millis, need.cpu_millis);
-        room.memory_mb = saturating_subtract(room.memory_mb, need.memory_mb);
-        room.accelerators =
-            saturating_subtract(room.accelerators, need.accelerators);
+    };
+    add(counts_.starting, entry.state == run_state::starting);
+    add(counts_.stopping, entry.stop_in_flight);
+    add(counts_.unclaimed, entry.state == run_state::unclaimed);
+    add(counts_.revocations, entry.revoked && !entry.stop_answered_at_call);
+    add(counts_.former_starts,
+        is_unanswered(entry) && entry.lease_deadline_ms == unknown_deadline);
+    add(counts_.awaiting_list, entry.state == run_state::uncertain &&
+                                   entry.stop_answered_at_call.has_value());
+    if (!waits_for_stop(entry)) {
+        return;
+    }
+    if (sign > 0) {
+        stops_.emplace(entry.next_stop, entry.run);
+    } else {
+        stops_.erase({entry.next_stop, entry.run});
+    }
+}
+
+run_entry* run_ledger::find_due_stop(timestamp now) {
+    return stops_.empty() || stops_.begin()->first > now
+               ? nullptr
+               : find(stops_.begin()->second);
+}
+
+resources run_ledger::free() const {
+    if (counts_.unclaimed > 0) {
+        return {};
     }
-    return room;
+    return {subtract_or_zero(capacity_.cpu_millis, counts_.cpu_millis),
+            subtract_or_zero(capacity_.memory_mb, counts_.memory_mb),
+            subtract_or_zero(capacity_.accelerators, counts_.accelerators)};
 }
 
 run_entry& run_ledger::enter(run_entry entry) {
@@ -51,7 +87,9 @@
     if (index_ != nullptr) {
         index_->add(endpoint_, key, entry.coordinator);
     }
-    return entries_.emplace(key, std::move(entry)).first->second;
+    auto& entered = entries_.emplace(key, std::move(entry)).first->second;
+    count(entered, 1);
+    return entered;
 }
 
 void run_ledger::remove(const task_run& run) {
@@ -59,6 +97,7 @@
     if (found == entries_.end()) {
         return;
     }
+    count(found->second, -1);
     suspects_ -= found->second.crashes > 0 ? 1 : 0;
     if (index_ != nullptr) {
         index_->remove(endpoint_, found->first, found->second.coordinator);
--- a/src/core/dispatch/run_ledger.hpp
+++ b/src/core/dispatch/run_ledger.hpp
@@ -2,12 +2,15 @@
 //
 // A run is entered before its start is sent and removed only when its end is
 // certain, so the ledger never reports more free resources than the endpoint
-// has.
+// has. It keeps count of what each answer of the endpoint is checked against,
+// so that an answer costs the same beside few runs and beside thousands.
 #ifndef FIGRIDGE_CORE_DISPATCH_RUN_LEDGER_HPP
 #define FIGRIDGE_CORE_DISPATCH_RUN_LEDGER_HPP
 
+#include <limits>
 #include <map>
 #include <optional>
+#include <set>
 
 #include "core/dispatch/run_index.hpp"
 
@@ -20,6 +23,10 @@
     unclaimed, // found on the endpoint; not claimed by a coordinator
 };
 
+// Deadline of a run that was started on the clock of a former instance: only
+// an answered stop makes its end certain.
+constexpr auto unknown_deadline = std::numeric_limits<std::int64_t>::max();
+
 // One run on one endpoint, from before its start is sent until its end is
 // certain. Call numbers count the hold calls sent, whose replies list the runs.
 struct run_entry {
@@ -55,6 +62,9 @@
     timestamp caller_deadline{0}; // 0: not known
 };
 
+// Whether the start of the run got no answer, or not yet. Thread-safe.
+bool is_unanswered(const run_entry& entry);
+
 // Projected run time as a multiple of the estimate, from the percent done as
 // listed at `now`; nothing if it is too early for a projection.
 std::optional<double> projected_multiple(timestamp now, const run_entry& entry);
@@ -88,6 +98,22 @@
     // Sets the coordinator of an entered run. Precondition: `entry` is of this
     // ledger. Not thread-safe.
     void set_coordinator(run_entry& entry, const process_id& coordinator);
+    // Calls `change` with the entry, which may change any field but its run,
+    // crashes and coordinator. Precondition: `entry` is of this ledger. Not
+    // thread-safe.
+    template <class Change>
+    void modify(run_entry& entry, Change change) {
+        count(entry, -1);
+        change(entry);
+        count(entry, 1);
+    }
+    // The same with each entry. Not thread-safe.
+    template <class Change>
+    void modify_all(Change change) {
+        for (auto& [run, entry] : entries_) {
+            modify(entry, change);
+        }
+    }
     void clear();
     run_entry* find(const task_run& run);
     [[nodiscard]] const run_entry* find(const task_run& run) const {
@@ -105,14 +131,57 @@
     // Entered runs of tasks that may have crashed an endpoint. Not thread-safe.
     [[nodiscard]] std::size_t suspects() const { return suspects_; }
 
-    // For changes of an entry other than of its run, crashes and coordinator.
+    // Runs whose start is not answered yet. Not thread-safe.
+    [[nodiscard]] std::size_t starting() const { return counts_.starting; }
+    // Runs whose stop is in flight. Not thread-safe.
+    [[nodiscard]] std::size_t stopping() const { return counts_.stopping; }
+    // Runs that no coordinator has claimed. Not thread-safe.
+    [[nodiscard]] std::size_t unclaimed() const { return counts_.unclaimed; }
+    // Revoked runs whose stop is not answered. Not thread-safe.
+    [[nodiscard]] std::size_t revocations() const {
+        return counts_.revocations;
+    }
+    // Unanswered starts on the clock of a former instance. Not thread-safe.
+    [[nodiscard]] std::size_t former_starts() const {
+        return counts_.former_starts;
+    }
+    // Uncertain runs whose stop is answered: a list shows whether they are
+    // there. Not thread-safe.
+    [[nodiscard]] std::size_t awaiting_list() const {
+        return counts_.awaiting_list;
+    }
+    // The run whose stop is due first, if one is due by `now`. Not thread-safe.
+    run_entry* find_due_stop(timestamp now);
+
+    // For changes of fields that no count depends on: `reported_lost`,
+    // `doubt_told`, `stop_outdated`, `listed` and those of the progress.
     [[nodiscard]] std::map<task_run, run_entry>& entries() { return entries_; }
     [[nodiscard]] const std::map<task_run, run_entry>& entries() const {
         return entries_;
     }
 
 private:
+    // Sums over all entries.
+    struct run_counts {
+        std::int64_t cpu_millis = 0;
+        std::int64_t memory_mb = 0;
+        std::int64_t accelerators = 0;
+        std::size_t starting = 0;
+        std::size_t stopping = 0;
+        std::size_t unclaimed = 0;
+        std::size_t revocations = 0;
+        std::size_t former_starts = 0;
+        std::size_t awaiting_list = 0;
+    };
+
+    // Adds the entry to the counts (`sign` 1), or takes it out of them (-1).
+    void count(const run_entry& entry, int sign);
+
     resources capacity_;
+    run_counts counts_;
+    // Runs to be stopped, by when; without those whose stop is in flight or
+    // answered, or whose start is not answered yet.
+    std::set<std::pair<timestamp, task_run>> stops_;
     std::map<task_run, run_entry> entries_;
     std::size_t suspects_ = 0;
     run_index* index_ = nullptr; // optional
--- a/src/core/dispatch/settings.hpp
+++ b/src/core/dispatch/settings.hpp
@@ -61,6 +61,12 @@
     // without an answer are carried out within seconds: the end of unanswered
     // starts on an endpoint that is gone and silent.
     duration gone_limit = 15s;
+    // Calls to one endpoint that are open at a time. Its further starts wait in
+    // the holder's queue, its further stops in the ledger.
+    std::uint32_t max_open_starts = 16;
+    std::uint32_t max_open_stops = 8;
+    // Starts that are open at a time at all endpoints of a holder.
+    std::uint32_t max_open_starts_in_all = 512;
     // Factor by which a task runs longer away from its data (the platform's
     // bound).
     double far_factor = 3.0;
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -1314,6 +1314,32 @@
     BOOST_TEST(events.doubts.size() == 1U);
 }
 
+// A call takes several kilobytes, and the calls to an endpoint beyond the
+// limit of the HTTP client end unanswered, so that their tasks are stopped.
+BOOST_AUTO_TEST_CASE(starts_wait_until_earlier_ones_are_answered) {
+    cpu_millis = 50;
+    assign("job", 250);
+    const std::size_t at_once = 2 * settings.max_open_starts;
+    BOOST_REQUIRE_EQUAL(port.starts.size(), at_once);
+    BOOST_TEST(holder.queue().size() == 250 - at_once);
+    answer_starts();
+    holder.dispatch(now);
+    BOOST_TEST(port.starts.size() == 2 * at_once);
+    while (answered < port.starts.size()) {
+        answer_starts();
+        holder.dispatch(now);
+    }
+    BOOST_TEST(port.starts.size() == 250U);
+    BOOST_TEST(holder.queue().empty());
+}
+
+BOOST_AUTO_TEST_CASE(open_starts_on_all_endpoints_are_bounded) {
+    settings.max_open_starts_in_all = 20;
+    cpu_millis = 50;
+    assign("job", 250);
+    BOOST_TEST(port.starts.size() == 20U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -1588,6 +1588,53 @@
     BOOST_TEST(events.crashes.empty());
 }
 
+// Each answer lets the next stop be sent; none is sent twice.
+BOOST_AUTO_TEST_CASE(stops_wait_until_earlier_ones_are_answered) {
+    constexpr std::uint32_t runs = 100;
+    answer_hold({});
+    for (std::uint32_t i = 0; i < runs; ++i) {
+        start(i, 50);
+        answer_start(i);
+    }
+    for (std::uint32_t i = 0; i < runs; ++i) {
+        session->stop(now, run_of(i));
+    }
+    BOOST_TEST(port.stops.size() == settings.max_open_stops);
+    for (std::size_t i = 0; i < port.stops.size(); ++i) {
+        session->handle_stop(now, port.stops[i].run,
+                             {call_status::ok, clock_ms()});
+        BOOST_TEST(session->ledger().stopping() <= settings.max_open_stops);
+    }
+    BOOST_TEST(port.stops.size() == runs);
+    pass(1s);
+    BOOST_TEST(port.stops.size() == runs);
+}
+
+// The counts that stand for walks over all runs.
+BOOST_AUTO_TEST_CASE(ledger_counts_follow_the_runs) {
+    answer_hold({});
+    start(0);
+    BOOST_TEST(session->ledger().starting() == 1U);
+    answer_start(0);
+    start(1);
+    answer_start(1, call_status::unanswered);
+    BOOST_TEST(session->ledger().starting() == 0U);
+    BOOST_TEST(session->ledger().stopping() == 1U);
+    session->revoke(now, run_of(0));
+    BOOST_TEST(session->awaits_revocation());
+    BOOST_TEST(session->ledger().stopping() == 2U);
+    session->handle_stop(now, run_of(0), {call_status::ok, clock_ms()});
+    session->handle_stop(now, run_of(1), {call_status::ok, clock_ms()});
+    BOOST_TEST(!session->awaits_revocation());
+    BOOST_TEST(session->ledger().stopping() == 0U);
+    BOOST_TEST(session->ledger().awaiting_list() == 1U);
+    answer_hold({});
+    answer_hold({});
+    BOOST_TEST(session->ledger().empty());
+    BOOST_TEST(session->ledger().awaiting_list() == 0U);
+    BOOST_TEST(session->free_resources().cpu_millis == 16'000U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/dispatch/start_witness_test.cpp
+++ b/tests/dispatch/start_witness_test.cpp
@@ -394,6 +394,9 @@
 BOOST_FIXTURE_TEST_CASE(doubts_beyond_the_budget_are_collected,
                         notice_fixture) {
     constexpr std::uint32_t tasks = 28;
+    auto settings = make_settings();
+    settings.max_open_starts = tasks; // all are left unanswered
+    core.update_settings(now, settings);
     hear(holder, "domain-2");
     peers.sent.clear();
     std::map<std::uint32_t, timestamp> started;
