Tasks at a holder are bounded by its memory, and told to coordinators

What callers saw: 200 whole jobs of 250 tasks, sent at once to one of three hosts with memory_mb = 64, took 374 MB there and 297 MB at a host that had taken none of them (whole_jobs_long_specs); most waited for their deadline.

Cause: only the host that takes a job counts what it holds for it. A holder queued all that it was sent. A task may need a thousandth of a core, so neither the capacity of endpoints bounded their runs, nor did the work ahead, which is told in processor time, show that jobs had to wait.

Change: a task counts for at least 50 thousandths of a core (dispatch.min_task_cpu). Coordinators choose no holder that takes none and refuse a job at once whose largest step exceeds the room of all (holders_full), before its body is parsed if there is none.

The test of a long queue sets a limit above its 10,000 tasks; its checks stay.

--- a/src/core/dispatch/dispatcher_dump.cpp
+++ b/src/core/dispatch/dispatcher_dump.cpp
@@ -49,6 +49,7 @@
             {"cpu_millis", about.capacity_cpu},
             {"free_cpu_millis", free_cpu},
             {"queued_tasks", about.queued_tasks},
+            {"task_room", about.task_room},
             {"draining", about.draining}};
 }
 
--- a/src/core/dispatch/endpoint_holder.cpp
+++ b/src/core/dispatch/endpoint_holder.cpp
@@ -245,6 +245,10 @@
         task.answer_by = now + limit_wait(duration(assignment.objective_us));
         task.caller_deadline =
             now + limit_wait(duration(assignment.patience_us));
+        if (held_tasks() >= settings_.max_held_tasks) {
+            return_task(task);
+            continue;
+        }
         queue_.push(std::move(task));
     }
     if (sessions_.empty()) {
--- a/src/core/dispatch/endpoint_holder.hpp
+++ b/src/core/dispatch/endpoint_holder.hpp
@@ -69,6 +69,7 @@
     }
 
     // --- coordinators ---
+    // Returns the tasks beyond `max_held_tasks`. Not thread-safe.
     void assign(timestamp now, const process_id& coordinator,
                 const task_assignment& assignment);
     void withdraw(timestamp now, const process_id& coordinator,
@@ -129,6 +130,10 @@
                                        std::uint64_t token,
                                        const task_run& run) const;
     [[nodiscard]] std::size_t running_tasks() const;
+    // Tasks queued or running here. Not thread-safe.
+    [[nodiscard]] std::size_t held_tasks() const {
+        return queue_.size() + runs_.size();
+    }
     // The same on endpoints of the failure domain. Not thread-safe.
     [[nodiscard]] std::size_t
     running_tasks_in(const std::string& failure_domain) const;
--- a/src/core/dispatch/endpoint_holder_placement.cpp
+++ b/src/core/dispatch/endpoint_holder_placement.cpp
@@ -394,6 +394,9 @@
         about.queued_cpu_ms_by_priority.begin(),
         about.queued_cpu_ms_by_priority.end(), std::uint64_t{0});
     about.queued_tasks = static_cast<std::uint32_t>(next.tasks);
+    about.task_room = settings_.max_held_tasks -
+                      static_cast<std::uint32_t>(std::min<std::size_t>(
+                          held_tasks(), settings_.max_held_tasks));
     about.endpoints_held = static_cast<std::uint32_t>(sessions_.size());
     for (const auto& [id, session] : sessions_) {
         if (!is_admitted(*session) || !session->accepts_tasks()) {
--- a/src/core/dispatch/holder_views.cpp
+++ b/src/core/dispatch/holder_views.cpp
@@ -25,11 +25,11 @@
     auto& view = views_[holder];
     view.failure_domain = failure_domain;
     view.advertised = advertised;
-    while (!view.sent.empty() && now - view.sent.front().first > advert_delay) {
+    while (!view.sent.empty() && now - view.sent.front().at > advert_delay) {
         view.sent.pop_front();
     }
-    for (const auto& [at, need] : view.sent) {
-        deduct(view.advertised, need);
+    for (const auto& assigned : view.sent) {
+        deduct(view.advertised, assigned);
     }
 }
 
@@ -46,8 +46,11 @@
                        });
 }
 
-void holder_views::deduct(advert& advertised, const task_need& need) {
-    const auto cpu = need.room.cpu_millis;
+void holder_views::deduct(advert& advertised, const assigned_task& assigned) {
+    const auto cpu = assigned.cpu_millis;
+    if (advertised.task_room > 0) {
+        --advertised.task_room;
+    }
     auto* best = static_cast<std::uint32_t*>(nullptr);
     for (auto& free : advertised.free_cpu) {
         if (free >= cpu && (best == nullptr || free < *best)) {
@@ -59,7 +62,7 @@
     } else {
         ++advertised.queued_tasks;
         advertised.queued_cpu_ms +=
-            std::uint64_t{cpu} * need.estimate_ms / 1000;
+            std::uint64_t{cpu} * assigned.estimate_ms / 1000;
     }
 }
 
@@ -84,7 +87,8 @@
     double best_cost = std::numeric_limits<double>::max();
     for (auto& item : views_) {
         const auto& advertised = item.second.advertised;
-        if (advertised.largest_cpu < need.room.cpu_millis ||
+        if (advertised.task_room == 0 ||
+            advertised.largest_cpu < need.room.cpu_millis ||
             advertised.largest_memory_mb < need.room.memory_mb ||
             (room_elsewhere && item.first == returned_by)) {
             continue;
@@ -105,11 +109,18 @@
     if (best == nullptr) {
         return std::nullopt;
     }
-    deduct(best->second.advertised, need);
-    best->second.sent.emplace_back(now, need);
+    best->second.sent.push_back({now, need.room.cpu_millis, need.estimate_ms});
+    deduct(best->second.advertised, best->second.sent.back());
     return best->first;
 }
 
+std::uint64_t holder_views::task_room() const {
+    return std::accumulate(views_.begin(), views_.end(), std::uint64_t{0},
+                           [](std::uint64_t sum, const auto& item) {
+                               return sum + item.second.advertised.task_room;
+                           });
+}
+
 bool holder_views::fits_any_endpoint(const task_need& need) const {
     return std::any_of(views_.begin(), views_.end(), [&need](const auto& item) {
         return item.second.advertised.largest_cpu >= need.room.cpu_millis &&
--- a/src/core/dispatch/holder_views.hpp
+++ b/src/core/dispatch/holder_views.hpp
@@ -26,12 +26,15 @@
     void remove(const process_id& holder);
 
     // Chooses a holder and deducts the task's resources from its view. Empty if
-    // no holder has an endpoint that is large enough. `returned_by`, the holder
-    // that gave the task back, is not chosen while another one has free room.
+    // no holder that takes further tasks has an endpoint that is large enough.
+    // `returned_by`, the holder that gave the task back, is not chosen while
+    // another one has free room.
     std::optional<process_id> place(timestamp now, const task_need& need,
                                     const process_id& returned_by = {});
 
     [[nodiscard]] bool empty() const { return views_.empty(); }
+    // Further tasks that all holders together take. Not thread-safe.
+    [[nodiscard]] std::uint64_t task_room() const;
     // Whether any known endpoint is large enough for the task.
     [[nodiscard]] bool fits_any_endpoint(const task_need& need) const;
     // Unused processor share, in thousandths of a core, of each endpoint of the
@@ -43,14 +46,20 @@
     [[nodiscard]] duration min_queue_wait(std::uint32_t priority) const;
 
 private:
+    struct assigned_task {
+        timestamp at{0};
+        std::uint32_t cpu_millis = 0;
+        std::uint32_t estimate_ms = 0;
+    };
+
     struct view {
         std::string failure_domain;
         advert advertised;
         // Assignments that the advert may not reflect yet.
-        std::deque<std::pair<timestamp, task_need>> sent;
+        std::deque<assigned_task> sent;
     };
 
-    static void deduct(advert& advertised, const task_need& need);
+    static void deduct(advert& advertised, const assigned_task& assigned);
     static bool can_start_now(const advert& advertised, const task_need& need);
     // Until a task starts behind the queued work. A holder that is late reads
     // the task late.
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -149,15 +149,23 @@
     }
     duration total_estimate{0};
     const auto min_time = min_job_time(submission.work);
-    for (const auto& step : submission.work.steps) {
+    std::uint64_t largest_step = 0;
+    for (auto& step : submission.work.steps) {
+        step.need.room.cpu_millis =
+            std::max(step.need.room.cpu_millis, settings_.min_task_cpu);
         if (!takeover_pending && !in_doubt &&
             !views_.fits_any_endpoint(step.need)) {
             return refuse(
                 now, token, submission,
                 {rejection, "task_fits_no_endpoint", retry_after_takeover});
         }
+        largest_step = std::max<std::uint64_t>(largest_step, step.count);
         total_estimate += std::chrono::milliseconds(step.need.estimate_ms);
     }
+    if (!views_.empty() && !in_doubt && views_.task_room() < largest_step) {
+        return refuse(now, token, submission,
+                      {rejection, "holders_full", retry_after_overload});
+    }
     const auto wait = views_.min_queue_wait(submission.queue.priority);
     if (min_time > submission.caller_timeout && !in_doubt) {
         return refuse(now, token, submission,
@@ -211,7 +219,9 @@
     }
     const auto wait = views_.min_queue_wait(unread.queue.priority);
     job_answer answer;
-    if (wait > unread.caller_timeout) {
+    if (!views_.empty() && views_.task_room() == 0) {
+        answer = {job_outcome::refused, "holders_full", retry_after_overload};
+    } else if (wait > unread.caller_timeout) {
         answer = {job_outcome::refused, "queue_too_long", wait};
     } else if (!events_.admit_job()) {
         answer = {job_outcome::refused, "host_overloaded",
--- a/src/core/dispatch/messages.hpp
+++ b/src/core/dispatch/messages.hpp
@@ -6,6 +6,7 @@
 #ifndef FIGRIDGE_CORE_DISPATCH_MESSAGES_HPP
 #define FIGRIDGE_CORE_DISPATCH_MESSAGES_HPP
 
+#include <limits>
 #include <string_view>
 
 #include <absl/status/status.h>
@@ -37,11 +38,14 @@
     // How late the process reads its inputs; see `local_lateness`. 0 if sent by
     // an older peer.
     std::uint32_t late_ms = 0;
+    // Further tasks that the process takes; it returns those beyond. Older
+    // peers take any number.
+    std::uint32_t task_room = std::numeric_limits<std::uint32_t>::max();
 
     MSGPACK_DEFINE(catalogue_version, draining, cpu_share, endpoints_held,
                    capacity_cpu, queued_cpu_ms, queued_tasks, largest_cpu,
                    largest_memory_mb, free_cpu, knows_endpoints,
-                   queued_cpu_ms_by_priority, late_ms);
+                   queued_cpu_ms_by_priority, late_ms, task_room);
 };
 
 // Assigns tasks of one job to a holder. Times are relative to the sending; the
--- a/src/core/dispatch/settings.hpp
+++ b/src/core/dispatch/settings.hpp
@@ -67,6 +67,12 @@
     std::uint32_t max_open_stops = 8;
     // Starts that are open at a time at all endpoints of a holder.
     std::uint32_t max_open_starts_in_all = 512;
+    // A task counts for at least this much processor time, in thousandths of a
+    // core, so that the capacity of an endpoint bounds its runs.
+    std::uint32_t min_task_cpu = 50;
+    // Tasks that a holder takes, queued and running. The daemon derives it from
+    // the memory of the machine.
+    std::uint32_t max_held_tasks = 7680;
     // Factor by which a task runs longer away from its data (the platform's
     // bound).
     double far_factor = 3.0;
--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -1244,6 +1244,7 @@
     for (const std::uint32_t waiting : {100U, 10'000U}) {
         holder_fixture fixture;
         auto& holder = fixture.holder;
+        fixture.settings.max_held_tasks = 2 * waiting;
         for (std::uint32_t i = 0; i < waiting; i += 100) {
             fixture.priority = i / 100 % 3;
             fixture.assign("job-" + std::to_string(i), 100);
@@ -1340,6 +1341,22 @@
     BOOST_TEST(port.starts.size() == 20U);
 }
 
+BOOST_AUTO_TEST_CASE(tasks_beyond_those_that_a_holder_takes_are_returned) {
+    settings.max_held_tasks = 40;
+    cpu_millis = 50;
+    assign("job", 50);
+    BOOST_TEST(holder.held_tasks() == 40U);
+    BOOST_REQUIRE_EQUAL(events.updates.size(), 10U);
+    BOOST_TEST((events.updates[0].kind == update_kind::returned));
+    advert about;
+    holder.fill(about);
+    BOOST_TEST(about.task_room == 0U);
+    end_all_runs();
+    holder.fill(about);
+    BOOST_TEST(about.task_room ==
+               settings.max_held_tasks - holder.held_tasks());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -1450,6 +1450,41 @@
     BOOST_TEST(told.empty());
 }
 
+// Otherwise the capacity of an endpoint would not bound the number of its runs,
+// nor the work ahead tell that a job has to wait.
+BOOST_AUTO_TEST_CASE(task_counts_for_a_least_processor_share) {
+    job_submission submission;
+    submission.work.id = "0123456789abcdef";
+    submission.work.steps.push_back({1, {{1, 64, 0}, 60, {}, {}}, {}});
+    submission.caller_timeout = 1500ms;
+    coordinator.submit(now, 1, submission);
+    BOOST_REQUIRE_EQUAL(placements(), 1U);
+    BOOST_TEST(assignments[0].second.items[0].need.room.cpu_millis ==
+               settings.min_task_cpu);
+}
+
+BOOST_AUTO_TEST_CASE(job_is_refused_while_holders_take_too_few_tasks) {
+    advert about;
+    about.capacity_cpu = 64'000;
+    about.largest_cpu = 16'000;
+    about.largest_memory_mb = 32'000;
+    about.task_room = 4;
+    views.update(now, holder_a, "domain-1", about);
+    views.remove(holder_b);
+    submit(5);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::refused));
+    BOOST_TEST(answers[0].reason == "holders_full");
+    BOOST_TEST((answers[0].retry_after > 0ms));
+    submit(4);
+    BOOST_TEST(placements() == 4U);
+    // The tasks sent since the last advert count.
+    const auto refusal =
+        coordinator.refuse_unread(now, {"0123456789abcdee", {}, 1500ms, {}});
+    BOOST_REQUIRE(refusal.has_value());
+    BOOST_TEST(refusal->reason == "holders_full");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
