Long labels and racks that no endpoint has are not passed on

What callers saw: nothing; their hosts did. 200 jobs that require a label of 20,000 bytes that no endpoint has were refused in the end, and took 44 MB at the host that they came to and 36 MB at one that accepted nothing (262 and 159 MB with 300 jobs and memory_mb = 120).

Cause: each task carries its need. A job of 250 such tasks was split and sent to holders, 5 MB a job, queued there, and returned when its time was over. The views of holders kept the needs of what was assigned in the last 8 ms as well.

Change: a label of more than 256 bytes that no listed endpoint of the pool has is refused at once (task_fits_no_endpoint). A shorter one may be of an endpoint whose entry is not read yet, and waits as before. A rack without endpoints whose name is as long is replaced by a short name: the task runs away from its data anywhere. The labels and racks of endpoints are names of a few bytes.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -1210,6 +1210,27 @@
     return std::any_of(work.steps.begin(), work.steps.end(), is_step_evacuated);
 }
 
+bool dispatcher::is_label_listed(const std::string& pool,
+                                 const std::string& label) const {
+    const auto& listed = directory_.endpoints();
+    return !has_endpoints_ ||
+           std::any_of(listed.begin(), listed.end(), [&](const auto& item) {
+               const auto& labels = item.second.labels;
+               return item.second.pool == pool &&
+                      std::find(labels.begin(), labels.end(), label) !=
+                          labels.end();
+           });
+}
+
+bool dispatcher::is_rack_listed(const std::string& pool,
+                                const std::string& rack) const {
+    const auto& listed = directory_.endpoints();
+    return !has_endpoints_ ||
+           std::any_of(listed.begin(), listed.end(), [&](const auto& item) {
+               return item.second.pool == pool && item.second.rack == rack;
+           });
+}
+
 void dispatcher::set_catalogue(std::uint64_t version, const std::string& text) {
     catalogue_version_ = version;
     catalogue_text_ = text;
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -351,6 +351,10 @@
     void announce(const endpoint_adoption& adoption) override;
     void announce_crash(const crash_report& report) override;
     void announce_doubt(const start_doubt& doubt) override;
+    [[nodiscard]] bool is_label_listed(const std::string& pool,
+                                       const std::string& label) const override;
+    [[nodiscard]] bool is_rack_listed(const std::string& pool,
+                                      const std::string& rack) const override;
     [[nodiscard]] bool is_evacuated(const std::string& pool,
                                     const job& work) const override;
     [[nodiscard]] bool admit_job() override {
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -31,6 +31,13 @@
 // An overloaded host accepts more within this time, and the balancer sends the
 // caller's next connection to another one.
 constexpr duration retry_after_overload = 1s;
+// Each task carries the label and the rack of its need, so that long ones are
+// passed on only if an endpoint has them. A shorter one may be of an endpoint
+// whose entry is not read yet.
+constexpr std::size_t max_unlisted_bytes = 256;
+// Stands for a rack without endpoints: a task that prefers one runs away from
+// its data anywhere.
+constexpr const char* unlisted_rack = "unlisted";
 // A job that was never sent is recalled this long before it can't be completed
 // in time any more: a round trip between failure domains, and wake-ups.
 constexpr duration recall_margin = 50ms;
@@ -151,10 +158,14 @@
     const auto min_time = min_job_time(submission.work);
     std::uint64_t largest_step = 0;
     for (auto& step : submission.work.steps) {
-        step.need.room.cpu_millis =
-            std::max(step.need.room.cpu_millis, settings_.min_task_cpu);
-        if (!takeover_pending && !in_doubt &&
-            !views_.fits_any_endpoint(step.need)) {
+        adjust_need(submission.queue.pool, step.need);
+        const auto& label = step.need.required_label;
+        const bool may_have_label =
+            label.size() <= max_unlisted_bytes ||
+            events_.is_label_listed(submission.queue.pool, label);
+        const bool fits =
+            takeover_pending || views_.fits_any_endpoint(step.need);
+        if (!in_doubt && (!may_have_label || !fits)) {
             return refuse(
                 now, token, submission,
                 {rejection, "task_fits_no_endpoint", retry_after_takeover});
@@ -205,6 +216,17 @@
     place(now, state);
 }
 
+void job_coordinator::adjust_need(const std::string& pool,
+                                  task_need& need) const {
+    need.room.cpu_millis =
+        std::max(need.room.cpu_millis, settings_.min_task_cpu);
+    auto& rack = need.preferred_rack;
+    if (rack.size() > max_unlisted_bytes &&
+        !events_.is_rack_listed(pool, rack)) {
+        rack = unlisted_rack;
+    }
+}
+
 std::optional<job_answer>
 job_coordinator::refuse_unread(timestamp /*now*/, const unread_job& unread) {
     const auto& id = unread.id;
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -67,6 +67,13 @@
     // domains are evacuated. Not thread-safe.
     [[nodiscard]] virtual bool is_evacuated(const std::string& pool,
                                             const job& work) const = 0;
+    // Whether an endpoint of the pool that the platform lists has the label, or
+    // is in the rack; true if the list has not been read. Not thread-safe.
+    [[nodiscard]] virtual bool
+    is_label_listed(const std::string& pool,
+                    const std::string& label) const = 0;
+    [[nodiscard]] virtual bool
+    is_rack_listed(const std::string& pool, const std::string& rack) const = 0;
     // Sends the doubt to all hosts, this one included. Not thread-safe.
     virtual void announce_doubt(const start_doubt& doubt) = 0;
 };
@@ -234,6 +241,9 @@
         timestamp at{0};
     };
 
+    // Raises a need below `min_task_cpu`, and shortens the names of racks that
+    // no endpoint of the pool is in.
+    void adjust_need(const std::string& pool, task_need& need) const;
     task_state* find(const task_key& key, job_state** owner = nullptr);
     void unblock_steps(job_state& state);
     void place(timestamp now, job_state& state);
--- a/tests/dispatch/job_coordinator_test.cpp
+++ b/tests/dispatch/job_coordinator_test.cpp
@@ -68,6 +68,15 @@
         return has_unproved_endpoint;
     }
     [[nodiscard]] bool admit_job() override { return has_processor_time; }
+    [[nodiscard]] bool
+    is_label_listed(const std::string& /*pool*/,
+                    const std::string& label) const override {
+        return labels.contains(label);
+    }
+    [[nodiscard]] bool is_rack_listed(const std::string& /*pool*/,
+                                      const std::string& rack) const override {
+        return racks.contains(rack);
+    }
     [[nodiscard]] bool is_evacuated(const std::string& /*pool*/,
                                     const job& /*work*/) const override {
         return false;
@@ -160,6 +169,8 @@
     crash_ledger crashes;
     doubt_ledger doubts{settings};
     std::vector<start_doubt> told;
+    std::set<std::string> labels; // of listed endpoints
+    std::set<std::string> racks;
     recording_observer observer;
     std::vector<std::pair<process_id, task_assignment>> assignments;
     std::vector<process_id> withdrawals;
@@ -1450,6 +1461,51 @@
     BOOST_TEST(told.empty());
 }
 
+// No endpoint can get such a task, so its job is not split and sent to holders.
+// A short label may be of an endpoint whose entry is not read yet.
+BOOST_AUTO_TEST_CASE(job_with_a_long_label_of_no_endpoint_is_refused_at_once) {
+    const std::string label(257, 'x');
+    job_submission submission;
+    submission.work.id = "0123456789abcdef";
+    submission.work.steps.push_back({1, {{6000, 64, 0}, 60, label, {}}, {}});
+    submission.caller_timeout = 1500ms;
+    coordinator.submit(now, 1, submission);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers[0].outcome == job_outcome::refused));
+    BOOST_TEST(answers[0].reason == "task_fits_no_endpoint");
+    BOOST_TEST(placements() == 0U);
+    labels.insert(label);
+    coordinator.submit(now, 1, submission);
+    BOOST_TEST(placements() == 1U);
+    submission.work.id = "0123456789abcdee";
+    submission.work.steps[0].need.required_label = "large";
+    coordinator.submit(now, 2, submission);
+    BOOST_TEST(placements() == 2U);
+}
+
+// Each task has a copy of its need, in each message about it.
+BOOST_AUTO_TEST_CASE(name_of_a_rack_without_endpoints_is_not_passed_on) {
+    racks.insert("rack-1");
+    job_submission submission;
+    submission.work.id = "0123456789abcdef";
+    submission.caller_timeout = 1500ms;
+    const std::string long_name(20'000, 'x');
+    for (const auto& rack : {std::string("rack-1"), long_name}) {
+        submission.work.steps.push_back({1, {{6000, 64, 0}, 60, {}, rack}, {}});
+    }
+    coordinator.submit(now, 1, submission);
+    BOOST_REQUIRE_EQUAL(placements(), 2U);
+    std::vector<std::string> sent;
+    for (const auto& [holder, assignment] : assignments) {
+        for (const auto& item : assignment.items) {
+            sent.push_back(item.need.preferred_rack);
+        }
+    }
+    std::sort(sent.begin(), sent.end());
+    BOOST_TEST(sent[0] == "rack-1");
+    BOOST_TEST(sent[1].size() < 16U);
+}
+
 // Otherwise the capacity of an endpoint would not bound the number of its runs,
 // nor the work ahead tell that a job has to wait.
 BOOST_AUTO_TEST_CASE(task_counts_for_a_least_processor_share) {
