Memory is returned after tasks end, too

What callers saw: hosts that kept their memory after a crowd of whole jobs: 277 and 295 MB of a limit of 64, and the next job was refused.

Cause: malloc_trim followed connections, bodies and large jobs only. The tasks at a holder, and what the calls for them took, stayed in the allocator.

Change: heap_trimmer, which the server for callers had as a part of itself, also follows the tasks that the host coordinates, queues or runs, at 2 KB each.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -4,7 +4,6 @@
 #include <cerrno>
 #include <tuple>
 
-#include <malloc.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -27,9 +26,6 @@
 constexpr std::size_t freed_bytes_divisor = 8;
 constexpr std::size_t freed_connections_divisor = 16;
 constexpr duration limit_report_interval = 1s;
-// Below this, returning memory costs more than it saves.
-constexpr std::size_t min_returned_bytes = std::size_t{4} * 1024 * 1024;
-constexpr duration return_memory_interval = 1s;
 constexpr duration housekeeping_interval = 250ms;
 constexpr std::uint32_t ms_per_second = 1000;
 constexpr int http_too_large = 413;
@@ -145,7 +141,7 @@
         run_daemon();
         if (limits_clients_) {
             report_limits();
-            return_memory();
+            trimmer_.trim(event_loop::now());
         }
     });
     timer_->start_repeating(housekeeping_interval);
@@ -187,6 +183,7 @@
             server->connections_.erase(found);
             server->held_bytes_ -= connection_bytes;
             server->large_bytes_ -= connection_bytes;
+            server->trimmer_.record(server->large_bytes_);
         }
         // At its limit, libmicrohttpd does not listen until it is run again.
         if (server->watcher_ && server->connections_.size() + 1 >=
@@ -200,8 +197,7 @@
     opened.since = event_loop::now();
     server->held_bytes_ += connection_bytes;
     server->large_bytes_ += connection_bytes;
-    server->peak_large_bytes_ =
-        std::max(server->peak_large_bytes_, server->large_bytes_);
+    server->trimmer_.record(server->large_bytes_);
     server->apply_idle_timeout(connection);
     if (server->limits_clients_) {
         server->make_room_for_connection(opened);
@@ -485,7 +481,7 @@
     }
     held_bytes_ += wanted;
     large_bytes_ += wanted;
-    peak_large_bytes_ = std::max(peak_large_bytes_, large_bytes_);
+    trimmer_.record(large_bytes_);
     held.body_bytes = wanted;
     std::string grown; // `reserve` of the former one may double its capacity
     grown.reserve(wanted);
@@ -493,6 +489,7 @@
     body.swap(grown);
     held_bytes_ -= former;
     large_bytes_ -= former;
+    trimmer_.record(large_bytes_);
     return true;
 }
 
@@ -500,6 +497,7 @@
     std::string().swap(held.request.body);
     held_bytes_ -= held.body_bytes;
     large_bytes_ -= held.body_bytes;
+    trimmer_.record(large_bytes_);
     held.body_bytes = 0;
 }
 
@@ -507,6 +505,7 @@
     held_bytes_ -= held.reserved_bytes;
     large_bytes_ -=
         held.reserved_bytes > small_reservation_bytes ? held.reserved_bytes : 0;
+    trimmer_.record(large_bytes_);
     held.reserved_bytes = 0;
 }
 
@@ -526,7 +525,7 @@
     held_bytes_ += bytes;
     if (bytes > small_reservation_bytes) {
         large_bytes_ += bytes;
-        peak_large_bytes_ = std::max(peak_large_bytes_, large_bytes_);
+        trimmer_.record(large_bytes_);
     }
     return true;
 }
@@ -659,19 +658,6 @@
     log_event(log_level::warning, "clients_limited", fields);
 }
 
-// The allocator keeps freed memory between blocks in use until it is told to
-// return it.
-void http_server::return_memory() {
-    const auto now = event_loop::now();
-    if (peak_large_bytes_ - large_bytes_ < min_returned_bytes ||
-        now - memory_returned_at_ < return_memory_interval) {
-        return;
-    }
-    memory_returned_at_ = now;
-    peak_large_bytes_ = large_bytes_;
-    malloc_trim(0);
-}
-
 void http_server::on_completed(void* self, MHD_Connection* /*connection*/,
                                void** state,
                                MHD_RequestTerminationCode /*code*/) {
--- a/src/adapters/http_server.hpp
+++ b/src/adapters/http_server.hpp
@@ -24,6 +24,7 @@
 #include <microhttpd.h>
 
 #include "event_loop.hpp"
+#include "heap_trimmer.hpp"
 
 namespace figridge {
 
@@ -205,7 +206,6 @@
     void close_connection(open_connection& open, limit_cause cause);
     void note_limit(limit_cause cause);
     void report_limits();
-    void return_memory();
     void schedule_run();
     void run_daemon();
 
@@ -218,14 +218,12 @@
     server_limits server_limits_;
     bool limits_clients_ = false;
     std::size_t held_bytes_ = 0;
-    // Connections, bodies and large reservations, and their highest number
-    // since memory was last returned to the system.
+    // Connections, bodies and large reservations.
     std::size_t large_bytes_ = 0;
-    std::size_t peak_large_bytes_ = 0;
+    heap_trimmer trimmer_;
     std::size_t closing_connections_ = 0;
     std::array<std::uint64_t, limit_cause_count> unreported_limits_{};
     timestamp limits_reported_at_{0};
-    timestamp memory_returned_at_{0};
     std::map<MHD_Connection*, open_connection> connections_;
     MHD_Daemon* daemon_ = nullptr;
     std::unique_ptr<io_watcher> watcher_;
--- a/src/core/dispatch/dispatcher.hpp
+++ b/src/core/dispatch/dispatcher.hpp
@@ -127,6 +127,11 @@
     refuse_unread(timestamp now, const unread_job& unread);
     void drop_caller(timestamp now, caller_token token);
     [[nodiscard]] std::size_t waiting(const std::string& queue) const;
+    // Tasks of the open jobs of this host, and those that it queues or runs for
+    // any host. Not thread-safe.
+    [[nodiscard]] std::size_t task_count() const {
+        return coordinator_.task_count() + holder_.held_tasks();
+    }
     void drain(timestamp now);
     // Whether a drain has finished and the process can end.
     [[nodiscard]] bool is_drained() const;
--- a/src/core/dispatch/job_coordinator.cpp
+++ b/src/core/dispatch/job_coordinator.cpp
@@ -207,6 +207,7 @@
             task.run = first_run;
         }
         state.steps.push_back(std::move(fresh));
+        task_count_ += step.count;
     }
     state.may_have_come_before = may_have_come_before;
     state.proved = !may_have_come_before;
@@ -837,6 +838,9 @@
     }
     callers_.answer(state.token, answer);
     job_of_caller_.erase(state.token);
+    for (const auto& step : state.steps) {
+        task_count_ -= step.tasks.size();
+    }
     jobs_.erase(found);
 }
 
--- a/src/core/dispatch/job_coordinator.hpp
+++ b/src/core/dispatch/job_coordinator.hpp
@@ -152,6 +152,8 @@
     void abandon_all(timestamp now, std::string_view reason);
 
     [[nodiscard]] std::size_t job_count() const { return jobs_.size(); }
+    // Tasks of all open jobs, ended ones included. Not thread-safe.
+    [[nodiscard]] std::size_t task_count() const { return task_count_; }
     // The holders that tasks of open jobs are placed with.
     [[nodiscard]] std::set<process_id> holders() const;
     [[nodiscard]] std::vector<job_summary> summaries(timestamp now) const;
@@ -344,6 +346,7 @@
     observer_port& observer_;
     coordinator_events& events_;
     std::map<std::string, job_state> jobs_;
+    std::size_t task_count_ = 0; // of `jobs_`
     std::map<caller_token, std::string> job_of_caller_;
     std::map<std::string, cached_answer> cached_answers_;
     std::map<std::string, former_runs> former_runs_;
