Bytes that nobody has read are bounded and count

What callers saw: nothing yet; the platform counts bytes that were received and not read toward a process's limit of memory. A stopped host with memory_mb = 64 had 77 to 88 MB of them when 700 connections sent bodies, 93 and 103 MB together with its own memory, and 95 and 113 MB once it went on (unread_bytes_whole, _small_chunks).

Cause: nothing bounded the receive buffers of callers' connections: the kernel let each grow, up to 1,024 connections that nobody had accepted included.

Change: connections of callers take over a receive buffer of 16 KB from the listening socket, of which the kernel makes 32 KB. A connection counts for 68 KB in place of 36.

Evidence: both tests failed before and pass, two runs each: 17 MB while the host is stopped, 1.3 of them unread, and 32 MB at most afterwards (bound 64). hostile_clients_whole, _pieces and _small_chunks pass: peak 38 to 42 MB.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -115,7 +115,13 @@
 }
 
 absl::Status http_server::start(const std::string& address) {
-    const auto listener = listen_on(address);
+    listen_options options;
+    if (limits_clients_) {
+        options.receive_buffer_bytes = receive_buffer_bytes;
+        options.backlog = static_cast<int>(std::max<std::size_t>(
+            1, server_limits_.max_connections / backlog_divisor));
+    }
+    const auto listener = listen_on(address, options);
     if (!listener.ok()) {
         return listener.status();
     }
--- a/src/adapters/http_server.hpp
+++ b/src/adapters/http_server.hpp
@@ -58,10 +58,21 @@
     std::size_t held_bytes = std::numeric_limits<std::size_t>::max();
 };
 
+// The receive buffer of a connection whose clients are limited. Bytes that the
+// kernel has received and nobody has read count as memory of the process; the
+// kernel keeps up to twice the size that it is given.
+constexpr int receive_buffer_bytes = 16 * 1024;
+constexpr std::size_t max_unread_bytes = std::size_t{2} * receive_buffer_bytes;
+
 // What a connection counts for: libmicrohttpd's memory pool for it, its other
-// state, and copies of the header's fields.
+// state, copies of the header's fields, and what it has not read.
 constexpr std::size_t connection_pool_bytes = std::size_t{32} * 1024;
-constexpr std::size_t connection_bytes = connection_pool_bytes + 4096;
+constexpr std::size_t connection_bytes =
+    connection_pool_bytes + 4096 + max_unread_bytes;
+
+// Of the connections that a server allows, a fourth as many may wait to be
+// accepted; their unread bytes count as well.
+constexpr std::size_t backlog_divisor = 4;
 
 // Why a request was refused or its connection closed by a limit.
 enum class limit_cause {
--- a/src/adapters/socket_address.cpp
+++ b/src/adapters/socket_address.cpp
@@ -13,7 +13,6 @@
 namespace figridge {
 namespace {
 
-constexpr int listen_backlog = 1024;
 constexpr int max_port = 65535;
 
 } // namespace
@@ -44,7 +43,8 @@
     return address;
 }
 
-absl::StatusOr<int> listen_on(std::string_view address) {
+absl::StatusOr<int> listen_on(std::string_view address,
+                              const listen_options& options) {
     const auto parsed = parse_socket_address(address);
     if (!parsed.ok()) {
         return parsed.status();
@@ -56,9 +56,15 @@
     }
     const int on = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (options.receive_buffer_bytes > 0) {
+        // Accepted connections take it over.
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF,
+                   &options.receive_buffer_bytes,
+                   sizeof(options.receive_buffer_bytes));
+    }
     const auto* raw = reinterpret_cast<const sockaddr*>(&*parsed);
     if (bind(descriptor, raw, sizeof(*parsed)) != 0 ||
-        listen(descriptor, listen_backlog) != 0) {
+        listen(descriptor, options.backlog) != 0) {
         const auto error = absl::UnavailableError(
             absl::StrCat("can't listen: ", strerror(errno)));
         close(descriptor);
