Callers that read no answers can't shut others out

Cause: a connection whose request is being handled was never closed, and such callers always have one.

Change: when connections are short, those are closed first whose answers were not received at two checks, 250 ms apart, and last those that have sent a next request while one is handled; new connections come after both. They get no refusal, as the request may have run, and their job ends as if the caller had left. Callers that wait for each answer are closed as before. The checks are made while over half of the allowed connections are open.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -4,6 +4,8 @@
 #include <cerrno>
 #include <tuple>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -37,6 +39,8 @@
     {limit_cause::slow_body, "slow_body"},
     {limit_cause::slow_connection, "slow_connection"},
     {limit_cause::no_connection, "no_connection"},
+    {limit_cause::unread_answers, "unread_answers"},
+    {limit_cause::requests_in_a_row, "requests_in_a_row"},
 }};
 
 enum class socket_state { idle, readable, closed };
@@ -224,6 +228,7 @@
     auto& open = server->connections_[connection];
     open.since = event_loop::now();
     open.header_started_at = open.since;
+    open.has_next_request = false;
     server->apply_idle_timeout(connection);
     auto* created = new exchange;
     created->connection = connection;
@@ -238,6 +243,9 @@
         open.received_before = std::exchange(open.received, 0);
         if (limits_clients_) {
             close_abandoned_body(open);
+            if (connections_.size() > allowed_connections() / 2) {
+                check_answers(open);
+            }
         }
         if (!open.header_started_at ||
             event_loop::now() - *open.header_started_at <
@@ -394,6 +402,7 @@
     }
     if (state == socket_state::readable) {
         // The caller has sent its next request; it is read after this one.
+        held.open->has_next_request = true;
         held.disconnect_watcher->set_events(0);
         return;
     }
@@ -561,26 +570,69 @@
     return held_bytes_ <= limit - bytes;
 }
 
-// Keeps some connections free for new ones. Those whose request is being
-// handled stay open.
-void http_server::make_room_for_connection(open_connection& opened) {
+std::size_t http_server::allowed_connections() const {
     const auto freed = std::max<std::size_t>(1, server_limits_.max_connections /
                                                     freed_connections_divisor);
-    const auto allowed = server_limits_.max_connections - freed;
+    return server_limits_.max_connections - freed;
+}
+
+void http_server::check_answers(open_connection& open) {
+    const auto* info = MHD_get_connection_info(
+        open.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    int unsent = 0;
+    const bool has_unsent = info != nullptr &&
+                            ioctl(info->connect_fd, SIOCOUTQ, &unsent) == 0 &&
+                            unsent > 0;
+    open.answers_unread =
+        std::exchange(open.has_unsent, has_unsent) && has_unsent;
+}
+
+http_server::closing_order http_server::order_of(const open_connection& open,
+                                                 timestamp now) {
+    if (open.answers_unread) {
+        return closing_order::answers_unread;
+    }
+    if (open.current != nullptr && open.current->handler_called) {
+        return open.has_next_request ? closing_order::next_request_sent
+                                     : closing_order::kept;
+    }
+    return now - open.since < housekeeping_interval
+               ? closing_order::young
+               : closing_order::not_handled;
+}
+
+// Keeps some connections free for new ones. A connection whose request is being
+// handled stays open, unless its caller reads no answers or sends requests
+// without waiting for them: such callers could hold all connections for good.
+void http_server::make_room_for_connection(open_connection& opened) {
+    const auto allowed = allowed_connections();
     if (connections_.size() - closing_connections_ <= allowed) {
         return;
     }
-    std::size_t closed = 0;
-    for (auto* open : slowest_first([&opened](const open_connection& one) {
-             return &one != &opened &&
-                    (one.current == nullptr || !one.current->handler_called);
-         })) {
-        close_connection(*open, limit_cause::slow_connection);
-        if (++closed >= freed) {
-            break;
+    const auto now = event_loop::now();
+    auto candidates = slowest_first([&opened, now](const open_connection& one) {
+        return &one != &opened && order_of(one, now) != closing_order::kept;
+    });
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [now](const auto* left, const auto* right) {
+                         return order_of(*left, now) < order_of(*right, now);
+                     });
+    const auto freed = server_limits_.max_connections - allowed;
+    candidates.resize(std::min(candidates.size(), freed));
+    for (auto* open : candidates) {
+        const auto order = order_of(*open, now);
+        const auto cause = order == closing_order::answers_unread
+                               ? limit_cause::unread_answers
+                           : order == closing_order::next_request_sent
+                               ? limit_cause::requests_in_a_row
+                               : limit_cause::slow_connection;
+        if (open->current != nullptr && open->current->handler_called) {
+            close_handled(*open, cause);
+        } else {
+            close_connection(*open, cause);
         }
     }
-    if (closed == 0) {
+    if (candidates.empty()) {
         close_connection(opened, limit_cause::no_connection);
     }
 }
@@ -634,6 +686,26 @@
     }
 }
 
+// No refusal is sent, as the request may have run. Its handler is told that the
+// caller has gone.
+void http_server::close_handled(open_connection& open, limit_cause cause) {
+    note_limit(cause);
+    open.closing = true;
+    ++closing_connections_;
+    const auto* info = MHD_get_connection_info(
+        open.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info != nullptr) {
+        shutdown(info->connect_fd, SHUT_RDWR);
+    }
+    const auto token = open.current->request.token;
+    if (held_.contains(token)) {
+        abort(token);
+        if (on_disconnect_) {
+            on_disconnect_(token);
+        }
+    }
+}
+
 void http_server::note_limit(limit_cause cause) {
     ++unreported_limits_.at(static_cast<std::size_t>(cause));
     if (on_limit) {
--- a/src/adapters/http_server.hpp
+++ b/src/adapters/http_server.hpp
@@ -82,8 +82,12 @@
     slow_body,          // closed: slowest when memory was short
     slow_connection,    // closed: slowest when connections were short
     no_connection,      // closed at once: all others were being served
+    unread_answers,     // closed, when connections were short: its answers
+                        // were not read
+    requests_in_a_row,  // closed, when connections were short: it had sent its
+                        // next request before the answer
 };
-constexpr std::size_t limit_cause_count = 6;
+constexpr std::size_t limit_cause_count = 8;
 std::string_view to_string(limit_cause cause);
 
 struct http_response {
@@ -178,9 +182,24 @@
         // one before it.
         std::size_t received = 0;
         std::size_t received_before = 0;
+        // Whether parts of answers were not received by the caller's machine
+        // at the last check, and at the last two.
+        bool has_unsent = false;
+        bool answers_unread = false;
+        // The next request has come while one is being handled.
+        bool has_next_request = false;
         bool closing = false;
     };
 
+    // Which connections are closed when they are short, the first ones first.
+    enum class closing_order {
+        answers_unread,
+        not_handled, // idle, or its request is not complete
+        next_request_sent,
+        young, // not handled, too young for its progress to be known
+        kept,
+    };
+
     static void* on_request_line(void* self, const char* uri,
                                  MHD_Connection* connection);
     static void on_connection(void* self, MHD_Connection* connection,
@@ -211,6 +230,13 @@
     bool make_room(const exchange& asking, std::size_t bytes,
                    bool is_small_request);
     void make_room_for_connection(open_connection& opened);
+    [[nodiscard]] std::size_t allowed_connections() const;
+    // Notes whether the caller receives its answers.
+    static void check_answers(open_connection& open);
+    [[nodiscard]] static closing_order order_of(const open_connection& open,
+                                                timestamp now);
+    // Precondition: the request of the connection is being handled.
+    void close_handled(open_connection& open, limit_cause cause);
     std::vector<open_connection*>
     slowest_first(const std::function<bool(const open_connection&)>& wanted);
     MHD_Result refuse_and_close(exchange& held, limit_cause cause);
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -26,7 +26,7 @@
                                bodies.push_back(request.body.size());
                                tokens.push_back(request.token);
                            },
-                           [](http_token) {}) {
+                           [this](http_token) { ++disconnects; }) {
         server.limit_clients({connections, 24 * connection_bytes});
         connection_limits limits;
         limits.max_body_bytes = max_body;
@@ -83,6 +83,7 @@
     std::vector<http_token> tokens;
     std::vector<limit_cause> causes;
     std::vector<int> callers;
+    std::ptrdiff_t disconnects = 0;
     http_server server;
 };
 
@@ -209,6 +210,47 @@
     BOOST_TEST(limited.server.held_requests() == 15U);
 }
 
+// Guards against callers that hold all connections by sending their next
+// requests before they have an answer.
+BOOST_AUTO_TEST_CASE(callers_that_send_on_are_closed_for_new_connections) {
+    limited_server limited("127.0.0.1:24911");
+    // More than is read ahead.
+    const auto row = limited_server::post(2, 2) +
+                     limited_server::post(max_body, max_body / 2);
+    for (int i = 0; i < 15; ++i) {
+        limited.open(row);
+    }
+    BOOST_REQUIRE(limited.bodies.size() == 15U);
+    limited.open(limited_server::post(7, 7));
+    limited.loop.run_for(20ms);
+    BOOST_TEST(limited.count(limit_cause::requests_in_a_row) > 0);
+    BOOST_REQUIRE(limited.bodies.size() == 16U);
+    BOOST_TEST(limited.bodies.back() == 7U);
+    BOOST_TEST(limited.disconnects ==
+               limited.count(limit_cause::requests_in_a_row));
+}
+
+// Guards against callers that hold all connections by not reading answers.
+BOOST_AUTO_TEST_CASE(callers_that_read_no_answers_are_closed_first) {
+    limited_server limited("127.0.0.1:24912");
+    for (int i = 0; i < 8; ++i) {
+        limited.open(limited_server::post(2, 2));
+        http_response response;
+        response.body.assign(std::size_t{16} << 20U, 'x');
+        limited.server.respond(limited.tokens.back(), std::move(response));
+    }
+    limited.loop.run_for(800ms); // some checks
+    for (int i = 0; i < 7; ++i) {
+        limited.open("POST /a HT");
+    }
+    BOOST_REQUIRE(limited.causes.empty());
+    limited.open(limited_server::post(7, 7));
+    limited.loop.run_for(20ms);
+    BOOST_TEST(limited.count(limit_cause::unread_answers) == 1);
+    BOOST_TEST(limited.causes.size() == 1U);
+    BOOST_TEST(limited.bodies.back() == 7U);
+}
+
 // Guards against memory that is held for callers that have gone: the end of a
 // connection that arrives with its last data is not reported again.
 BOOST_AUTO_TEST_CASE(body_of_a_caller_that_has_gone_is_dropped) {
