Tasks placed again share an assignment, links give buffers back

Cause, from the memory of the process: 2.6 MB of one message with 640 copies of 4,000 bytes. A holder returns tasks one by one, each is placed again at once, and each assignment carries the payload of its job. The link's buffer and the receiver's unpacker keep the size of their largest message.

Change: an assignment of a job that waits for the same holder takes the further tasks of the job.

Evidence: the test of the dispatcher fails before.

--- a/src/adapters/peer_transport.cpp
+++ b/src/adapters/peer_transport.cpp
@@ -246,6 +246,9 @@
         if (link.offset_ == link.buffer_.size()) {
             link.buffer_.clear();
             link.offset_ = 0;
+            if (link.buffer_.capacity() > initial_buffer_bytes) {
+                link.buffer_.shrink_to_fit();
+            }
             if (link.overflowed_) {
                 link.flush_pending_ = true;
                 link.timer_.start_once(duration{0});
@@ -304,9 +307,12 @@
             std::memcpy(unpacker_.buffer(), data, length);
             unpacker_.buffer_consumed(length);
             msgpack::object_handle handle;
+            largest_unparsed_ =
+                std::max(largest_unparsed_, unpacker_.nonparsed_size());
             while (unpacker_.next(handle)) {
                 transport_.events_.on_message(handle.get());
             }
+            release_buffer();
         } catch (const std::exception& error) {
             log_event(log_level::warning, "peer_message_unreadable",
                       {{"error", error.what()}});
@@ -316,9 +322,22 @@
         return over_limit ? NGHTTP2_ERR_CALLBACK_FAILURE : 0;
     }
 
+    // An unpacker keeps the buffer that its largest message needed.
+    void release_buffer() {
+        if (largest_unparsed_ > initial_buffer_bytes &&
+            unpacker_.nonparsed_size() == 0) {
+            largest_unparsed_ = 0;
+            unpacker_ = make_unpacker();
+        }
+    }
+
+    static msgpack::unpacker make_unpacker() {
+        return {nullptr, nullptr, initial_buffer_bytes, envelope_limits()};
+    }
+
     peer_transport& transport_;
-    msgpack::unpacker unpacker_{nullptr, nullptr, initial_buffer_bytes,
-                                envelope_limits()};
+    msgpack::unpacker unpacker_ = make_unpacker();
+    std::size_t largest_unparsed_ = 0;
     bool closed_ = false;
     http2_connection connection_;
 };
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -686,10 +686,24 @@
     return known ? found->second.echoed_at : timestamp{0};
 }
 
+// Tasks that are placed again one by one go with the job's other tasks: each
+// assignment carries the payload of the job.
 void dispatcher::send_assignment(const process_id& holder,
                                  const task_assignment& assignment) {
-    if (auto* pending = outbox(holder)) {
+    auto* pending = outbox(holder);
+    if (pending == nullptr) {
+        return;
+    }
+    const auto same_job =
+        std::find_if(pending->assignments.rbegin(), pending->assignments.rend(),
+                     [&assignment](const task_assignment& earlier) {
+                         return earlier.job == assignment.job;
+                     });
+    if (same_job == pending->assignments.rend()) {
         pending->assignments.push_back(assignment);
+    } else {
+        same_job->items.insert(same_job->items.end(), assignment.items.begin(),
+                               assignment.items.end());
     }
 }
 
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -147,6 +147,39 @@
     BOOST_TEST(assignment_count() == 2U);
 }
 
+// Each assignment carries the payload of its job, up to 4,000 bytes.
+BOOST_AUTO_TEST_CASE(tasks_returned_together_are_sent_in_one_assignment) {
+    envelope message;
+    message.from = {"10.1.0.2:1", 12};
+    message.failure_domain = "domain-1";
+    message.to_incarnation = 99;
+    message.stamp_us = now.count();
+    message.echo_us = now.count();
+    message.about = {1, false,  0.25,   1,  16'000, 0,
+                     0, 16'000, 32'768, {}, true,   {}};
+    core.handle_envelope(now, message);
+    const auto job = make_job("0123456789abcdef", 4);
+    core.submit(now, 1, job);
+    peers.sent.clear();
+    now += 10ms;
+    message.sequence = 1;
+    message.stamp_us = now.count();
+    message.ack = 1;
+    for (std::uint32_t i = 0; i < 4; ++i) {
+        message.content.updates.push_back(
+            {{{job.work.id, 0, i}, 1}, update_kind::returned, {}, 0});
+    }
+    core.handle_envelope(now, message);
+    std::vector<std::size_t> sent;
+    for (const auto& [address, reply] : peers.sent) {
+        for (const auto& assignment : reply.content.assignments) {
+            sent.push_back(assignment.items.size());
+        }
+    }
+    BOOST_TEST(sent == std::vector<std::size_t>{4},
+               boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(takeover_with_a_lost_reply_is_completed_by_its_row) {
     BOOST_REQUIRE(store.writes.size() == 1U);
     core.handle_write_result(now, store.writes.back().first,
