Holder test ends the runs of the endpoints that it holds

The address sanitizer found that the test of tasks beyond those that a holder takes ended the runs of eight endpoints, of which the fixture holds two, and so read past the recorded calls. Its checks are the same. Not run before landing.

--- a/tests/dispatch/endpoint_holder_test.cpp
+++ b/tests/dispatch/endpoint_holder_test.cpp
@@ -1351,7 +1351,9 @@
     advert about;
     holder.fill(about);
     BOOST_TEST(about.task_room == 0U);
-    end_all_runs();
+    answer_starts();
+    end_runs("endpoint-1");
+    end_runs("endpoint-2");
     holder.fill(about);
     BOOST_TEST(about.task_room ==
                settings.max_held_tasks - holder.held_tasks());
