--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -17,6 +17,7 @@
 
 $compile review/caller_3.cpp -o "$out/caller"
 $compile review/proxy_3.cpp -o "$out/proxy"
+$compile review/gate_3.cpp -o "$out/gate"
 objects=""
 for source in testing/platform/job_callers.cpp \
     testing/platform/leased_endpoint.cpp testing/platform/system_main.cpp \
--- a/review/common-3.sh
+++ b/review/common-3.sh
@@ -4,7 +4,9 @@
 # the project's stand-in of the users' platform (store and workers).
 #
 # Set before `deployment_start`: hosts, endpoints, zones. With `proxied=yes` the
-# hosts reach the store through review/proxy_3.cpp.
+# hosts reach the store through review/proxy_3.cpp; with `cut_host` (an index)
+# they reach each other through review/gate_3.cpp, and SIGUSR1 to `cut_pid` cuts
+# this one off from the others.
 
 case_dir=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
 record=$case_dir/record.txt
@@ -12,7 +14,7 @@
 work=""
 declare -A host_pid=()
 system_pid=""
-proxy_pid=""
+proxy_pids=()
 declare -A worker_pid=()
 
 can_not_run() { echo "can't run: $1" | tee -a "$record"; exit 2; }
@@ -28,12 +30,12 @@
 deployment_stop() {
     local pid
     for pid in "${host_pid[@]}" "${worker_pid[@]}" $system_pid \
-        $proxy_pid; do
+        "${proxy_pids[@]}"; do
         kill -CONT "$pid" 2>/dev/null
         kill -KILL "$pid" 2>/dev/null
     done
     wait 2>/dev/null
-    host_pid=() worker_pid=() system_pid="" proxy_pid=""
+    host_pid=() worker_pid=() system_pid="" proxy_pids=()
     [ -z "$work" ] || [ -n "${KEEP:-}" ] || rm -rf "$work"
     work=""
 }
@@ -59,6 +61,9 @@
         -e "s|{{limits.memory-mb}}|260|" \
         -e "s|{{limits.max-fds}}|4100|" \
         deploy/settings.ini.in >"$work/host$1.ini"
+    [ -z "${cut_host:-}" ] || sed -i \
+        "s|^\[peers\]|&\nlisten = 127.0.0.1:$(($(host_port "$1") + 1000))|" \
+        "$work/host$1.ini"
 }
 
 start_host() { # index
@@ -67,9 +72,10 @@
 }
 
 # Starts a worker as a process of its own, of this kind; its log goes on.
-start_worker() { # index, zone, kind
+start_worker() { # index, zone, kind, address in its entry (the own one)
     target/review-3/worker "worker-$1" "127.0.0.1:$((base_port + 45 + $1))" \
-        "$2" "$3" "127.0.0.1:$base_port" >>"$work/system.log" 2>&1 &
+        "$2" "$3" "127.0.0.1:$base_port" ${4:+"$4"} \
+        >>"$work/system.log" 2>&1 &
     worker_pid[$1]=$!
 }
 kill_worker() { # index
@@ -91,7 +97,7 @@
     work=$(mktemp -d)
     trap deployment_stop EXIT
     for tries in 1 2 3 4 5 6 7 8; do
-        base_port=$((30100 + RANDOM % 40 * 60))
+        base_port=$((30100 + RANDOM % 25 * 60))
         is_free $base_port && is_free $((base_port + 10)) &&
             is_free $((base_port + 40)) && break
     done
@@ -106,7 +112,17 @@
         store=127.0.0.1:$((base_port + 2))
         target/review-3/proxy "$store=127.0.0.1:$base_port" \
             >"$work/proxy.log" 2>&1 &
-        proxy_pid=$!
+        proxy_pids+=($!)
+    fi
+    if [ -n "${cut_host:-}" ]; then
+        links=()
+        for ((i = 0; i < hosts; i++)); do
+            links+=("$(host_control "$i")=127.0.0.1:$(($(host_port "$i") + 1000))")
+        done
+        target/review-3/gate --cut "$(host_port "$cut_host")" "${links[@]}" \
+            >"$work/cut.log" 2>&1 &
+        cut_pid=$!
+        proxy_pids+=($cut_pid)
     fi
     if declare -F start_workers >/dev/null; then start_workers; fi
     for ((i = 0; i < hosts; i++)); do
@@ -124,7 +140,7 @@
 # "UNIX-MS run_started|run_ended TASK RUN WORKER HOW".
 runs_of() { # job id
     local line at
-    grep -E " (msg|event)?=?run_(started|ended) .*task=$1\." \
+    grep -E " (msg|event)?=?run_(started|ended) .*task=$1" \
         "$work/system.log" | while read -r line; do
         at=$(date -d "$(sed 's/^ts=\([^ ]*\).*/\1/' <<<"$line")" +%s%3N)
         echo "$at $(grep -oE 'run_(started|ended)' <<<"$line" | head -1)" \
--- a/review/worker_3.cpp
+++ b/review/worker_3.cpp
@@ -6,6 +6,7 @@
 //
 // KIND is the first of its labels, SHOWN the address in its entry, if it is
 // another one. Runs until it is killed.
+#include <csignal>
 #include <iostream>
 
 #include <absl/strings/str_cat.h>
@@ -21,6 +22,8 @@
         std::cerr << "usage: worker ID ADDRESS ZONE KIND STORE [SHOWN]\n";
         return 2;
     }
+    // A connection may end while it is written to.
+    std::signal(SIGPIPE, SIG_IGN);
     const std::string kind = argv[4];
     const std::string store = argv[5];
     start_log("info", log_stream::standard_output);
