A start goes only to an instance that has answered on its connection

Cause: a start's deadline is on the clock of the instance that the holder read last. An idle endpoint had restarted under its id 0.08 s before; its holder was cut off from the other hosts and had not noticed that yet. The start opened a connection (event=start_call_failed connects=1) to the later instance, on whose clock the deadline lay far ahead and which had seen no token. It left the start unanswered and carried it out 3.9 s later, beside the run that the other side of the cut had started when the job came again.

Ruled out: that the other side lost a report. start_in_doubt was logged by the cut-off host only; its messages did not leave the cut.

Change: a connection ends with the process at its other end, so one on which an instance has answered a list leads to no later one. The HTTP client knows which process each connection leads to (connection_table), and sends a start on no other connection: not_connected, nothing sent. A session whose port has no free connection to the known instance asks for a list first, and starts once that is answered, on the same connection. No host, timing or fault is special-cased.

Elsewhere a start still reaches a later instance, as if it had been passed on before, so that the tests of docs/design/starts.md stay as strict as they were; order_search_late_start_in_a_cut is one and stays red.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -4,6 +4,8 @@
 #include <cstring>
 
 #include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace figridge {
 namespace {
@@ -86,7 +88,12 @@
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, upload_buffer_bytes);
-    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &check_time_limit);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &open_socket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, open.get());
+    // Kept by the connections that are opened for the call.
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &close_socket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &check_request);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, open.get());
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_response_data);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, open.get());
@@ -115,6 +122,7 @@
     open->server = parse_server(sent.url);
     auto& server = servers_[open->server];
     ++server.open;
+    ++server.unconnected;
     open->in_multi =
         allowed_.server_calls == 0 || server.open <= allowed_.server_calls;
     open->limit = open->sent_at;
@@ -129,19 +137,58 @@
     }
 }
 
-int http_client::check_time_limit(void* checked, char* /*remote_address*/,
-                                  char* /*local_address*/, int /*remote_port*/,
-                                  int /*local_port*/) {
+bool http_client::has_free_connection(const std::string& server,
+                                      std::int64_t process) const {
+    const auto calls = servers_.find(server);
+    const auto waiting =
+        calls == servers_.end() ? 0 : calls->second.unconnected;
+    return connections_.count_free(server, process) > waiting;
+}
+
+curl_socket_t http_client::open_socket(void* opening, curlsocktype /*purpose*/,
+                                       curl_sockaddr* address) {
+    auto& open = *static_cast<transfer*>(opening);
+    const auto opened =
+        socket(address->family, address->socktype, address->protocol);
+    if (opened >= 0) {
+        open.client->connections_.open(opened);
+        open.opened = opened;
+    }
+    return opened;
+}
+
+int http_client::close_socket(void* self, curl_socket_t socket) {
+    static_cast<http_client*>(self)->connections_.close(socket);
+    return ::close(socket);
+}
+
+void http_client::use_connection(transfer& open, int local_port) {
+    if (!std::exchange(open.connected, true)) {
+        --servers_.at(open.server).unconnected;
+    }
+    open.connection = connections_.begin_use(
+        std::exchange(open.opened, std::nullopt), open.server, local_port);
+}
+
+int http_client::check_request(void* checked, char* /*remote_address*/,
+                               char* /*local_address*/, int /*remote_port*/,
+                               int local_port) {
     auto& open = *static_cast<transfer*>(checked);
     const auto now = event_loop::now();
+    auto& client = *open.client;
+    client.use_connection(open, local_port);
     if (now - open.sent_at >= open.call.timeout) {
         return CURL_PREREQFUNC_ABORT;
     }
+    const auto& wanted = open.call.server_process;
+    if (wanted && client.connections_.process_of(open.connection) != wanted) {
+        open.not_connected = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
     open.requested_at = now;
     if (open.call.answer_timeout > duration{0}) {
-        open.client->set_limit(
-            open.easy, open,
-            std::min(open.limit, now + open.call.answer_timeout));
+        client.set_limit(open.easy, open,
+                         std::min(open.limit, now + open.call.answer_timeout));
     }
     return CURL_PREREQFUNC_OK;
 }
@@ -354,18 +401,25 @@
         // The attempt that could not connect may have followed one that sent
         // the request on a reused connection.
         result.failure = describe_failure(easy, code, *ended);
-        result.outcome =
-            code == CURLE_COULDNT_CONNECT && result.failure.bytes_sent == 0
-                ? http_outcome::not_sent
-                : http_outcome::lost;
+        const bool unsent = result.failure.bytes_sent == 0;
+        if (unsent && code == CURLE_COULDNT_CONNECT) {
+            result.outcome = http_outcome::not_sent;
+        } else if (unsent && ended->not_connected) {
+            result.outcome = http_outcome::not_connected;
+        }
     }
+    result.connection = ended->connection;
     result.body = std::move(ended->response_body);
     if (ended->in_multi) {
         curl_multi_remove_handle(multi_, easy);
     }
+    connections_.end_use(ended->connection);
     curl_slist_free_all(ended->headers);
     release_handle(easy, code);
     const auto server = servers_.find(ended->server);
+    if (!ended->connected) {
+        --server->second.unconnected;
+    }
     if (ended->late) {
         --late_calls_;
         --server->second.late;
--- a/src/adapters/http_client.hpp
+++ b/src/adapters/http_client.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -20,6 +21,7 @@
 
 #include <curl/curl.h>
 
+#include "connection_table.hpp"
 #include "event_loop.hpp"
 
 namespace figridge {
@@ -36,12 +38,16 @@
     // Called with the time of an answer that came after the time limit and was
     // discarded (`http_limits::late_answer_time`). May be empty.
     std::function<void(duration)> on_late_answer = nullptr;
+    // The request is sent only on a connection to this process of the server,
+    // see `set_server_process()`; otherwise the call ends as `not_connected`.
+    std::optional<std::int64_t> server_process = std::nullopt;
 };
 
 enum class http_outcome {
     answered,
-    not_sent, // nothing was sent: no connection could be made
-    lost,     // no response, but the server may have received the request
+    not_sent,      // nothing was sent: no connection could be made
+    not_connected, // nothing was sent: no connection to `server_process`
+    lost,          // no response, but the server may have received the request
 };
 
 // Why a call ended without an answer. The bytes sent are the sum over all
@@ -78,8 +84,9 @@
     http_outcome outcome = http_outcome::lost;
     int status = 0;
     std::string body;
-    duration answer_time{0}; // from when the request was sent; if answered
-    http_failure failure;    // empty if the call was answered
+    duration answer_time{0};      // from when the request was sent; if answered
+    http_failure failure;         // empty if the call was answered
+    std::uint64_t connection = 0; // its number, 0 if it is not known
 };
 
 // Not thread-safe. The handlers of calls that are open at destruction are not
@@ -97,6 +104,18 @@
     // paused.
     void send(http_call call, handler done);
 
+    // The process at the other end of a connection, as an answer on it named
+    // that. Ignored if the connection was closed. Not thread-safe.
+    void set_server_process(std::uint64_t connection, std::int64_t process) {
+        connections_.set_process(connection, process);
+    }
+    // Whether a call to this process of the server (ip:port) would be sent at
+    // once: more connections to it are free than calls wait for one. False only
+    // if it is known; the end of a free connection is noticed when it is used.
+    // Not thread-safe.
+    [[nodiscard]] bool has_free_connection(const std::string& server,
+                                           std::int64_t process) const;
+
     // Calls whose handler has not been called.
     [[nodiscard]] std::size_t open_calls() const {
         return open_.size() - late_calls_;
@@ -106,6 +125,7 @@
     struct server_calls {
         std::size_t open = 0;
         std::size_t late = 0; // whose handler was called at the time limit
+        std::size_t unconnected = 0; // which have not used a connection
     };
 
     struct transfer {
@@ -125,16 +145,26 @@
         curl_slist* headers = nullptr;
         timestamp sent_at{0};
         curl_socket_t socket = CURL_SOCKET_BAD;
+        // Created for this call, and no request was sent on it.
+        std::optional<curl_socket_t> opened;
+        std::uint64_t connection = 0; // that it used last
+        bool connected = false;       // has used a connection
+        bool not_connected = false;   // see `http_outcome`
         std::array<char, CURL_ERROR_SIZE> error{};
     };
 
     static int on_socket(CURL* easy, curl_socket_t socket, int what, void* self,
                          void* socket_data);
     static int on_timer(CURLM* multi, long timeout_ms, void* self);
+    static curl_socket_t open_socket(void* opening, curlsocktype purpose,
+                                     curl_sockaddr* address);
+    static int close_socket(void* self, curl_socket_t socket);
     // Called by libcurl once there is a connection, before it sends a request.
-    static int check_time_limit(void* checked, char* remote_address,
-                                char* local_address, int remote_port,
-                                int local_port);
+    static int check_request(void* checked, char* remote_address,
+                             char* local_address, int remote_port,
+                             int local_port);
+    // Notes which connection the call is about to use.
+    void use_connection(transfer& open, int local_port);
     static std::size_t on_response_data(char* data, std::size_t size,
                                         std::size_t count, void* target);
     static std::size_t read_request_body(char* data, std::size_t size,
@@ -167,6 +197,7 @@
     std::map<curl_socket_t, std::unique_ptr<io_watcher>> sockets_;
     std::map<CURL*, std::unique_ptr<transfer>> open_;
     std::map<std::string, server_calls> servers_; // with open calls
+    connection_table connections_;
     std::size_t late_calls_ = 0;
     // The time limits of the open calls, or of the wait for a late answer.
     std::set<std::pair<timestamp, CURL*>> limits_;
--- a/src/core/dispatch/endpoint_session.cpp
+++ b/src/core/dispatch/endpoint_session.cpp
@@ -215,7 +215,8 @@
 }
 
 bool endpoint_session::confirm_instance(timestamp now) {
-    const bool confirmed = !confirms_starts() || answered_at_ == now;
+    const bool confirmed = (!confirms_starts() || answered_at_ == now) &&
+                           port_.is_connected(target(), answered_started_ms_);
     if (!confirmed && !list_call_) {
         request_list(now);
     }
@@ -389,6 +390,8 @@
         last_call_refused_ = false;
         ++failed_calls_;
         return false;
+    case call_status::not_connected:
+        return false; // says nothing about the endpoint
     default:
         failed_calls_ = 0;
         refusing_since_.reset();
@@ -816,7 +819,8 @@
     latest_deadline_ms_ =
         std::max(latest_deadline_ms_, entry.lease_deadline_ms);
     const auto& entered = ledger_.enter(std::move(entry));
-    port_.start({target(), entered.run, payload, entered.lease_deadline_ms});
+    port_.start({target(), entered.run, payload, entered.lease_deadline_ms,
+                 answered_started_ms_});
 }
 
 void endpoint_session::handle_start(timestamp now, const task_run& run,
--- a/src/core/dispatch/endpoint_session.hpp
+++ b/src/core/dispatch/endpoint_session.hpp
@@ -9,7 +9,8 @@
 // An endpoint that restarts under the same id is a new instance; it knows
 // neither the runs nor the tokens of the former one, and may have other labels.
 // Its own answers show that it began, its entry in the platform's list what it
-// is: tasks wait for both.
+// is: tasks wait for both. A start goes only to the instance whose clock was
+// read, on a connection on which that has answered.
 #ifndef FIGRIDGE_CORE_DISPATCH_ENDPOINT_SESSION_HPP
 #define FIGRIDGE_CORE_DISPATCH_ENDPOINT_SESSION_HPP
 
@@ -126,9 +127,10 @@
     // This process hears all hosts again. Asks the endpoint for a list of its
     // runs, so that it is in normal use soon. Not thread-safe.
     void accept_later_instances(timestamp now);
-    // Whether a start may be sent now: always, unless later instances are
-    // rejected. Then the known instance must have answered in this input; if it
-    // has not, asks it for a list of its runs, whose answer is an input.
+    // Whether a start may be sent now: a connection to the known instance is
+    // free, and if later instances are rejected, that one has answered in this
+    // input. If not, asks for a list of its runs, whose answer is an input: its
+    // connection leads to the instance that has answered.
     // Precondition: `accepts_tasks()`. Not thread-safe.
     bool confirm_instance(timestamp now);
     // Whether a start needs an answer in the same input. Not thread-safe.
--- a/src/core/dispatch/names.cpp
+++ b/src/core/dispatch/names.cpp
@@ -23,7 +23,7 @@
     {crash_evidence::ended, "ended"},
 }};
 
-constexpr name_table<call_status, 10> call_status_names{{
+constexpr name_table<call_status, 11> call_status_names{{
     {call_status::ok, "ok"},
     {call_status::stale_token, "stale_token"},
     {call_status::outdated_run, "outdated_run"},
@@ -33,6 +33,7 @@
     {call_status::unavailable, "unavailable"},
     {call_status::rejected, "rejected"},
     {call_status::not_sent, "not_sent"},
+    {call_status::not_connected, "not_connected"},
     {call_status::unanswered, "unanswered"},
 }};
 
--- a/src/core/dispatch/ports.hpp
+++ b/src/core/dispatch/ports.hpp
@@ -25,6 +25,7 @@
     unavailable,    // refused temporarily; no effect
     rejected,       // refused permanently; no effect
     not_sent,       // connection failed; no effect
+    not_connected,  // no connection to the named instance; no effect
     unanswered,     // may have taken effect, or may do so later
 };
 
@@ -35,11 +36,16 @@
     std::uint64_t token = 0;
 };
 
+// A start is sent only on a connection on which the instance that began at
+// `instance_started_ms` has answered a hold call: the deadline means nothing on
+// the clock of a later instance, which has not seen the token of a later holder
+// either. A connection ends with the process at its other end.
 struct start_call {
     call_target target;
     task_run run;
     std::string payload;
-    std::int64_t lease_deadline_ms = 0; // on the endpoint's clock
+    std::int64_t lease_deadline_ms = 0; // on the clock of that instance
+    std::int64_t instance_started_ms = 0;
 };
 
 struct stop_call {
@@ -88,6 +94,14 @@
 class endpoint_port {
 public:
     virtual ~endpoint_port() = default;
+    // Whether a connection to this instance is free, as far as is known, so
+    // that a start for it can be sent at once. Not thread-safe.
+    [[nodiscard]] virtual bool
+    is_connected(const call_target& target,
+                 std::int64_t instance_started_ms) const = 0;
+    // Answered as `not_connected` if there is no connection to the instance
+    // that the call names, also where `is_connected()` was true: the end of an
+    // unused connection is noticed at its next use.
     virtual void start(const start_call& call) = 0;
     virtual void stop(const stop_call& call) = 0;
     virtual void hold(const hold_call& call) = 0;
--- a/tests/dispatch/endpoint_session_test.cpp
+++ b/tests/dispatch/endpoint_session_test.cpp
@@ -867,6 +867,45 @@
     BOOST_TEST(!session->confirm_instance(now));
 }
 
+// The next three guard against duplicate runs: an idle endpoint has restarted
+// unnoticed, so that a start on a new connection is carried out late by an
+// instance that knows neither its deadline's clock nor any token.
+
+BOOST_AUTO_TEST_CASE(start_waits_for_a_connection_to_the_known_instance) {
+    answer_hold({});
+    port.connected = false;
+    const auto before = port.holds.size();
+    BOOST_TEST(!session->confirm_instance(now));
+    BOOST_TEST(!session->confirm_instance(now));
+    BOOST_REQUIRE_EQUAL(port.holds.size(), before + 1); // asked once
+    port.connected = true;
+    answer_hold({});
+    BOOST_TEST(session->confirm_instance(now));
+}
+
+BOOST_AUTO_TEST_CASE(start_names_the_instance_whose_clock_was_read) {
+    answer_hold({});
+    start(0);
+    BOOST_TEST(port.starts.back().instance_started_ms == 1000);
+    port.connected_to = 2000; // of a restart that was not noticed
+    BOOST_TEST(!session->confirm_instance(now));
+    answer_hold({}, {}, 2000);
+    BOOST_TEST(session->confirm_instance(now));
+    start(1);
+    BOOST_TEST(port.starts.back().instance_started_ms == 2000);
+}
+
+BOOST_AUTO_TEST_CASE(start_without_a_connection_has_no_effect) {
+    answer_hold({});
+    start(0);
+    answer_start(0, call_status::not_connected);
+    BOOST_REQUIRE_EQUAL(events.ends.size(), 1U);
+    BOOST_TEST((events.ends.front().second == update_kind::refused));
+    BOOST_TEST(session->health().consecutive_faults() == 0U);
+    BOOST_TEST(!session->refusing_since().has_value());
+    BOOST_TEST(session->accepts_tasks());
+}
+
 // Guards against an endpoint that is lost for the rest of a cut: the platform's
 // list may show its restart late, and the instance was fenced after each
 // takeover.
--- a/tests/dispatch/fleet/fleet_matrix.cpp
+++ b/tests/dispatch/fleet/fleet_matrix.cpp
@@ -296,6 +296,7 @@
     virtual_fleet fleet(run.seed, run.size);
     fleet.keep_log = keep_log;
     fleet.check_grants = run.check_grants;
+    fleet.end_connections = run.end_connections;
     if (keep_log) {
         fleet.observed.trace = [&fleet](const std::string& line) {
             fleet.note(line);
--- a/tests/dispatch/fleet/fleet_matrix.hpp
+++ b/tests/dispatch/fleet/fleet_matrix.hpp
@@ -29,6 +29,7 @@
     fleet_size size;
     double jobs_per_s = 20.0; // tasks queue up at twice this load
     bool check_grants = false;
+    bool end_connections = false; // see `virtual_fleet`
     std::vector<fleet_step> steps;
 };
 
--- a/tests/dispatch/fleet/fleet_matrix_main.cpp
+++ b/tests/dispatch/fleet/fleet_matrix_main.cpp
@@ -28,6 +28,8 @@
 DEFINE_uint64(endpoints, 9, "Number of endpoints.");
 DEFINE_double(cpu_share, 0.25, "Share of a CPU core per host.");
 DEFINE_bool(check_grants, false, "Also check that granted endpoints are held.");
+DEFINE_bool(end_connections, false,
+            "Connections to an endpoint end with its instance.");
 DEFINE_bool(show_log, false, "Print the log of each failed run.");
 DEFINE_bool(stop_at_first, false, "Stop after the first failed run.");
 DEFINE_uint64(most_shown, 12, "How many failed runs are printed.");
@@ -114,6 +116,7 @@
     auto runs = FLAGS_runs.empty() ? plan_runs() : read_runs(FLAGS_runs);
     for (auto& run : runs) {
         run.check_grants = FLAGS_check_grants;
+        run.end_connections = FLAGS_end_connections;
         if (!FLAGS_runs.empty()) {
             continue;
         }
--- a/tests/dispatch/fleet/virtual_fleet.hpp
+++ b/tests/dispatch/fleet/virtual_fleet.hpp
@@ -176,6 +176,10 @@
     // Adds a line with the time to the log.
     void note(const std::string& line);
     std::size_t draw(std::size_t below) { return random_() % below; }
+    // See `end_connections`.
+    [[nodiscard]] bool counts_connections() const {
+        return end_connections || has_processors_;
+    }
 
     observations observed;
     std::uint64_t jobs_sent = 0;
@@ -187,6 +191,11 @@
     bool keep_log = false;
     // Also report endpoints that were granted and have no holder.
     bool check_grants = false;
+    // Connections to an endpoint end with its instance, and a start needs a
+    // free one. Otherwise starts reach a later instance as well, as if they had
+    // been passed on to the endpoint before it restarted. Fleets with
+    // processors always count connections.
+    bool end_connections = false;
 
 private:
     friend class fleet_host;
@@ -224,6 +233,7 @@
             execute;
         std::function<void(dispatcher&, call_status)> failed;
         call_kind kind = call_kind::hold;
+        std::int64_t instance_started_ms = 0; // that a start is for
     };
 
     // A call that has not ended yet, or has if `*ended`.
@@ -231,6 +241,7 @@
         std::size_t host = 0;
         std::uint64_t process = 0;
         std::string endpoint;
+        std::int64_t instance_started_ms = 0; // at the other end
         timestamp limit{0};
         std::shared_ptr<bool> ended;
         std::function<void(dispatcher&, call_status)> failed;
--- a/tests/dispatch/orders/order_model.hpp
+++ b/tests/dispatch/orders/order_model.hpp
@@ -87,6 +87,12 @@
     duration resend_after{1'300'000};
     // With more deviations, two runs may be no fault.
     std::size_t max_depth = std::numeric_limits<std::size_t>::max();
+    // A connection to an endpoint ends with the instance at its other end.
+    // Otherwise starts reach a later instance as well, as if they had been
+    // passed on to the endpoint before it restarted.
+    bool connections_end = false;
+    // How much later the latest calls are carried out.
+    duration latest_call{2'000'000};
 };
 
 const std::vector<scenario>& all_scenarios();
@@ -94,6 +100,9 @@
 // Appends the scenarios of lost_host_scenarios.cpp. Not thread-safe.
 void add_lost_host_scenarios(std::vector<scenario>& all);
 
+// Appends those of unknown_instance_scenarios.cpp. Not thread-safe.
+void add_unknown_instance_scenarios(std::vector<scenario>& all);
+
 // The same scenario with an instance of endpoint 0 that no host knows: the
 // endpoint starts again under its id right before the job, and the platform
 // does not list the instance. Right after the job, no host reaches the endpoint
--- a/tests/dispatch/orders/order_scenarios.cpp
+++ b/tests/dispatch/orders/order_scenarios.cpp
@@ -851,6 +851,7 @@
              {{80ms, slow, 0}, {150ms, submit, 0}},
              4s});
         add_lost_host_scenarios(all);
+        add_unknown_instance_scenarios(all);
         return all;
     }();
     return scenarios;
--- a/tests/dispatch/orders/order_search.cpp
+++ b/tests/dispatch/orders/order_search.cpp
@@ -46,6 +46,9 @@
 DEFINE_bool(late_instance, false,
             "In each scenario, endpoint 0 starts again unlisted right before "
             "the job, and no host reaches it right after the job.");
+DEFINE_string(connections, "",
+              "Connections to an endpoint end with its instance: \"end\", in "
+              "all scenarios, or \"last\", in none; empty: as each says.");
 DEFINE_uint64(random, 0, "Random schedules of each scenario after that.");
 DEFINE_uint64(random_depth, 3, "Deviations of a random schedule.");
 DEFINE_uint64(seed, 1, "Seed of the random schedules.");
@@ -96,6 +99,9 @@
 scenario with_flags(scenario plan) {
     plan.keep_rows = FLAGS_keep_rows;
     plan.clock_rate = FLAGS_slow_clocks ? 0.98 : plan.clock_rate;
+    if (!FLAGS_connections.empty()) {
+        plan.connections_end = FLAGS_connections == "end";
+    }
     return FLAGS_late_instance ? with_late_instance(std::move(plan)) : plan;
 }
 
--- a/tests/dispatch/session_fixture.hpp
+++ b/tests/dispatch/session_fixture.hpp
@@ -11,6 +11,12 @@
 // Records the calls; the test supplies the replies.
 class recording_endpoint_port final : public endpoint_port {
 public:
+    [[nodiscard]] bool
+    is_connected(const call_target& /*target*/,
+                 std::int64_t instance_started_ms) const override {
+        return connected &&
+               (connected_to == 0 || connected_to == instance_started_ms);
+    }
     void start(const start_call& call) override { starts.push_back(call); }
     void stop(const stop_call& call) override { stops.push_back(call); }
     void hold(const hold_call& call) override { holds.push_back(call); }
@@ -18,6 +24,9 @@
     std::vector<start_call> starts;
     std::vector<stop_call> stops;
     std::vector<hold_call> holds;
+    // Whether a connection is free, and to which instance; 0: to any.
+    bool connected = true;
+    std::int64_t connected_to = 0;
 };
 
 class recording_session_events final : public session_events {
