Jobs wait for an endpoint that restarts while its holder is not heard

Cause: a start that was passed on to an endpoint may be carried out after that has restarted, by the later instance: its deadline is on the former clock, and the instance knows no token. If its holder is cut off, nobody on the other side knows of the start, and the job is placed there as soon as it comes again.

Change: the host knows the restart from the platform's list, and that it does not hear a holder from before. Jobs that may have been sent before the restart was listed then wait until the endpoint answers a successor, which makes it refuse the start, or its holder is heard, which tells what is open (tenure_ledger::awaits_answer, rule 7 of docs/design/starts.md). Later jobs don't wait: the former instance can't have been sent their starts. The way is that of rule 6, with its log lines; /restarted_ms: of event=endpoints_unproved is new. Nobody waits for the endpoints of a failure domain that is cut off, where none of the others has answered a successor within 10 s: there the gap stays.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -748,7 +748,9 @@
 // Each later submission of the job arrives within its caller's time-out and the
 // time until it is sent again.
 bool dispatcher::may_have_come_before(duration caller_timeout) const {
-    const auto since = std::max(serves_since_, joint_end_at_);
+    const auto since =
+        std::max({serves_since_, joint_end_at_,
+                  std::optional(tenures_.last_awaited_restart())});
     return !serves_since_ || now_ - *since <= caller_timeout +
                                                   settings_.resend_after +
                                                   resend_delay_limit;
@@ -1065,7 +1067,7 @@
     const bool is_first_list = !std::exchange(has_endpoints_, true);
     for (const auto& endpoint : listed) {
         directory_.set_endpoint(endpoint);
-        tenures_.set_endpoint(endpoint);
+        tenures_.set_endpoint(now, endpoint);
         // Rows are kept while their endpoint is not listed.
         if (const auto* row = directory_.holder_of(endpoint.id)) {
             tenures_.set_holder(*row);
--- a/src/core/dispatch/tenure_ledger.cpp
+++ b/src/core/dispatch/tenure_ledger.cpp
@@ -75,9 +75,11 @@
     }
 }
 
-void tenure_ledger::set_endpoint(const endpoint_record& endpoint) {
+void tenure_ledger::set_endpoint(timestamp now,
+                                 const endpoint_record& endpoint) {
     auto& known = endpoints_[endpoint.id];
     known.pool = endpoint.pool;
+    known.failure_domain = endpoint.failure_domain;
     if (known.labels != endpoint.labels) {
         for (auto& open : known.tenures) {
             open.former_labels.insert(open.former_labels.end(),
@@ -88,6 +90,9 @@
     known.gone_by.reset();
     known.tenures_known |= rows_read_ && known.newest_token == 0;
     if (endpoint.instance_started_ms > known.instance_started_ms) {
+        if (known.instance_started_ms != 0) {
+            known.restart_listed_at = now;
+        }
         known.instance_started_ms = endpoint.instance_started_ms;
         known.began_by = timestamp::max();
         known.heard_after_token = 0;
@@ -133,9 +138,36 @@
     return true;
 }
 
+bool tenure_ledger::seems_cut_off(timestamp now, const std::string& id) const {
+    const auto& domain = endpoints_.at(id).failure_domain;
+    bool has_others = false;
+    for (const auto& [other, known] : endpoints_) {
+        if (other == id || known.failure_domain != domain || known.gone_by) {
+            continue;
+        }
+        has_others = true;
+        if (known.answered_token != 0 &&
+            now - known.earlier_runs_end_by < evidence_validity) {
+            return false;
+        }
+    }
+    return has_others;
+}
+
+bool tenure_ledger::awaits_answer(
+    timestamp now, const std::string& id, const known_endpoint& known,
+    const std::function<bool(const process_id&)>& tells) const {
+    return known.restart_listed_at &&
+           std::any_of(known.tenures.begin(), known.tenures.end(),
+                       [&tells](const tenure& open) {
+                           return !open.ends_by && !tells(open.holder);
+                       }) &&
+           !seems_cut_off(now, id);
+}
+
 timestamp tenure_ledger::known_endpoint::safe_from() const {
     if (proved) {
-        return timestamp::min();
+        return awaits_answer ? *restart_listed_at : timestamp::min();
     }
     if (heard_after_token == 0 || heard_after_token < newest_token) {
         return timestamp::max();
@@ -194,10 +226,20 @@
 
 void tenure_ledger::note_proofs(
     timestamp now, const std::function<bool(const process_id&)>& tells) {
+    last_awaited_restart_ = timestamp::min();
     for (auto& [id, known] : endpoints_) {
         if (now - known.heard_at > evidence_validity) {
             known.heard_after_token = 0;
         }
+        if (known.restart_listed_at &&
+            now - *known.restart_listed_at > longest_job_age) {
+            known.restart_listed_at.reset();
+        }
+        known.awaits_answer = awaits_answer(now, id, known, tells);
+        if (known.awaits_answer) {
+            last_awaited_restart_ =
+                std::max(last_awaited_restart_, *known.restart_listed_at);
+        }
         if (known.proved) {
             continue;
         }
@@ -289,11 +331,12 @@
         return at == timestamp::max() ? std::string("unknown")
                                       : absl::StrCat(to_ms(now - at));
     };
-    return absl::StrCat(endpoint, "/token:", known.newest_token,
-                        "/heard_after:", known.heard_after_token,
-                        "/age_ms:", since(known.began_by),
-                        "/used_under:", known.used_token,
-                        "/used_ms:", since(known.used_since));
+    return absl::StrCat(
+        endpoint, "/token:", known.newest_token,
+        "/heard_after:", known.heard_after_token,
+        "/age_ms:", since(known.began_by), "/used_under:", known.used_token,
+        "/used_ms:", since(known.used_since), "/restarted_ms:",
+        since(known.restart_listed_at.value_or(timestamp::max())));
 }
 
 timestamp tenure_ledger::needs_no_proof_from(const std::string& pool) const {
--- a/src/core/dispatch/tenure_ledger.hpp
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -29,9 +29,14 @@
 constexpr duration clock_reading_limit = 20s + 150ms + 2s;
 
 // That an instance was heard after its holder had ended counts for this long:
-// the holder may have been taken for ended in a cut.
+// the holder may have been taken for ended in a cut. So does that an endpoint
+// has answered a successor: its failure domain is not cut off.
 constexpr duration evidence_validity = 10s;
 
+// Callers give a job up, and send it again, sooner than this after it was sent
+// first.
+constexpr duration longest_job_age = 60s;
+
 // Owned by a `dispatcher`. Not thread-safe.
 class tenure_ledger {
 public:
@@ -52,7 +57,7 @@
     // thread-safe.
     void note_listed(const std::string& endpoint, std::uint64_t token);
     // The platform lists the endpoint (again). Not thread-safe.
-    void set_endpoint(const endpoint_record& endpoint);
+    void set_endpoint(timestamp now, const endpoint_record& endpoint);
     // The platform does not list the endpoint any more: what was sent to it
     // has ended by `runs_end_by`, unless it is listed again before. Not
     // thread-safe.
@@ -69,8 +74,8 @@
     // answered under its newest row, as earlier rows can't be read any more,
     // and the holder of each open tenure is heard (`tells`). Runs that an
     // adoption has listed don't count. A proved endpoint stays so, as this host
-    // is told of later starts. Precondition: the rows and the endpoints were
-    // read. Not thread-safe.
+    // is told of later starts, unless it restarts; see `awaits_answer()`.
+    // Precondition: the rows and the endpoints were read. Not thread-safe.
     void note_proofs(timestamp now,
                      const std::function<bool(const process_id&)>& tells);
 
@@ -122,6 +127,12 @@
     // instance began `clock_reading_limit` before the start, or that holder had
     // told of it by then: earlier holders are refused there. Not thread-safe.
     [[nodiscard]] timestamp needs_no_proof_from(const std::string& pool) const;
+    // When the platform first listed the last restart of an endpoint that is
+    // not proved for starts sent before; the lowest time if there is none. Not
+    // thread-safe.
+    [[nodiscard]] timestamp last_awaited_restart() const {
+        return last_awaited_restart_;
+    }
     // Whether any endpoint is not proved for starts sent at `first_sent` or
     // later. Not thread-safe.
     [[nodiscard]] bool has_unproved(timestamp first_sent) const;
@@ -144,6 +155,7 @@
     };
     struct known_endpoint {
         std::string pool;
+        std::string failure_domain;
         std::vector<std::string> labels;
         std::vector<tenure> tenures; // by token
         // The highest token under which the endpoint has answered, and when the
@@ -171,6 +183,11 @@
         // was heard; 0 if there is none.
         std::uint64_t heard_after_token = 0;
         timestamp heard_at{0};
+        // When the platform first listed a later instance than the one known
+        // before, and whether starts that were sent before that may be carried
+        // out by it.
+        std::optional<timestamp> restart_listed_at;
+        bool awaits_answer = false;
 
         // See `needs_no_proof_from()`.
         [[nodiscard]] timestamp safe_from() const;
@@ -180,12 +197,27 @@
         [[nodiscard]] bool has_answered(timestamp now) const;
     };
 
+    // Whether the endpoint has restarted, and a holder from before that is not
+    // heard: a start that it had sent to the former instance, and that was
+    // passed on to the present one, is carried out by that at any time, as its
+    // deadline is on another clock. Once the endpoint answers a successor, it
+    // refuses such a start. Nobody waits for the endpoints of a failure domain
+    // that is cut off, where no other one answers either.
+    [[nodiscard]] bool
+    awaits_answer(timestamp now, const std::string& id,
+                  const known_endpoint& known,
+                  const std::function<bool(const process_id&)>& tells) const;
+    // Whether no other endpoint of the failure domain has answered a successor
+    // within `evidence_validity`, although there are others.
+    [[nodiscard]] bool seems_cut_off(timestamp now,
+                                     const std::string& id) const;
     // Notes a time at which `tick()` has something to forget.
     void note_end(timestamp ends_by);
 
     std::map<std::string, known_endpoint> endpoints_;
     bool rows_read_ = false;
     std::optional<timestamp> next_end_; // of a tenure or an endpoint
+    timestamp last_awaited_restart_ = timestamp::min();
 };
 
 } // namespace figridge::dispatch
--- a/tests/dispatch/orders/order_model.cpp
+++ b/tests/dispatch/orders/order_model.cpp
@@ -1084,7 +1084,9 @@
                           instance = endpoints_[number].instance](
                              std::optional<duration> answer_after) {
         auto& endpoint = endpoints_[number];
-        if (endpoint.instance != instance) {
+        const bool outlasts = plan_.starts_outlast_instances &&
+                              what.not_connected && !endpoint.down;
+        if (endpoint.instance != instance && !outlasts) {
             return at(now_ + hop_time, [end, what] {
                 end(input_source::endpoint, what.unanswered);
             });
--- a/tests/dispatch/orders/order_model.hpp
+++ b/tests/dispatch/orders/order_model.hpp
@@ -91,6 +91,9 @@
     // Otherwise starts reach a later instance as well, as if they had been
     // passed on to the endpoint before it restarted.
     bool connections_end = false;
+    // A start that was passed on to an endpoint is carried out even if that
+    // restarts before.
+    bool starts_outlast_instances = false;
     // How much later the latest calls are carried out.
     duration latest_call{2'000'000};
 };
--- a/tests/dispatch/orders/unknown_instance_scenarios.cpp
+++ b/tests/dispatch/orders/unknown_instance_scenarios.cpp
@@ -1,5 +1,5 @@
 // Scenarios in which a holder that is cut off sends a start to an endpoint that
-// has restarted unnoticed.
+// has restarted unnoticed, or restarts right after the start.
 //
 // Guards against two runs: the start opened a connection to the later instance,
 // on whose clock its deadline lies far ahead and which knew no token. It was
@@ -48,6 +48,27 @@
     return plan;
 }
 
+// Guards against two runs: the endpoint restarts after the start was passed on
+// to it, and the later instance carries that out. The platform lists the
+// restart, so hosts that don't hear the holder know of it.
+scenario start_before_a_restart(duration restart_after) {
+    using enum action_kind;
+    auto plan = start_in_a_cut(6ms, 300ms);
+    plan.name = absl::StrCat("start_", to_ms(restart_after),
+                             "_ms_before_a_restart_in_a_cut");
+    const auto submitted_at = cut_at + 300ms;
+    std::erase_if(plan.steps, [](const scenario_step& step) {
+        return step.kind == crash_unlisted;
+    });
+    plan.steps.push_back({submitted_at + restart_after, crash, 0});
+    std::stable_sort(plan.steps.begin(), plan.steps.end(),
+                     [](const scenario_step& a, const scenario_step& b) {
+                         return a.at < b.at;
+                     });
+    plan.starts_outlast_instances = true;
+    return plan;
+}
+
 scenario with_step(scenario plan, const char* suffix,
                    const scenario_step& step) {
     absl::StrAppend(&plan.name, "_", suffix);
@@ -70,6 +91,9 @@
         with_step(plan, "without_the_store", {cut_at, cut_store, holder}));
     all.push_back(
         with_step(plan, "of_two", {cut_at + 290ms, crash_unlisted, 1}));
+    for (const auto restart_after : {5ms, 100ms, 600ms}) {
+        all.push_back(start_before_a_restart(restart_after));
+    }
     // The other host of the cut-off failure domain goes on hearing the holder.
     auto domain = plan;
     domain.name += "_of_a_domain";
--- a/tests/dispatch/tenure_ledger_test.cpp
+++ b/tests/dispatch/tenure_ledger_test.cpp
@@ -20,7 +20,7 @@
         endpoint.id = id;
         endpoint.pool = "pool";
         endpoint.labels = std::move(labels);
-        tenures.set_endpoint(endpoint);
+        tenures.set_endpoint(now, endpoint);
     }
 
     void hold(const std::string& id, const process_id& holder,
@@ -44,6 +44,33 @@
         return tenures.find_unproved(pool, first_sent);
     }
 
+    // The platform lists this instance of the endpoint, in this domain.
+    void list_instance(const std::string& id, std::int64_t started_ms,
+                       const std::string& domain = "domain-1") {
+        endpoint_record endpoint;
+        endpoint.id = id;
+        endpoint.pool = "pool";
+        endpoint.failure_domain = domain;
+        endpoint.instance_started_ms = started_ms;
+        tenures.set_endpoint(now, endpoint);
+    }
+
+    // The endpoint answers its holder under this token, with an empty list.
+    void answer(const std::string& id, std::uint64_t token) {
+        tenures.fence(id, token, now);
+        tenures.note_listed(id, token);
+    }
+
+    // The endpoint is proved and its holder not heard any more.
+    void prove_and_lose_holder(const std::string& id) {
+        heard = {holder_a, holder_b};
+        answer(id, 4);
+        BOOST_TEST(unproved().empty());
+        now += evidence_validity;
+        heard = {holder_b};
+        BOOST_TEST(unproved().empty());
+    }
+
     // A host has heard the instance after the holder under the token had ended,
     // or that holder has told of it.
     void note_instance(const std::string& id, std::int64_t started_ms,
@@ -294,7 +321,7 @@
     listed.id = "endpoint-1";
     listed.pool = "pool";
     listed.instance_started_ms = 3000;
-    tenures.set_endpoint(listed);
+    tenures.set_endpoint(now, listed);
     BOOST_TEST((tenures.needs_no_proof_from("pool") == timestamp::max()));
 }
 
@@ -376,6 +403,72 @@
         (tenures.needs_no_proof_from("pool") == 4s + clock_reading_limit));
 }
 
+// The next five guard against two runs: the holder of an endpoint is cut off
+// and has sent a start to it, and the endpoint restarts and carries that out
+// late.
+
+BOOST_AUTO_TEST_CASE(restart_under_a_silent_holder_is_waited_for) {
+    list_instance("endpoint-1", 1000);
+    prove_and_lose_holder("endpoint-1");
+    list_instance("endpoint-1", 2000);
+    const auto listed_at = now;
+    BOOST_TEST(unproved() == std::vector<std::string>{"endpoint-1"});
+    BOOST_TEST((tenures.last_awaited_restart() == listed_at));
+    // The former instance refused starts that were sent later.
+    now += 1s;
+    BOOST_TEST(unproved("pool", listed_at).empty());
+    BOOST_TEST(unproved("pool", listed_at - 1ms).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(restarted_endpoint_that_answers_a_successor_is_proved) {
+    list_instance("endpoint-1", 1000);
+    prove_and_lose_holder("endpoint-1");
+    list_instance("endpoint-1", 2000);
+    BOOST_TEST(unproved().size() == 1U);
+    hold("endpoint-1", holder_b, 8);
+    BOOST_TEST(unproved().size() == 1U);
+    answer("endpoint-1", 8);
+    BOOST_TEST(unproved().empty());
+    BOOST_TEST((tenures.last_awaited_restart() == timestamp::min()));
+}
+
+BOOST_AUTO_TEST_CASE(restart_under_a_heard_holder_is_not_waited_for) {
+    list_instance("endpoint-1", 1000);
+    heard = {holder_a};
+    answer("endpoint-1", 4);
+    list_instance("endpoint-1", 2000);
+    BOOST_TEST(unproved().empty());
+    heard.clear();
+    BOOST_TEST(unproved().size() == 1U);
+    heard = {holder_a}; // tells what is open itself
+    BOOST_TEST(unproved().empty());
+}
+
+// A job must not wait for a failure domain until its cut ends.
+BOOST_AUTO_TEST_CASE(restart_in_a_cut_off_domain_is_not_waited_for) {
+    list_instance("endpoint-1", 1000);
+    list_instance("endpoint-2", 1000);
+    hold("endpoint-2", holder_a, 4);
+    heard = {holder_a};
+    answer("endpoint-2", 4);
+    prove_and_lose_holder("endpoint-1");
+    list_instance("endpoint-1", 2000);
+    BOOST_TEST(unproved().empty());
+    hold("endpoint-2", holder_b, 8);
+    answer("endpoint-2", 8); // so the domain is not cut off
+    BOOST_TEST(unproved() == std::vector<std::string>{"endpoint-1"});
+}
+
+BOOST_AUTO_TEST_CASE(restart_is_waited_for_as_long_as_jobs_may_be_older) {
+    list_instance("endpoint-1", 1000);
+    prove_and_lose_holder("endpoint-1");
+    list_instance("endpoint-1", 2000);
+    now += longest_job_age;
+    BOOST_TEST(unproved().size() == 1U);
+    now += 1ms;
+    BOOST_TEST(unproved().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace figridge::dispatch
