Only an endpoint whose failure domain answers is waited for; postmortem

Cause: a failure domain with no other endpoint was taken for one that is not cut off. Nothing tells it from one that is, and there each restart would stop the pool for a time-out and 1,800 ms on the larger side of the cut.

The rule, what it leaves open and the ways that were weighed: docs/design/starts.md, "Which instance a start reaches" and rule 7; docs/incidents/start-on-an-unread-instance.md.

--- a/src/core/dispatch/tenure_ledger.cpp
+++ b/src/core/dispatch/tenure_ledger.cpp
@@ -138,20 +138,15 @@
     return true;
 }
 
-bool tenure_ledger::seems_cut_off(timestamp now, const std::string& id) const {
+bool tenure_ledger::domain_answers(timestamp now, const std::string& id) const {
     const auto& domain = endpoints_.at(id).failure_domain;
-    bool has_others = false;
-    for (const auto& [other, known] : endpoints_) {
-        if (other == id || known.failure_domain != domain || known.gone_by) {
-            continue;
-        }
-        has_others = true;
-        if (known.answered_token != 0 &&
-            now - known.earlier_runs_end_by < evidence_validity) {
-            return false;
-        }
-    }
-    return has_others;
+    return std::any_of(
+        endpoints_.begin(), endpoints_.end(), [&](const auto& item) {
+            const auto& [other, known] = item;
+            return other != id && known.failure_domain == domain &&
+                   known.answered_token != 0 &&
+                   now - known.earlier_runs_end_by < evidence_validity;
+        });
 }
 
 bool tenure_ledger::awaits_answer(
@@ -162,7 +157,7 @@
                        [&tells](const tenure& open) {
                            return !open.ends_by && !tells(open.holder);
                        }) &&
-           !seems_cut_off(now, id);
+           domain_answers(now, id);
 }
 
 timestamp tenure_ledger::known_endpoint::safe_from() const {
--- a/src/core/dispatch/tenure_ledger.hpp
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -202,15 +202,15 @@
     // passed on to the present one, is carried out by that at any time, as its
     // deadline is on another clock. Once the endpoint answers a successor, it
     // refuses such a start. Nobody waits for the endpoints of a failure domain
-    // that is cut off, where no other one answers either.
+    // that may be cut off, where no other one answers either.
     [[nodiscard]] bool
     awaits_answer(timestamp now, const std::string& id,
                   const known_endpoint& known,
                   const std::function<bool(const process_id&)>& tells) const;
-    // Whether no other endpoint of the failure domain has answered a successor
-    // within `evidence_validity`, although there are others.
-    [[nodiscard]] bool seems_cut_off(timestamp now,
-                                     const std::string& id) const;
+    // Whether another endpoint of the failure domain has answered a successor
+    // within `evidence_validity`.
+    [[nodiscard]] bool domain_answers(timestamp now,
+                                      const std::string& id) const;
     // Notes a time at which `tick()` has something to forget.
     void note_end(timestamp ends_by);
 
