--- a/src/adapters/http_client.hpp
+++ b/src/adapters/http_client.hpp
@@ -109,10 +109,9 @@
     void set_server_process(std::uint64_t connection, std::int64_t process) {
         connections_.set_process(connection, process);
     }
-    // Whether a call to this process of the server (ip:port) would be sent at
-    // once: more connections to it are free than calls wait for one. False only
-    // if it is known; the end of a free connection is noticed when it is used.
-    // Not thread-safe.
+    // Whether a call to this process of the server (ip:port) would find a
+    // connection: more of them are free than calls wait for one. The end of a
+    // free connection is noticed only when it is used. Not thread-safe.
     [[nodiscard]] bool has_free_connection(const std::string& server,
                                            std::int64_t process) const;
 
--- a/src/core/dispatch/tenure_ledger.hpp
+++ b/src/core/dispatch/tenure_ledger.hpp
@@ -198,11 +198,11 @@
     };
 
     // Whether the endpoint has restarted, and a holder from before that is not
-    // heard: a start that it had sent to the former instance, and that was
-    // passed on to the present one, is carried out by that at any time, as its
-    // deadline is on another clock. Once the endpoint answers a successor, it
-    // refuses such a start. Nobody waits for the endpoints of a failure domain
-    // that may be cut off, where no other one answers either.
+    // heard: a start that it had sent to the former instance may be carried out
+    // by the present one at any time, as its deadline is on another clock. Once
+    // the endpoint answers a successor, it refuses such a start. Nobody waits
+    // for the endpoints of a failure domain that may be cut off, where no other
+    // one answers either.
     [[nodiscard]] bool
     awaits_answer(timestamp now, const std::string& id,
                   const known_endpoint& known,
