--- a/tests/dispatch/orders/order_model.cpp
+++ b/tests/dispatch/orders/order_model.cpp
@@ -364,7 +364,8 @@
         record.id = absl::StrCat("endpoint-", i);
         record.pool = "pool";
         record.address = absl::StrCat("10.2.0.", i + 1, ":80");
-        record.failure_domain = "domain-1";
+        record.failure_domain =
+            plan.endpoints_apart && i == 1 ? "domain-2" : "domain-1";
         record.rack = "rack";
         record.capacity = {16'000, 32'768, 0};
         endpoints_[i].model = std::make_unique<virtual_endpoint>(
--- a/tests/dispatch/orders/order_model.hpp
+++ b/tests/dispatch/orders/order_model.hpp
@@ -94,6 +94,8 @@
     // A start that was passed on to an endpoint is carried out even if that
     // restarts before.
     bool starts_outlast_instances = false;
+    // Endpoint 1 is in a failure domain of its own.
+    bool endpoints_apart = false;
     // How much later the latest calls are carried out.
     duration latest_call{2'000'000};
 };
--- a/tests/dispatch/orders/unknown_instance_scenarios.cpp
+++ b/tests/dispatch/orders/unknown_instance_scenarios.cpp
@@ -94,6 +94,12 @@
     for (const auto restart_after : {5ms, 100ms, 600ms}) {
         all.push_back(start_before_a_restart(restart_after));
     }
+    // No other endpoint of its failure domain can tell that this is not cut
+    // off.
+    auto apart = start_before_a_restart(100ms);
+    apart.name += "_of_a_lone_endpoint";
+    apart.endpoints_apart = true;
+    all.push_back(apart);
     // The other host of the cut-off failure domain goes on hearing the holder.
     auto domain = plan;
     domain.name += "_of_a_domain";
